--- /dev/null
+++ b/gorsethread/__init__.py
@@ -0,0 +1,1 @@
+"""gorsethread: a storage gateway that keeps volumes to their reservations, shares and limits."""
--- /dev/null
+++ b/gorsethread/benchlink/__main__.py
@@ -0,0 +1,216 @@
+"""The wire adapter: batches in, calls on the policy, replies out. It decides nothing."""
+
+import json
+import sys
+import traceback
+from typing import Any
+
+from gorsethread.model import (
+    ColdRule,
+    Effect,
+    Ending,
+    ForwardBudget,
+    Group,
+    Plan,
+    Profile,
+    StartFacts,
+)
+from gorsethread.policy import Policy
+
+EFFECTS = {"free": Effect.REDOABLE, "guarded": Effect.LABELLED, "single_shot": Effect.IRREVERSIBLE}
+GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.SHARD}
+ENDINGS = {
+    "S": Ending.HONOURED,
+    "E": Ending.ERROR,
+    "F": Ending.TURNED_AWAY,
+    "T": Ending.TIMED_OUT,
+    "C": Ending.UNREACHED,
+    "R": Ending.BROKEN,
+    "X": Ending.CALLED_OFF,
+    "N": Ending.NOT_SENT,
+}
+CLIENT_REPEAT = 2
+
+
+class Malformed(Exception):
+    """A line that does not follow the wire."""
+
+
+class Fields(dict[str, Any]):
+    """A decoded object; asking for a field that is not there is the sender's fault."""
+
+    def __missing__(self, name: str) -> Any:
+        raise Malformed(f"missing field {name}")
+
+
+def word(table: dict[str, Any], value: Any) -> Any:
+    if value not in table:
+        raise Malformed(f"unknown word {value!r}")
+    return table[value]
+
+
+def start_facts(setup: Fields) -> StartFacts:
+    rules, may, facts = setup["contract"], setup["permissions"], setup["specifics"]
+    budget = None
+    if rules.get("furtherRatio") is not None or rules.get("freeResends") is not None:
+        budget = ForwardBudget(
+            rules.get("freeResends") or 0.0, rules.get("furtherRatio") or 0.0, rules["ratioSpan"]
+        )
+    return StartFacts(
+        profiles=tuple(
+            Profile(s["aim"], word(EFFECTS, s["effect"]), word(GROUPS, s.get("group", "all")),
+                    s.get("window", 0.0), bool(s.get("keepOrder")))
+            for s in setup["services"]
+        ),
+        plans=tuple(
+            Plan(g.get("floorRate", 0.0), g.get("proportion", 1.0), g.get("neverOver", 0.0),
+                 g.get("limitBurst", 0.0), g.get("baseRate", 0.0))
+            for g in setup["grades"]
+        ),
+        heads=setup["balancers"],
+        list_on_request=setup["membershipMode"] == "subscribe",
+        ask_within=rules.get("askWithin", 0.0),
+        cold=ColdRule(facts["coldUnits"], rules["fall"], rules["cold"], rules["coldFrom"]),
+        budget=budget,
+        key_rest=rules.get("orderSettle") or 0.0,
+        most_forwards=may["maxAttempts"],
+        longest_return=may["maxRetryAfter"] if may["retryAfter"] else 0.0,
+        largest_units=facts["mostUnits"],
+        beyond_worth=facts.get("beyondShare", 0.0),
+        meter=facts.get("meter", 0.0),
+    )
+
+
+class BenchHost:
+    """The host of one instance: every act becomes a line of the reply."""
+
+    def __init__(self, link: "Link") -> None:
+        self.link = link
+        self.said: list[dict[str, Any]] = []
+
+    def clock(self) -> float:
+        return self.link.wall
+
+    def forward(self, transaction: int, shelf: int, wait: float) -> None:
+        self.said.append({"verb": "forward", "corr": transaction, "tryFor": wait, "shelf": shelf})
+
+    def recall(self, transaction: int, forward: int) -> None:
+        self.said.append({"verb": "recall", "corr": transaction, "shot": forward})
+
+    def push_back(self, transaction: int, return_after: float) -> None:
+        self.said.append({"verb": "deny", "corr": transaction, "coolDown": return_after})
+
+    def give_up(self, transaction: int) -> None:
+        self.said.append({"verb": "dropRequest", "corr": transaction})
+
+    def wake(self, delay: float, name: str) -> None:
+        self.said.append({"verb": "arm", "delay": delay, "keyBack": name})
+
+    def follow_list(self) -> None:
+        self.said.append({"verb": "subscribe", "active": True})
+
+
+class Link:
+    """The instances of this process, and the lists that travel once for all of them."""
+
+    def __init__(self) -> None:
+        self.wall = 0.0
+        self.pages: dict[int, list[Fields]] = {}
+        self.heads: dict[str, tuple[Policy, BenchHost]] = {}
+
+    def batch(self, line: str) -> dict[str, Any]:
+        try:
+            message = json.loads(line, object_hook=Fields)
+        except ValueError as error:
+            raise Malformed(f"not JSON: {error}") from None
+        if not isinstance(message, Fields):
+            raise Malformed("a batch is an object")
+        if message.get("verb") == "page":
+            self.page(message)
+            return {}
+        self.wall = message["wall"]
+        replies = []
+        for part in message["heads"]:
+            name, said = part["i"], []
+            try:
+                for event in part["happened"]:
+                    self.event(name, event)
+                if name in self.heads:
+                    policy, host = self.heads[name]
+                    policy.batch_ended()
+                    said, host.said = host.said, []
+            except Malformed:
+                raise
+            except Exception as error:
+                traceback.print_exc()
+                said = [{"verb": "bug", "message": f"{type(error).__name__}: {error}"}]
+            if said:
+                replies.append({"i": name, "output": said})
+        return {"heads": replies}
+
+    def page(self, message: Fields) -> None:
+        self.pages[message["page"]] = message["membersList"]
+
+    def event(self, name: str, e: Fields) -> None:
+        verb = e["verb"]
+        if verb == "up":
+            host = BenchHost(self)
+            self.heads[name] = (Policy(host, start_facts(e["setup"]), e["salt"]), host)
+            return
+        if verb == "kill":
+            self.heads.pop(name, None)
+            return
+        if verb == "page":
+            self.page(e)
+            return
+        if name not in self.heads:
+            raise Malformed(f"{verb} for {name}, which is not up")
+        policy = self.heads[name][0]
+        if verb == "order":
+            policy.transaction_taken(
+                e["corr"], e["tierClass"], e["contract"], e.get("item"), e["dropDead"], e["vol"],
+                e["quotaUnits"], e["slotNo"], e["setSize"], bool(e.get("stateBits", 0) & CLIENT_REPEAT),
+            )
+        elif verb == "done":
+            policy.forward_ended(
+                e["corr"], e["shot"], word(ENDINGS, e["how"]), e["shelf"], e["elapsed"],
+                bool(e.get("doneFlag")), e.get("delta", 0), e.get("usage", 0),
+            )
+        elif verb == "due":
+            policy.woken(e["keyBack"])
+        elif verb == "cancelledByClient":
+            policy.client_left(e["corr"])
+        elif verb == "sync":
+            if e["form"] == "refused":
+                policy.list_refused()
+                return
+            entries = self.pages.get(e["page"])
+            if entries is None:
+                raise Malformed(f"page {e['page']} was never sent")
+            policy.list_begins(e["form"] != "changes", e["form"] == "remembered")
+            for s in entries:
+                policy.shelf_listed(s["shelf"], s["rackZone"], s.get("pod", -1),
+                                    s["condition"] == "Ready", s.get("since", 0.0))
+            policy.list_ended()
+        elif verb not in ("ackFirst", "probeResult", "peer"):
+            raise Malformed(f"unknown verb {verb!r}")
+
+
+def main() -> int:
+    link = Link()
+    for line in sys.stdin:
+        if not line.strip():
+            continue
+        try:
+            reply = link.batch(line)
+        except Malformed as error:
+            print(f"gorsethread: malformed line: {error}", file=sys.stderr)
+            return 2
+        if reply:
+            sys.stdout.write(json.dumps(reply, separators=(",", ":")) + "\n")
+            sys.stdout.flush()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/gorsethread/model.py
@@ -0,0 +1,136 @@
+"""Plain types: the facts a head is given at its start, and what it keeps of transactions, volumes and shelves."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class Effect(Enum):
+    REDOABLE = "redoable"
+    LABELLED = "labelled"
+    IRREVERSIBLE = "irreversible"
+
+
+class Group(Enum):
+    """Which shelves drop the repeats of a labelled transaction."""
+
+    ALL = "all"
+    ZONE = "zone"
+    SHARD = "shard"
+
+
+class Ending(Enum):
+    """How a forward ended."""
+
+    HONOURED = "honoured"
+    ERROR = "error"
+    TURNED_AWAY = "turned away"
+    TIMED_OUT = "timed out"
+    UNREACHED = "unreached"
+    BROKEN = "broken"
+    CALLED_OFF = "called off"
+    NOT_SENT = "not sent"
+
+
+@dataclass(frozen=True, slots=True)
+class Profile:
+    promised: float
+    effect: Effect
+    group: Group
+    remembered: float
+    in_order: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    reserve: float
+    weight: float
+    limit: float
+    limit_burst: float
+    rate: float
+
+
+@dataclass(frozen=True, slots=True)
+class ColdRule:
+    units: float
+    span: float
+    warm_after: float
+    first_part: float
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardBudget:
+    free: float
+    part: float
+    span: float
+
+
+@dataclass(frozen=True, slots=True)
+class StartFacts:
+    profiles: tuple[Profile, ...]
+    plans: tuple[Plan, ...]
+    heads: int
+    list_on_request: bool
+    ask_within: float
+    cold: ColdRule
+    budget: ForwardBudget | None
+    key_rest: float
+    most_forwards: int
+    longest_return: float
+    largest_units: float
+    beyond_worth: float
+    meter: float
+
+
+@dataclass(slots=True, eq=False)
+class Volume:
+    id: str
+    plan: Plan
+    total: float
+    heads: int
+    limit_store: float
+    reserve_store: float
+    filled: float
+    new: list["Transaction"] = field(default_factory=list)
+    waiting: int = 0
+    out: int = 0
+    ranking: list["Shelf"] = field(default_factory=list)
+    ranked: int = -1
+
+
+@dataclass(slots=True, eq=False)
+class Shelf:
+    id: int
+    zone: int
+    shard: int
+    since: float
+    ready: bool
+    first_send: float
+    bound: float
+    heard: float
+    time: float = 0.0
+    errors: float = 0.0
+    rest_until: float = 0.0
+    misses: int = 0
+    out: dict[tuple[int, int], float] = field(default_factory=dict)
+    cold_sent: deque[tuple[float, float]] = field(default_factory=deque)
+
+
+@dataclass(slots=True, eq=False)
+class Transaction:
+    id: int
+    order: int
+    profile: Profile
+    volume: Volume
+    key: str | None
+    cut_off: float
+    promised_by: float
+    units: float
+    shard: int
+    forwards: int = 0
+    out: int = 0
+    ran_at: float | None = None
+    ran_on: Shelf | None = None
+    waiting: bool = False
+    chosen: bool = False
+    over: bool = False
--- /dev/null
+++ b/gorsethread/policy.py
@@ -0,0 +1,531 @@
+"""All decisions of a head. The program round it calls one method for each thing that happens, then
+batch_ended(); the policy answers by calls on the host interface in gorsethread/host.py.
+
+Ordinary path: LexAS, DUaL variant (docs/design.md), in _share_out. Beside it stand six mechanisms:
+(1) a shelf's bound and health, (2) the cold ramp, (3) the limit store, (4) shedding,
+(5) further forwards, (6) key turns.
+"""
+
+import heapq
+from bisect import insort
+from collections import deque
+from collections.abc import Iterator
+from hashlib import blake2b
+
+from gorsethread.host import Host
+from gorsethread.model import Effect, Ending, Group, Shelf, StartFacts, Transaction, Volume
+
+FIRST_BOUND = 4.0  # the design's start and ceiling
+HIGHEST_BOUND = 32.0
+FURTHER_FORWARDS = 2
+NEVER_RAN = (Ending.TURNED_AWAY, Ending.UNREACHED, Ending.NOT_SENT)
+MAY_STILL_RUN = (Ending.TIMED_OUT, Ending.BROKEN, Ending.CALLED_OFF)
+NO_ANSWER = (Ending.TIMED_OUT, Ending.UNREACHED, Ending.BROKEN)
+
+
+def _turn(t: Transaction) -> tuple[float, int]:
+    """Order inside a volume: the nearest promised time first."""
+    return (t.promised_by, t.order)
+
+
+class Policy:
+    def __init__(self, host: Host, facts: StartFacts, seed: int) -> None:
+        self.host = host
+        self.facts = facts
+        self.chance = seed & (2**64 - 1)
+        self.born = self.now = host.clock()
+        self.quickest = min(p.promised for p in facts.profiles)
+        self.order = 0
+        self.spans = [0.0] * len(facts.profiles)  # the longest first try seen of each profile
+        self.transactions: dict[int, Transaction] = {}  # emptied as each is over with its forwards in
+        self.volumes: dict[str, Volume] = {}  # emptied of idle volumes by _age
+        self.busy: dict[str, Volume] = {}  # volumes with something waiting or out; emptied with them
+        self.floor = 0.0
+        self.shelves: dict[int, Shelf] = {}  # emptied as shelves leave the list with nothing out
+        self.held_by: dict[int, Shelf] = {}  # shard to the shelf that now holds it, made anew by each list
+        self.pinned: dict[int, dict[str, list[Transaction]]] = {}  # by shard; emptied as they are sent
+        self.lists_seen = 0
+        self.list_whole = False
+        self.named: set[int] = set()
+        self.list_waits = 0
+        self.list_ask_at = 0.0 if facts.list_on_request else float("inf")
+        self.lines: dict[str, deque[Transaction]] = {}  # emptied as keys fall idle and their rest ends
+        self.key_rests: dict[str, float] = {}
+        self.agenda: list[tuple[float, int, Transaction | str]] = []  # emptied as its times pass
+        self.alarm = float("inf")
+        self.aged = self.now
+        self.overload_until = 0.0
+        self.taken: deque[float] = deque()  # both emptied as the budget's span passes
+        self.further: deque[float] = deque()
+        self.changed = True
+
+    # ---- what can happen
+
+    def transaction_taken(
+        self, id: int, profile: int, plan: int, key: str | None, cut_off: float, volume: str,
+        units: float, shard: int, heads: int, repeat: bool,
+    ) -> None:
+        now = self.now = self.host.clock()
+        v = self.volumes.get(volume) or self._meet(volume, plan, heads)
+        v.heads = max(1, heads)
+        # A client's repeat belongs to its first try, whose age shows in how little time is left.
+        self.spans[profile] = max(self.spans[profile], cut_off - now)
+        age = self.spans[profile] - (cut_off - now)
+        p = self.facts.profiles[profile]
+        self.order += 1
+        t = Transaction(id, self.order, p, v, key if p.in_order else None, cut_off,
+                        now - age + p.promised, units, shard)
+        self.transactions[id] = t
+        if self.facts.budget:
+            self.taken.append(now)
+        self._note(max(now, min(t.promised_by, cut_off)), t)
+        if t.key is not None:
+            line = self.lines.setdefault(t.key, deque())
+            line.append(t)
+            if line[0] is not t or self.key_rests.get(t.key, 0.0) > now:
+                return
+        self._hold(t)
+
+    def forward_ended(
+        self, id: int, number: int, how: Ending, shelf: int, elapsed: float, finished: bool,
+        elsewhere: float, usage: float,
+    ) -> None:
+        now = self.now = self.host.clock()
+        s, t = self.shelves.get(shelf), self.transactions.get(id)
+        if s is None or s.out.pop((id, number), None) is None:
+            return
+        self.changed = True
+        self._judge(s, how, elapsed)
+        if t is None:
+            return
+        t.out -= 1
+        v = t.volume
+        v.out -= 1
+        v.total += elsewhere  # what others' heads sent for the volume counts as if sent here
+        if not v.out and not v.waiting:
+            self.busy.pop(v.id, None)
+        if how not in NEVER_RAN and t.ran_at is None:
+            t.ran_at, t.ran_on = now - elapsed, s
+        if t.key is not None and how in MAY_STILL_RUN:
+            self.key_rests[t.key] = now + self.facts.key_rest
+        if finished:
+            t.over = True
+        elif not t.over:
+            if self._may_go_again(t, how):
+                self._hold(t)
+                self._note(now, t)
+            else:
+                self._end(t)
+        self._close(t)
+
+    def client_left(self, id: int) -> None:
+        self.now = self.host.clock()
+        t = self.transactions.get(id)
+        if t:
+            self._unhold(t)
+            t.over = True
+            self._close(t)
+
+    def woken(self, name: str) -> None:
+        self.now = self.host.clock()
+        if self.now >= self.alarm - 0.001:  # a clock may round a delay down
+            self.alarm = float("inf")
+
+    def list_refused(self) -> None:
+        self.now = self.host.clock()
+        self.list_waits += 1
+        wait = min(self.facts.ask_within, 0.25 * 2**self.list_waits) * (0.5 + 0.5 * self._random())
+        self.list_ask_at = self.now + wait
+
+    def list_begins(self, whole: bool, remembered: bool) -> None:
+        self.now = self.host.clock()
+        self.list_whole = whole
+        self.named = set()
+        if not remembered:
+            self.list_waits = 0
+        self.lists_seen += 1
+
+    def shelf_listed(self, id: int, zone: int, shard: int, ready: bool, since: float) -> None:
+        self.named.add(id)
+        s = self.shelves.get(id)
+        if s is None:
+            s = Shelf(id, zone, shard, since, ready, self.now, FIRST_BOUND, self.now)
+            self.shelves[id] = s
+            back = since > 0 and self.lists_seen > 1
+        else:
+            back = since > s.since
+            s.zone, s.shard, s.ready, s.since = zone, shard, ready, max(since, s.since)
+        if back:
+            # Guards against all heads rushing to a shelf that just came back; costs up to half a span.
+            s.first_send = self.now + 0.5 * self.facts.cold.span * self._random()
+            s.bound, s.rest_until, s.misses, s.errors, s.heard = FIRST_BOUND, 0.0, 0, 0.0, s.first_send
+            s.cold_sent.clear()
+
+    def list_ended(self) -> None:
+        for id, s in list(self.shelves.items()):
+            if self.list_whole and id not in self.named:
+                s.ready = False
+            if not s.ready and not s.out:
+                del self.shelves[id]
+        self.held_by = {}
+        for s in self.shelves.values():
+            old = self.held_by.get(s.shard)
+            if s.ready and (old is None or (s.since, s.id) > (old.since, old.id)):
+                self.held_by[s.shard] = s
+        for v in self.volumes.values():
+            v.ranked = -1
+        self.changed = True
+
+    def batch_ended(self) -> None:
+        now = self.now = self.host.clock()
+        while self.agenda and self.agenda[0][0] <= now:
+            _, _, item = heapq.heappop(self.agenda)
+            if isinstance(item, Transaction):
+                self._look_at(item)
+            elif item:
+                self._next_in_line(item)
+            else:
+                self.changed = True
+        if now >= self.list_ask_at:
+            self.list_ask_at = float("inf")
+            self.host.follow_list()
+        if now - self.aged >= 0.5:
+            self._age()
+        if self.changed:
+            self.changed = False
+            self._share_out()
+        need = min(self.agenda[0][0] if self.agenda else float("inf"), self.list_ask_at)
+        if need < self.alarm:
+            self.alarm = need
+            self.host.wake(max(0.0, need - now), "look")
+
+    # ---- the ordinary path
+
+    def _share_out(self) -> None:
+        """LexAS: the unsaturated volume with the least (B + cost) / w gets a slot by an augmenting path."""
+        free = {s.id: n for s in self.held_by.values() if (n := self._free_slots(s)) > 0}
+        if not free or not self.busy:
+            return
+        given: dict[int, list[Transaction]] = {id: [] for id in free}
+        spent: dict[str, float] = {}  # units chosen so far of each volume
+        charged: dict[str, float] = {}
+        new_to: dict[str, Shelf | None] = {}
+
+        def mark(t: Transaction, sign: int) -> None:
+            t.chosen = sign > 0
+            spent[t.volume.id] = spent.get(t.volume.id, 0.0) + sign * t.units
+            charged[t.volume.id] = self._charge(t.volume, spent[t.volume.id])
+
+        def edges(v: Volume) -> Iterator[tuple[int, Transaction]]:
+            left = self._limit_left(v) - spent.get(v.id, 0.0)
+            for id in free:
+                t = next((t for t in self.pinned.get(self.shelves[id].shard, {}).get(v.id, ())
+                          if not t.chosen), None)
+                if t and (t.forwards or t.units <= left) and self._may_go_to(t, self.shelves[id]):
+                    yield id, t
+            t = next((t for t in v.new if not t.chosen), None)
+            if t and (t.forwards or t.units <= left):
+                for s in self._ranking(v):
+                    if s.id in free and self._may_go_to(t, s) and not self._has_enough(s, len(given[s.id])):
+                        yield s.id, t
+                        break
+
+        def path(v: Volume, seen: set[int]) -> bool:
+            for id, t in edges(v):
+                if id in seen:
+                    continue
+                seen.add(id)
+                mark(t, 1)
+                if len(given[id]) < free[id]:
+                    given[id].append(t)
+                    return True
+                for i, other in enumerate(given[id]):
+                    mark(other, -1)
+                    if other.volume is not v and path(other.volume, seen):
+                        given[id][i] = t
+                        return True
+                    mark(other, 1)
+                mark(t, -1)
+            return False
+
+        open_volumes = {v.id: (v, next(edges(v), None)) for v in self.busy.values() if v.waiting}
+        slots = sum(free.values())
+        while slots and open_volumes:
+            best, least = None, float("inf")
+            for id, (v, edge) in open_volumes.items():
+                if edge is None:
+                    continue
+                cost = self._charge(v, spent.get(id, 0.0) + edge[1].units)
+                if (v.total + cost) / v.plan.weight < least:
+                    best, least = v, (v.total + cost) / v.plan.weight
+            if best is None:
+                break
+            if path(best, set()):
+                slots -= 1
+                open_volumes[best.id] = (best, next(edges(best), None))
+            else:
+                del open_volumes[best.id]  # saturated
+        for id, chosen in given.items():
+            for t in chosen:
+                t.chosen = False
+                self._send(t, self.shelves[id])
+
+    def _send(self, t: Transaction, s: Shelf) -> None:
+        v = t.volume
+        cold = self._cold_left(s)
+        if t.units > cold:
+            self._note(self.now + 0.02, "")
+            return
+        if cold < float("inf"):
+            s.cold_sent.append((self.now, t.units))
+        if t.forwards == 0:
+            v.limit_store -= t.units
+            v.total += self._charge(v, t.units)
+            v.reserve_store = max(0.0, v.reserve_store - t.units)
+        elif self.facts.budget:
+            self.further.append(self.now)
+        self._unhold(t)
+        s.out[(t.id, t.forwards)] = self.now
+        t.forwards += 1
+        t.out += 1
+        v.out += 1
+        self.busy[v.id] = v
+        self.host.forward(t.id, s.id, 0.0)
+
+    def _hold(self, t: Transaction) -> None:
+        v = t.volume
+        if v.id not in self.busy:
+            # DUaL: a waking volume starts at the busy minimum.
+            if self.busy:
+                self.floor = min(b.total / b.plan.weight for b in self.busy.values())
+            v.total = max(v.total, self.floor * v.plan.weight)
+            self.busy[v.id] = v
+        v.waiting += 1
+        t.waiting = True
+        self.changed = True
+        if t.shard >= 0:
+            insort(self.pinned.setdefault(t.shard, {}).setdefault(v.id, []), t, key=_turn)
+        else:
+            insort(v.new, t, key=_turn)
+
+    def _unhold(self, t: Transaction) -> None:
+        if not t.waiting:
+            return
+        t.waiting = False
+        v = t.volume
+        v.waiting -= 1
+        if t.shard < 0:
+            v.new.remove(t)
+        else:
+            lane = self.pinned[t.shard]
+            lane[v.id].remove(t)
+            if not lane[v.id]:
+                del lane[v.id]
+                if not lane:
+                    del self.pinned[t.shard]
+        if not v.waiting and not v.out:
+            self.busy.pop(v.id, None)
+
+    def _charge(self, v: Volume, units: float) -> float:
+        """Exception for reserves: units inside the reserve are charged at what units beyond all earn."""
+        self._refill(v)
+        inside = min(units, v.reserve_store)
+        return units - inside * (1.0 - self.facts.beyond_worth)
+
+    def _ranking(self, v: Volume) -> list[Shelf]:
+        """Rendezvous hashing on raw ids, so every head ranks the same way."""
+        if v.ranked < 0:
+            v.ranking = sorted(
+                self.held_by.values(),
+                key=lambda s: blake2b(f"{v.id}/{s.id}".encode(), digest_size=8).digest(),
+            )
+            v.ranked = 1
+        return v.ranking
+
+    def _has_enough(self, s: Shelf, chosen: int) -> bool:
+        """A new object passes over a shelf whose slots its pinned transactions want, or that fails."""
+        pinned = sum(len(lane) for lane in self.pinned.get(s.shard, {}).values())
+        return len(s.out) + max(pinned, chosen) >= int(s.bound) or s.errors > 0.2 or self._silent(s)
+
+    def _meet(self, id: str, plan: int, heads: int) -> Volume:
+        p = self.facts.plans[plan]
+        v = Volume(id, p, 0.0, max(1, heads), 0.0, p.reserve / max(1, heads), self.born)
+        v.total = self.floor * p.weight
+        self.volumes[id] = v
+        return v
+
+    def _age(self) -> None:
+        """Leads and lags fade over about a second, over which worth is counted; forgets idle volumes."""
+        now = self.now
+        if self.busy:
+            self.floor = min(v.total / v.plan.weight for v in self.busy.values())
+        for id, v in list(self.volumes.items()):
+            lead = v.total / v.plan.weight - self.floor
+            v.total = (self.floor + lead * 0.5 ** (now - self.aged)) * v.plan.weight
+            if id not in self.busy and now - v.filled > 60.0:
+                self._refill(v)
+                if v.limit_store >= v.plan.limit_burst / v.heads:
+                    del self.volumes[id]
+        self.aged = now
+
+    # ---- (1) a shelf's bound and health
+
+    def _free_slots(self, s: Shelf) -> int:
+        if not s.ready or self.now < s.first_send or self.now < s.rest_until:
+            if s.ready and s.shard in self.pinned:
+                self._note(max(s.first_send, s.rest_until), "")
+            return 0
+        if self._cold_left(s) < 1.0:
+            self._note(self.now + 0.02, "")
+            return 0
+        return (1 if self._silent(s) or s.misses else int(s.bound)) - len(s.out)
+
+    def _silent(self, s: Shelf) -> bool:
+        """Guards against a hung shelf holding slots: one forward at a time until it answers."""
+        oldest = next(iter(s.out.values()), self.now)
+        return self.now - max(oldest, s.heard) > max(self.quickest, 4 * s.time)
+
+    def _judge(self, s: Shelf, how: Ending, elapsed: float) -> None:
+        s.errors += 0.1 * ((how is Ending.ERROR) - s.errors)
+        if how in NO_ANSWER:
+            s.misses += 1
+            if how is not Ending.TIMED_OUT:
+                s.rest_until = self.now + min(2.0, 0.1 * 2**s.misses)
+            return
+        s.heard, s.misses = self.now, 0
+        if how is Ending.TURNED_AWAY:
+            s.bound = max(1.0, 0.7 * s.bound)
+            s.rest_until = self.now + min(0.5, s.time)
+            self.overload_until = self.now + 1.0
+        elif how is Ending.HONOURED:
+            s.time += (0.2 if s.time else 1.0) * (elapsed - s.time)
+            if s.time > 0.6 * self.quickest:
+                s.bound = max(1.0, s.bound - 0.3 / s.bound)
+            elif s.time < 0.4 * self.quickest and len(s.out) + 1 >= int(s.bound):
+                s.bound = min(HIGHEST_BOUND, s.bound + 0.3 / s.bound)
+
+    # ---- (2) the cold ramp
+
+    def _cold_left(self, s: Shelf) -> float:
+        """This head's part of the units a cold shelf always bears, less what it sent within the span."""
+        rule = self.facts.cold
+        age = self.now - s.since
+        if s.since <= 0 or age >= rule.warm_after:
+            s.cold_sent.clear()
+            return float("inf")
+        if s.since <= self.born and self.now - self.born < rule.span:
+            return 0.0  # an earlier life of this head may have spent the part
+        while s.cold_sent and s.cold_sent[0][0] <= self.now - rule.span:
+            s.cold_sent.popleft()
+        grown = 1.0 + (1.0 / rule.first_part - 1.0) * max(0.0, age - rule.span) / rule.warm_after
+        return rule.units * grown / self.facts.heads - sum(units for _, units in s.cold_sent)
+
+    # ---- (3) the limit store
+
+    def _limit_left(self, v: Volume) -> float:
+        if not v.plan.limit:
+            return float("inf")
+        self._refill(v)
+        if v.limit_store < self.facts.largest_units:
+            self._note(self.now + 0.02, "")
+        return v.limit_store
+
+    def _refill(self, v: Volume) -> None:
+        passed = self.now - v.filled
+        if passed <= 0:
+            return
+        v.filled = self.now
+        v.limit_store = min(v.plan.limit_burst / v.heads, v.limit_store + passed * v.plan.limit / v.heads)
+        most = (v.plan.reserve + self.facts.largest_units) / v.heads if v.plan.reserve else 0.0
+        v.reserve_store = min(most, v.reserve_store + passed * v.plan.reserve / v.heads)
+
+    # ---- (4) shedding
+
+    def _look_at(self, t: Transaction) -> None:
+        """A waiting transaction past its promised time gives way where others still can keep theirs."""
+        if t.over or t.out or self.transactions.get(t.id) is not t:
+            return
+        s = self.held_by.get(t.shard)
+        last = t.cut_off - (s.time if s else 0.0)
+        crowded = any(o.promised_by > self.now for lane in self.pinned.get(t.shard, {}).values()
+                      for o in lane if o is not t)
+        if self.now >= last or (t.waiting and crowded):
+            self._unhold(t)
+            self._end(t)
+            self._close(t)
+        else:
+            self._note(min(last, self.now + 0.1), t)
+
+    def _end(self, t: Transaction) -> None:
+        t.over = True
+        harmless = t.ran_at is None or t.profile.effect is Effect.REDOABLE or (
+            t.profile.effect is Effect.LABELLED and t.profile.group is Group.ALL
+            and self.now < t.ran_at + t.profile.remembered)
+        if harmless and t.out == 0 and self.now < t.cut_off:
+            s = self.held_by.get(t.shard)
+            self.host.push_back(t.id, min(self.facts.longest_return, s.time if s else self.quickest))
+        else:
+            self.host.give_up(t.id)
+
+    # ---- (5) further forwards
+
+    def _may_go_again(self, t: Transaction, how: Ending) -> bool:
+        if t.out or t.forwards >= min(self.facts.most_forwards, 1 + FURTHER_FORWARDS):
+            return False
+        if self.now < self.overload_until or self.now >= t.cut_off:
+            return False
+        budget = self.facts.budget
+        if budget:
+            for log in (self.taken, self.further):
+                while log and log[0] <= self.now - budget.span:
+                    log.popleft()
+            if len(self.further) + 1 > budget.free + budget.part * len(self.taken):
+                return False
+        if t.ran_at is None or t.profile.effect is Effect.REDOABLE:
+            return True
+        return t.profile.effect is Effect.LABELLED and self.now < t.ran_at + t.profile.remembered
+
+    def _may_go_to(self, t: Transaction, s: Shelf) -> bool:
+        """A labelled transaction that may have run stays where its repeat would be known."""
+        if t.ran_at is None or t.ran_on is None or t.profile.effect is Effect.REDOABLE:
+            return True
+        if t.profile.effect is Effect.IRREVERSIBLE or self.now >= t.ran_at + t.profile.remembered:
+            return False
+        group = t.profile.group
+        return group is Group.ALL or (
+            s.zone == t.ran_on.zone if group is Group.ZONE else s.shard == t.ran_on.shard)
+
+    # ---- (6) key turns
+
+    def _close(self, t: Transaction) -> None:
+        if not t.over or t.out:
+            return
+        self.transactions.pop(t.id, None)
+        if t.key is None or t.key not in self.lines:
+            return
+        line = self.lines[t.key]
+        if t in line:
+            line.remove(t)
+        self._next_in_line(t.key)
+
+    def _next_in_line(self, key: str) -> None:
+        line = self.lines.get(key)
+        rest = self.key_rests.get(key, 0.0)
+        if rest > self.now:
+            self._note(rest, key)
+            return
+        self.key_rests.pop(key, None)
+        if not line:
+            self.lines.pop(key, None)
+        elif not line[0].waiting and not line[0].out and not line[0].over:
+            self._hold(line[0])
+
+    # ---- small helpers
+
+    def _note(self, at: float, item: "Transaction | str") -> None:
+        self.order += 1
+        heapq.heappush(self.agenda, (at, self.order, item))
+
+    def _random(self) -> float:
+        self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) & (2**64 - 1)
+        return (self.chance >> 32) / 2**32
--- /dev/null
+++ b/tests/harness.py
@@ -0,0 +1,96 @@
+"""Shared by all tests: a host that prints what the policy does, and compares it with the kept trace."""
+
+import difflib
+import unittest
+from pathlib import Path
+from typing import Any
+
+from gorsethread.model import ColdRule, Effect, Ending, Group, Plan, Profile, StartFacts
+from gorsethread.policy import Policy
+
+PLAIN = Profile(0.3, Effect.REDOABLE, Group.ALL, 5.0, False)
+OPEN_PLAN = Plan(0.0, 1.0, 0.0, 0.0, 10.0)
+FACTS: dict[str, Any] = {
+    "profiles": (PLAIN,), "plans": (OPEN_PLAN,), "heads": 1, "list_on_request": False, "ask_within": 10.0,
+    "cold": ColdRule(8.0, 2.0, 10.0, 0.25), "budget": None, "key_rest": 0.0, "most_forwards": 4,
+    "longest_return": 1.0, "largest_units": 8.0, "beyond_worth": 0.1, "meter": 0.0,
+}
+
+
+class PrintingHost:
+    def __init__(self) -> None:
+        self.now, self.trace, self.wakes, self.sent = 100.0, [""], [], {}
+
+    def clock(self) -> float:
+        return self.now
+
+    def say(self, text: str) -> None:
+        self.trace.append(f"{self.now - 100:7.3f}  {text}")
+
+    def forward(self, transaction: int, shelf: int, wait: float) -> None:
+        number = sum(1 for t, _ in self.sent if t == transaction)
+        self.sent[(transaction, number)] = (shelf, self.now)
+        self.say(f"forward {transaction} to shelf {shelf}")
+
+    def recall(self, transaction: int, forward: int) -> None:
+        self.say(f"recall {transaction}/{forward}")
+
+    def push_back(self, transaction: int, return_after: float) -> None:
+        self.say(f"push back {transaction}")
+
+    def give_up(self, transaction: int) -> None:
+        self.say(f"give up {transaction}")
+
+    def wake(self, delay: float, name: str) -> None:
+        self.wakes.append((self.now + delay, name))
+
+    def follow_list(self) -> None:
+        self.say("ask to follow the list")
+
+
+class Scene(unittest.TestCase):
+    """One head; shelves are 1, 2, ... and hold shards of the same number."""
+
+    def start(self, shelves: int = 1, **facts: Any) -> None:
+        self.host = PrintingHost()
+        self.policy = Policy(self.host, StartFacts(**{**FACTS, **facts}), 7)
+        self.shelves({n: 0.0 for n in range(1, shelves + 1)}, remembered=True)
+        self.end()
+
+    def shelves(self, since: dict[int, float], ready: bool = True, whole: bool = True,
+                remembered: bool = False) -> None:
+        self.policy.list_begins(whole, remembered)
+        for n, at in since.items():
+            self.policy.shelf_listed(n, n % 2, n, ready, at and 100.0 + at)
+        self.policy.list_ended()
+
+    def take(self, id: int, volume: str = "a", shard: int = 1, units: float = 1, profile: int = 0,
+             plan: int = 0, key: str | None = None, within: float = 2.0, heads: int = 1) -> None:
+        self.policy.transaction_taken(id, profile, plan, key, self.host.now + within, volume, units, shard,
+                                      heads, False)
+
+    def answer(self, id: int, how: Ending = Ending.HONOURED, number: int = 0, finished: bool | None = None,
+               elsewhere: float = 0) -> None:
+        shelf, sent = self.host.sent[(id, number)]
+        over = how is Ending.HONOURED if finished is None else finished
+        self.host.say(f"    {id} on shelf {shelf}: {how.value}")
+        self.policy.forward_ended(id, number, how, shelf, self.host.now - sent, over, elsewhere, 0)
+
+    def end(self) -> None:
+        self.policy.batch_ended()
+
+    def until(self, at: float) -> None:
+        """Let time pass, with the wakes asked for."""
+        while self.host.wakes and min(self.host.wakes)[0] <= 100 + at:
+            wake = min(self.host.wakes)
+            self.host.wakes.remove(wake)
+            self.host.now = max(self.host.now, wake[0])
+            self.policy.woken(wake[1])
+            self.end()
+        self.host.now = 100.0 + at
+
+    def kept(self, name: str) -> None:
+        got = "\n".join(line.rstrip() for line in self.host.trace[1:]) + "\n"
+        want = (Path(__file__).parent / "traces" / f"{name}.txt").read_text()
+        self.assertEqual(want, got, "\n" + "\n".join(difflib.unified_diff(
+            want.splitlines(), got.splitlines(), "kept", "now", lineterm="")))
