Inside a volume the highest value goes first

Cause: nearest promised time first let long exports live on until they were the nearest, and served them at the cost of look-ups worth more a unit.

--- a/gorsethread/benchlink/__main__.py
+++ b/gorsethread/benchlink/__main__.py
@@ -59,7 +59,7 @@
     return StartFacts(
         profiles=tuple(
             Profile(s["aim"], word(EFFECTS, s["effect"]), word(GROUPS, s.get("group", "all")),
-                    s.get("window", 0.0), bool(s.get("keepOrder")))
+                    s.get("window", 0.0), bool(s.get("keepOrder")), s["worth"])
             for s in setup["services"]
         ),
         plans=tuple(
--- a/gorsethread/model.py
+++ b/gorsethread/model.py
@@ -39,6 +39,7 @@
     group: Group
     remembered: float
     in_order: bool
+    value: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -23,9 +23,9 @@
 NO_ANSWER = (Ending.TIMED_OUT, Ending.UNREACHED, Ending.BROKEN)
 
 
-def _turn(t: Transaction) -> tuple[float, int]:
-    """Order inside a volume: the nearest promised time first."""
-    return (t.promised_by, t.order)
+def _turn(t: Transaction) -> tuple[float, float, int]:
+    """Order inside a volume: the highest value, then the nearest promised time."""
+    return (-t.profile.value, t.promised_by, t.order)
 
 
 class Policy:
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -8,7 +8,7 @@
 from gorsethread.model import ColdRule, Effect, Ending, Group, Plan, Profile, StartFacts
 from gorsethread.policy import Policy
 
-PLAIN = Profile(0.3, Effect.REDOABLE, Group.ALL, 5.0, False)
+PLAIN = Profile(0.3, Effect.REDOABLE, Group.ALL, 5.0, False, 1.0)
 OPEN_PLAN = Plan(0.0, 1.0, 0.0, 0.0, 10.0)
 FACTS: dict[str, Any] = {
     "profiles": (PLAIN,), "plans": (OPEN_PLAN,), "heads": 1, "list_on_request": False, "ask_within": 10.0,
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -1,6 +1,5 @@
 """The design's ordinary path: fair slots by augmenting paths."""
 
-from gorsethread.model import Plan
 from tests.harness import Scene
 
 
@@ -14,8 +13,9 @@
     def test_papers_example(self) -> None:
         """Three flows, five disks, one slot each: only moving earlier choices gives 2, 2, 1."""
         self.busy_shelves(1, 5)
-        for id, (volume, shard) in enumerate([("f1", 1), ("f1", 2), ("f1", 4), ("f1", 5), ("f2", 1), ("f2", 3),
-                                              ("f2", 3), ("f2", 3), ("f3", 2), ("f3", 2), ("f3", 2)]):
+        for id, (volume, shard) in enumerate(
+                [("f1", 1), ("f1", 2), ("f1", 4), ("f1", 5), ("f2", 1), ("f2", 3), ("f2", 3), ("f2", 3),
+                 ("f3", 2), ("f3", 2), ("f3", 2)]):
             self.take(id, volume, shard)
         self.end()
         self.kept("papers_example")
