What can no longer keep its promised time gives way to what can

Cause: waiting transactions were shed at their promised time, so those just before it were sent and came late. Now they are judged late by the shelf's seen time and go after, or are shed when others there can still keep theirs.

--- a/gorsethread/model.py
+++ b/gorsethread/model.py
@@ -1,4 +1,4 @@
-"""Plain types: the facts a head is given at its start, and what it keeps of transactions, volumes and shelves."""
+"""Plain types: the facts a head is given at its start, and what it keeps as it works."""
 
 from collections import deque
 from dataclasses import dataclass, field
@@ -133,5 +133,6 @@
     ran_at: float | None = None
     ran_on: Shelf | None = None
     waiting: bool = False
+    late: bool = False
     chosen: bool = False
     over: bool = False
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -23,9 +23,9 @@
 NO_ANSWER = (Ending.TIMED_OUT, Ending.UNREACHED, Ending.BROKEN)
 
 
-def _turn(t: Transaction) -> tuple[float, float, int]:
-    """Order inside a volume: the highest value, then the nearest promised time."""
-    return (-t.profile.value, t.promised_by, t.order)
+def _turn(t: Transaction) -> tuple[bool, float, float, int]:
+    """Order inside a volume: what can keep its promised time, the highest value, the nearest promised time."""
+    return (t.late, -t.profile.value, t.promised_by, t.order)
 
 
 class Policy:
@@ -78,7 +78,7 @@
         self.transactions[id] = t
         if self.facts.budget:
             self.taken.append(now)
-        self._note(max(now, min(t.promised_by, cut_off)), t)
+        self._note(max(now, t.promised_by - self._expected(t)), t)
         if t.key is not None:
             line = self.lines.setdefault(t.key, deque())
             line.append(t)
@@ -209,7 +209,6 @@
         given: dict[int, list[Transaction]] = {id: [] for id in free}
         spent: dict[str, float] = {}  # units chosen so far of each volume
         charged: dict[str, float] = {}
-        new_to: dict[str, Shelf | None] = {}
 
         def mark(t: Transaction, sign: int) -> None:
             t.chosen = sign > 0
@@ -445,16 +444,29 @@
         """A waiting transaction past its promised time gives way where others still can keep theirs."""
         if t.over or t.out or self.transactions.get(t.id) is not t:
             return
-        s = self.held_by.get(t.shard)
-        last = t.cut_off - (s.time if s else 0.0)
-        crowded = any(o.promised_by > self.now for lane in self.pinned.get(t.shard, {}).values()
-                      for o in lane if o is not t)
+        expected = self._expected(t)
+        last = t.cut_off - expected
+        if self.now < min(last, t.promised_by - expected):
+            self._note(min(last, t.promised_by - expected), t)
+            return
+        crowded = any(not o.late for lane in self.pinned.get(t.shard, {}).values() for o in lane if o is not t)
         if self.now >= last or (t.waiting and crowded):
             self._unhold(t)
             self._end(t)
             self._close(t)
-        else:
-            self._note(min(last, self.now + 0.1), t)
+            return
+        if not t.late:
+            waiting = t.waiting
+            self._unhold(t)
+            t.late = True
+            if waiting:
+                self._hold(t)
+        self._note(min(last, self.now + 0.5 * self.quickest), t)
+
+    def _expected(self, t: Transaction) -> float:
+        """How long the shelf would take over it, as seen of late."""
+        s = self.held_by.get(t.shard)
+        return s.time if s else 0.0
 
     def _end(self, t: Transaction) -> None:
         t.over = True
