The bound follows target time over seen time, and below one by pausing

Cause: nine heads with four out each fill a slow shelf for seconds before the old small steps reach one.

--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -17,6 +17,7 @@
 
 FIRST_BOUND = 4.0  # the design's start and ceiling
 HIGHEST_BOUND = 32.0
+LOWEST_BOUND = 0.25
 FURTHER_FORWARDS = 2
 NEVER_RAN = (Ending.TURNED_AWAY, Ending.UNREACHED, Ending.NOT_SENT)
 MAY_STILL_RUN = (Ending.TIMED_OUT, Ending.BROKEN, Ending.CALLED_OFF)
@@ -344,7 +345,7 @@
     def _has_enough(self, s: Shelf, chosen: int) -> bool:
         """A new object passes over a shelf whose slots its pinned transactions want, or that fails."""
         pinned = sum(len(lane) for lane in self.pinned.get(s.shard, {}).values())
-        return len(s.out) + max(pinned, chosen) >= int(s.bound) or s.errors > 0.2 or self._silent(s)
+        return len(s.out) + max(pinned, chosen) >= max(1, int(s.bound)) or s.errors > 0.2 or self._silent(s)
 
     def _meet(self, id: str, plan: int, heads: int) -> Volume:
         p = self.facts.plans[plan]
@@ -377,7 +378,7 @@
         if self._cold_left(s) < 1.0:
             self._note(self.now + 0.02, "")
             return 0
-        return (1 if self._silent(s) or s.misses else int(s.bound)) - len(s.out)
+        return (1 if self._silent(s) or s.misses else max(1, int(s.bound))) - len(s.out)
 
     def _silent(self, s: Shelf) -> bool:
         """Guards against a hung shelf holding slots: one forward at a time until it answers."""
@@ -393,15 +394,18 @@
             return
         s.heard, s.misses = self.now, 0
         if how is Ending.TURNED_AWAY:
-            s.bound = max(1.0, 0.7 * s.bound)
+            s.bound = max(LOWEST_BOUND, 0.7 * s.bound)
             s.rest_until = self.now + min(0.5, s.time)
             self.overload_until = self.now + 1.0
         elif how is Ending.HONOURED:
-            s.time += (0.2 if s.time else 1.0) * (elapsed - s.time)
-            if s.time > 0.6 * self.quickest:
-                s.bound = max(1.0, s.bound - 0.3 / s.bound)
-            elif s.time < 0.4 * self.quickest and len(s.out) + 1 >= int(s.bound):
-                s.bound = min(HIGHEST_BOUND, s.bound + 0.3 / s.bound)
+            s.time += (0.3 if s.time else 1.0) * (elapsed - s.time)
+            room = 0.5 * self.quickest / s.time
+            if room < 1.0:
+                s.bound = max(LOWEST_BOUND, s.bound * (1.0 - 0.5 * (1.0 - room) / max(1.0, s.bound)))
+            elif len(s.out) + 1 >= int(s.bound):
+                s.bound = min(HIGHEST_BOUND, s.bound + 0.5 / max(1.0, s.bound))
+            if s.bound < 1.0:  # many heads share a slow shelf: pause between forwards
+                s.rest_until = self.now + s.time * (1.0 / s.bound - 1.0)
 
     # ---- (2) the cold ramp
 
