--- a/gorsethread/model.py
+++ b/gorsethread/model.py
@@ -32,7 +32,7 @@
     NOT_SENT = "not sent"
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, eq=False)
 class Profile:
     promised: float
     effect: Effect
@@ -110,6 +110,8 @@
     bound: float
     heard: float
     time: float = 0.0
+    pressure: float = 0.0
+    times: dict[Profile, float] = field(default_factory=dict)
     errors: float = 0.0
     rest_until: float = 0.0
     misses: int = 0
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -13,7 +13,7 @@
 from hashlib import blake2b
 
 from gorsethread.host import Host
-from gorsethread.model import Effect, Ending, Group, Shelf, StartFacts, Transaction, Volume
+from gorsethread.model import Effect, Ending, Group, Profile, Shelf, StartFacts, Transaction, Volume
 
 FIRST_BOUND = 4.0  # the design's start and ceiling
 HIGHEST_BOUND = 32.0
@@ -96,9 +96,9 @@
         if s is None or s.out.pop((id, number), None) is None:
             return
         self.changed = True
-        self._judge(s, how, elapsed)
         if t is None:
             return
+        self._judge(s, how, elapsed, t.profile)
         t.out -= 1
         v = t.volume
         v.out -= 1
@@ -385,7 +385,7 @@
         oldest = next(iter(s.out.values()), self.now)
         return self.now - max(oldest, s.heard) > max(self.quickest, 4 * s.time)
 
-    def _judge(self, s: Shelf, how: Ending, elapsed: float) -> None:
+    def _judge(self, s: Shelf, how: Ending, elapsed: float, p: Profile) -> None:
         s.errors += 0.1 * ((how is Ending.ERROR) - s.errors)
         if how in NO_ANSWER:
             s.misses += 1
@@ -399,7 +399,10 @@
             self.overload_until = self.now + 1.0
         elif how is Ending.HONOURED:
             s.time += (0.3 if s.time else 1.0) * (elapsed - s.time)
-            room = 0.5 * self.quickest / s.time
+            s.pressure += (0.3 if s.pressure else 1.0) * (elapsed / p.promised - s.pressure)
+            seen = s.times.get(p, elapsed)
+            s.times[p] = seen + 0.3 * (elapsed - seen)
+            room = 0.5 / s.pressure
             if room < 1.0:
                 s.bound = max(LOWEST_BOUND, s.bound * (1.0 - 0.5 * (1.0 - room) / max(1.0, s.bound)))
             elif len(s.out) + 1 >= int(s.bound):
@@ -470,7 +473,7 @@
     def _expected(self, t: Transaction) -> float:
         """How long the shelf would take over it, as seen of late."""
         s = self.held_by.get(t.shard)
-        return s.time if s else 0.0
+        return s.times.get(t.profile, s.time) if s else 0.0
 
     def _end(self, t: Transaction) -> None:
         t.over = True
