--- a/gorsethread/model.py
+++ b/gorsethread/model.py
@@ -96,7 +96,6 @@
     waiting: int = 0
     out: int = 0
     ranking: list["Shelf"] = field(default_factory=list)
-    ranked: int = -1
 
 
 @dataclass(slots=True, eq=False)
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -21,11 +21,10 @@
 FURTHER_FORWARDS = 2
 NEVER_RAN = (Ending.TURNED_AWAY, Ending.UNREACHED, Ending.NOT_SENT)
 MAY_STILL_RUN = (Ending.TIMED_OUT, Ending.BROKEN, Ending.CALLED_OFF)
-NO_ANSWER = (Ending.TIMED_OUT, Ending.UNREACHED, Ending.BROKEN)
 
 
 def _turn(t: Transaction) -> tuple[bool, float, float, int]:
-    """Order inside a volume: what can keep its promised time, the highest value, the nearest promised time."""
+    """Order inside a volume: what can keep its promised time, then by value, the nearest promise first."""
     return (t.late, -t.profile.value, t.promised_by, t.order)
 
 
@@ -45,7 +44,6 @@
         self.shelves: dict[int, Shelf] = {}  # emptied as shelves leave the list with nothing out
         self.held_by: dict[int, Shelf] = {}  # shard to the shelf that now holds it, made anew by each list
         self.pinned: dict[int, dict[str, list[Transaction]]] = {}  # by shard; emptied as they are sent
-        self.lists_seen = 0
         self.list_whole = False
         self.named: set[int] = set()
         self.list_waits = 0
@@ -68,7 +66,7 @@
     ) -> None:
         now = self.now = self.host.clock()
         v = self.volumes.get(volume) or self._meet(volume, plan, heads)
-        v.heads = max(1, heads)
+        v.heads = heads
         # A client's repeat belongs to its first try, whose age shows in how little time is left.
         self.spans[profile] = max(self.spans[profile], cut_off - now)
         age = self.spans[profile] - (cut_off - now)
@@ -99,9 +97,8 @@
         if t is None:
             return
         self._judge(s, how, elapsed, t.profile)
-        t.out -= 1
         v = t.volume
-        v.out -= 1
+        t.out, v.out = t.out - 1, v.out - 1
         v.total += elsewhere  # what others' heads sent for the volume counts as if sent here
         if not v.out and not v.waiting:
             self.busy.pop(v.id, None)
@@ -128,15 +125,14 @@
             self._close(t)
 
     def woken(self, name: str) -> None:
-        self.now = self.host.clock()
-        if self.now >= self.alarm - 0.001:  # a clock may round a delay down
+        if self.host.clock() >= self.alarm - 0.001:  # a clock may round a delay down
             self.alarm = float("inf")
 
     def list_refused(self) -> None:
         self.now = self.host.clock()
         self.list_waits += 1
-        wait = min(self.facts.ask_within, 0.25 * 2**self.list_waits) * (0.5 + 0.5 * self._random())
-        self.list_ask_at = self.now + wait
+        most = min(self.facts.ask_within, 0.25 * 2.0**min(self.list_waits, 30))
+        self.list_ask_at = self.now + most * (0.5 + 0.5 * self._random())
 
     def list_begins(self, whole: bool, remembered: bool) -> None:
         self.now = self.host.clock()
@@ -144,18 +140,14 @@
         self.named = set()
         if not remembered:
             self.list_waits = 0
-        self.lists_seen += 1
 
     def shelf_listed(self, id: int, zone: int, shard: int, ready: bool, since: float) -> None:
         self.named.add(id)
         s = self.shelves.get(id)
         if s is None:
-            s = Shelf(id, zone, shard, since, ready, self.now, FIRST_BOUND, self.now)
-            self.shelves[id] = s
-            back = since > 0 and self.lists_seen > 1
-        else:
-            back = since > s.since
-            s.zone, s.shard, s.ready, s.since = zone, shard, ready, max(since, s.since)
+            s = self.shelves[id] = Shelf(id, zone, shard, 0.0, ready, self.now, FIRST_BOUND, self.now)
+        back = since > max(s.since, self.born)
+        s.zone, s.shard, s.ready, s.since = zone, shard, ready, max(since, s.since)
         if back:
             # Guards against all heads rushing to a shelf that just came back; costs up to half a span.
             s.first_send = self.now + 0.5 * self.facts.cold.span * self._random()
@@ -174,7 +166,7 @@
             if s.ready and (old is None or (s.since, s.id) > (old.since, old.id)):
                 self.held_by[s.shard] = s
         for v in self.volumes.values():
-            v.ranked = -1
+            v.ranking = []
         self.changed = True
 
     def batch_ended(self) -> None:
@@ -209,12 +201,10 @@
             return
         given: dict[int, list[Transaction]] = {id: [] for id in free}
         spent: dict[str, float] = {}  # units chosen so far of each volume
-        charged: dict[str, float] = {}
 
         def mark(t: Transaction, sign: int) -> None:
             t.chosen = sign > 0
             spent[t.volume.id] = spent.get(t.volume.id, 0.0) + sign * t.units
-            charged[t.volume.id] = self._charge(t.volume, spent[t.volume.id])
 
         def edges(v: Volume) -> Iterator[tuple[int, Transaction]]:
             left = self._limit_left(v) - spent.get(v.id, 0.0)
@@ -248,23 +238,19 @@
                 mark(t, -1)
             return False
 
-        open_volumes = {v.id: (v, next(edges(v), None)) for v in self.busy.values() if v.waiting}
         slots = sum(free.values())
-        while slots and open_volumes:
-            best, least = None, float("inf")
-            for id, (v, edge) in open_volumes.items():
-                if edge is None:
-                    continue
-                cost = self._charge(v, spent.get(id, 0.0) + edge[1].units)
-                if (v.total + cost) / v.plan.weight < least:
-                    best, least = v, (v.total + cost) / v.plan.weight
-            if best is None:
-                break
-            if path(best, set()):
-                slots -= 1
-                open_volumes[best.id] = (best, next(edges(best), None))
+        unsaturated = {v.id: (v, edge[1]) for v in self.busy.values() if (edge := next(edges(v), None))}
+        while slots and unsaturated:
+            v = min(unsaturated.values(), key=lambda entry: (
+                entry[0].total + self._charge(entry[0], spent.get(entry[0].id, 0.0) + entry[1].units)
+            ) / entry[0].plan.weight)[0]
+            found = path(v, set())
+            slots -= found
+            edge = next(edges(v), None) if found else None
+            if edge:
+                unsaturated[v.id] = (v, edge[1])
             else:
-                del open_volumes[best.id]  # saturated
+                del unsaturated[v.id]
         for id, chosen in given.items():
             for t in chosen:
                 t.chosen = False
@@ -334,12 +320,9 @@
 
     def _ranking(self, v: Volume) -> list[Shelf]:
         """Rendezvous hashing on raw ids, so every head ranks the same way."""
-        if v.ranked < 0:
-            v.ranking = sorted(
-                self.held_by.values(),
-                key=lambda s: blake2b(f"{v.id}/{s.id}".encode(), digest_size=8).digest(),
-            )
-            v.ranked = 1
+        if not v.ranking:
+            v.ranking = sorted(self.held_by.values(),
+                               key=lambda s: blake2b(f"{v.id}/{s.id}".encode(), digest_size=8).digest())
         return v.ranking
 
     def _has_enough(self, s: Shelf, chosen: int) -> bool:
@@ -349,9 +332,7 @@
 
     def _meet(self, id: str, plan: int, heads: int) -> Volume:
         p = self.facts.plans[plan]
-        v = Volume(id, p, 0.0, max(1, heads), 0.0, p.reserve / max(1, heads), self.born)
-        v.total = self.floor * p.weight
-        self.volumes[id] = v
+        v = self.volumes[id] = Volume(id, p, self.floor * p.weight, heads, 0.0, p.reserve / heads, self.born)
         return v
 
     def _age(self) -> None:
@@ -387,10 +368,10 @@
 
     def _judge(self, s: Shelf, how: Ending, elapsed: float, p: Profile) -> None:
         s.errors += 0.1 * ((how is Ending.ERROR) - s.errors)
-        if how in NO_ANSWER:
+        if how in (Ending.TIMED_OUT, Ending.UNREACHED, Ending.BROKEN):
             s.misses += 1
             if how is not Ending.TIMED_OUT:
-                s.rest_until = self.now + min(2.0, 0.1 * 2**s.misses)
+                s.rest_until = self.now + min(2.0, 0.1 * 2.0**min(s.misses, 9))
             return
         s.heard, s.misses = self.now, 0
         if how is Ending.TURNED_AWAY:
@@ -402,7 +383,7 @@
             s.pressure += (0.3 if s.pressure else 1.0) * (elapsed / p.promised - s.pressure)
             seen = s.times.get(p, elapsed)
             s.times[p] = seen + 0.3 * (elapsed - seen)
-            room = 0.5 / s.pressure
+            room = 0.25 / s.pressure
             if room < 1.0:
                 s.bound = max(LOWEST_BOUND, s.bound * (1.0 - 0.5 * (1.0 - room) / max(1.0, s.bound)))
             elif len(s.out) + 1 >= int(s.bound):
@@ -456,7 +437,8 @@
         if self.now < min(last, t.promised_by - expected):
             self._note(min(last, t.promised_by - expected), t)
             return
-        crowded = any(not o.late for lane in self.pinned.get(t.shard, {}).values() for o in lane if o is not t)
+        lanes = self.pinned.get(t.shard, {}).values()
+        crowded = any(not o.late for lane in lanes for o in lane if o is not t)
         if self.now >= last or (t.waiting and crowded):
             self._unhold(t)
             self._end(t)
@@ -493,8 +475,7 @@
             return False
         if self.now < self.overload_until or self.now >= t.cut_off:
             return False
-        budget = self.facts.budget
-        if budget:
+        if budget := self.facts.budget:
             for log in (self.taken, self.further):
                 while log and log[0] <= self.now - budget.span:
                     log.popleft()
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -1,21 +1,62 @@
 """The design's ordinary path: fair slots by augmenting paths."""
 
+from gorsethread.model import Plan
 from tests.harness import Scene
 
 
 class OrdinaryPath(Scene):
-    def busy_shelves(self, slots: int, shelves: int) -> None:
-        """Leave so many slots free at each shelf."""
-        self.start(shelves)
-        for s in self.policy.shelves.values():
-            s.bound = float(slots)
+    def begin(self, shelves: int, slots: int, *weights: float, reserve: float = 0.0) -> None:
+        self.start(shelves, plans=tuple(Plan(reserve * i, w, 0.0, 0.0, 10.0) for i, w in enumerate(weights)))
+        for shelf in self.policy.shelves.values():
+            shelf.bound = float(slots)
 
     def test_papers_example(self) -> None:
         """Three flows, five disks, one slot each: only moving earlier choices gives 2, 2, 1."""
-        self.busy_shelves(1, 5)
+        self.begin(5, 1, 1.0)
         for id, (volume, shard) in enumerate(
                 [("f1", 1), ("f1", 2), ("f1", 4), ("f1", 5), ("f2", 1), ("f2", 3), ("f2", 3), ("f2", 3),
                  ("f3", 2), ("f3", 2), ("f3", 2)]):
             self.take(id, volume, shard)
         self.end()
         self.kept("papers_example")
+
+    def test_weights_and_slots(self) -> None:
+        """Six slots at one shelf, weights 1 and 2: two for the light volume, four for the heavy one."""
+        self.begin(1, 6, 1.0, 2.0)
+        for id in range(12):
+            self.take(id, "light" if id < 6 else "heavy", plan=id // 6)
+        self.end()
+        self.kept("weights_and_slots")
+
+    def hidden_waking_volume(self) -> None:
+        """A volume that slept gets no credit: it wakes level with the busy one, and they take turns."""
+        self.begin(1, 2, 1.0)
+        for id in range(8):
+            self.take(id, "busy")
+        self.end()
+        for id in range(4):
+            self.answer(id)
+            self.end()
+        for id in range(10, 14):
+            self.take(id, "waking")
+        for id in (4, 5, 6, 10):
+            if (id, 0) in self.host.sent:
+                self.answer(id)
+            self.end()
+        self.kept("waking_volume")
+
+    def test_reserve(self) -> None:
+        """Units inside a reserve are charged less, so they go before another volume's units beyond it."""
+        self.begin(1, 4, 1.0, 1.0, reserve=2.0)
+        for id in range(8):
+            self.take(id, "plain" if id < 4 else "reserved", plan=id // 4, units=2)
+        self.end()
+        self.kept("reserve")
+
+    def test_new_objects(self) -> None:
+        """A volume's new objects go to its first shelf in rank, then to the next."""
+        self.begin(3, 2, 1.0)
+        for id in range(5):
+            self.take(id, "a", shard=-1)
+        self.end()
+        self.kept("new_objects")
