Keep the budget at the send; crowded means others still on time; age only marked repeats

Found by trace tests: two further forwards granted in one batch passed a budget of one, an answer in no time stopped the module, and a first try with a shorter cut-off was taken for a repeat.

--- a/gorsethread/benchlink/__main__.py
+++ b/gorsethread/benchlink/__main__.py
@@ -64,7 +64,7 @@
         ),
         plans=tuple(
             Plan(g.get("floorRate", 0.0), g.get("proportion", 1.0), g.get("neverOver", 0.0),
-                 g.get("limitBurst", 0.0), g.get("baseRate", 0.0))
+                 g.get("limitBurst", 0.0))
             for g in setup["grades"]
         ),
         heads=setup["balancers"],
@@ -77,7 +77,7 @@
         longest_return=may["maxRetryAfter"] if may["retryAfter"] else 0.0,
         largest_units=facts["mostUnits"],
         beyond_worth=facts.get("beyondShare", 0.0),
-        meter=facts.get("meter", 0.0),
+        repeats_marked=bool(setup["clients"].get("marksRetry")),
     )
 
 
--- a/gorsethread/model.py
+++ b/gorsethread/model.py
@@ -48,7 +48,6 @@
     weight: float
     limit: float
     limit_burst: float
-    rate: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,7 +79,7 @@
     longest_return: float
     largest_units: float
     beyond_worth: float
-    meter: float
+    repeats_marked: bool
 
 
 @dataclass(slots=True, eq=False)
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -19,6 +19,7 @@
 HIGHEST_BOUND = 32.0
 LOWEST_BOUND = 0.25
 FURTHER_FORWARDS = 2
+LOOK_AGAIN = 0.02  # seconds until a store or span that held something back is looked at again
 NEVER_RAN = (Ending.TURNED_AWAY, Ending.UNREACHED, Ending.NOT_SENT)
 MAY_STILL_RUN = (Ending.TIMED_OUT, Ending.BROKEN, Ending.CALLED_OFF)
 
@@ -51,7 +52,7 @@
         self.lines: dict[str, deque[Transaction]] = {}  # emptied as keys fall idle and their rest ends
         self.key_rests: dict[str, float] = {}
         self.agenda: list[tuple[float, int, Transaction | str]] = []  # emptied as its times pass
-        self.alarm = float("inf")
+        self.alarm = self.look_at = float("inf")
         self.aged = self.now
         self.overload_until = 0.0
         self.taken: deque[float] = deque()  # both emptied as the budget's span passes
@@ -69,7 +70,7 @@
         v.heads = heads
         # A client's repeat belongs to its first try, whose age shows in how little time is left.
         self.spans[profile] = max(self.spans[profile], cut_off - now)
-        age = self.spans[profile] - (cut_off - now)
+        age = self.spans[profile] - (cut_off - now) if repeat or not self.facts.repeats_marked else 0.0
         p = self.facts.profiles[profile]
         self.order += 1
         t = Transaction(id, self.order, p, v, key if p.in_order else None, cut_off,
@@ -143,9 +144,8 @@
 
     def shelf_listed(self, id: int, zone: int, shard: int, ready: bool, since: float) -> None:
         self.named.add(id)
-        s = self.shelves.get(id)
-        if s is None:
-            s = self.shelves[id] = Shelf(id, zone, shard, 0.0, ready, self.now, FIRST_BOUND, self.now)
+        fresh = Shelf(id, zone, shard, 0.0, ready, self.now, FIRST_BOUND, self.now)
+        s = self.shelves.setdefault(id, fresh)
         back = since > max(s.since, self.born)
         s.zone, s.shard, s.ready, s.since = zone, shard, ready, max(since, s.since)
         if back:
@@ -160,11 +160,8 @@
                 s.ready = False
             if not s.ready and not s.out:
                 del self.shelves[id]
-        self.held_by = {}
-        for s in self.shelves.values():
-            old = self.held_by.get(s.shard)
-            if s.ready and (old is None or (s.since, s.id) > (old.since, old.id)):
-                self.held_by[s.shard] = s
+        ready = [s for s in self.shelves.values() if s.ready]
+        self.held_by = {s.shard: s for s in sorted(ready, key=lambda s: (s.since, s.id))}
         for v in self.volumes.values():
             v.ranking = []
         self.changed = True
@@ -175,10 +172,10 @@
             _, _, item = heapq.heappop(self.agenda)
             if isinstance(item, Transaction):
                 self._look_at(item)
-            elif item:
-                self._next_in_line(item)
             else:
-                self.changed = True
+                self._next_in_line(item)
+        if now >= self.look_at:
+            self.look_at, self.changed = float("inf"), True
         if now >= self.list_ask_at:
             self.list_ask_at = float("inf")
             self.host.follow_list()
@@ -187,7 +184,7 @@
         if self.changed:
             self.changed = False
             self._share_out()
-        need = min(self.agenda[0][0] if self.agenda else float("inf"), self.list_ask_at)
+        need = min(self.agenda[0][0] if self.agenda else float("inf"), self.list_ask_at, self.look_at)
         if need < self.alarm:
             self.alarm = need
             self.host.wake(max(0.0, need - now), "look")
@@ -259,8 +256,8 @@
     def _send(self, t: Transaction, s: Shelf) -> None:
         v = t.volume
         cold = self._cold_left(s)
-        if t.units > cold:
-            self._note(self.now + 0.02, "")
+        if t.units > cold or t.forwards and not self._within_budget():
+            self.look_at = min(self.look_at, self.now + LOOK_AGAIN)
             return
         if cold < float("inf"):
             s.cold_sent.append((self.now, t.units))
@@ -354,10 +351,10 @@
     def _free_slots(self, s: Shelf) -> int:
         if not s.ready or self.now < s.first_send or self.now < s.rest_until:
             if s.ready and s.shard in self.pinned:
-                self._note(max(s.first_send, s.rest_until), "")
+                self.look_at = min(self.look_at, max(s.first_send, s.rest_until))
             return 0
         if self._cold_left(s) < 1.0:
-            self._note(self.now + 0.02, "")
+            self.look_at = min(self.look_at, self.now + LOOK_AGAIN)
             return 0
         return (1 if self._silent(s) or s.misses else max(1, int(s.bound))) - len(s.out)
 
@@ -383,7 +380,7 @@
             s.pressure += (0.3 if s.pressure else 1.0) * (elapsed / p.promised - s.pressure)
             seen = s.times.get(p, elapsed)
             s.times[p] = seen + 0.3 * (elapsed - seen)
-            room = 0.25 / s.pressure
+            room = 0.25 / max(s.pressure, 0.001)
             if room < 1.0:
                 s.bound = max(LOWEST_BOUND, s.bound * (1.0 - 0.5 * (1.0 - room) / max(1.0, s.bound)))
             elif len(s.out) + 1 >= int(s.bound):
@@ -414,7 +411,7 @@
             return float("inf")
         self._refill(v)
         if v.limit_store < self.facts.largest_units:
-            self._note(self.now + 0.02, "")
+            self.look_at = min(self.look_at, self.now + LOOK_AGAIN)
         return v.limit_store
 
     def _refill(self, v: Volume) -> None:
@@ -438,7 +435,7 @@
             self._note(min(last, t.promised_by - expected), t)
             return
         lanes = self.pinned.get(t.shard, {}).values()
-        crowded = any(not o.late for lane in lanes for o in lane if o is not t)
+        crowded = any(o.promised_by - expected > self.now for lane in lanes for o in lane)
         if self.now >= last or (t.waiting and crowded):
             self._unhold(t)
             self._end(t)
@@ -475,16 +472,20 @@
             return False
         if self.now < self.overload_until or self.now >= t.cut_off:
             return False
-        if budget := self.facts.budget:
-            for log in (self.taken, self.further):
-                while log and log[0] <= self.now - budget.span:
-                    log.popleft()
-            if len(self.further) + 1 > budget.free + budget.part * len(self.taken):
-                return False
+        if not self._within_budget():
+            return False
         if t.ran_at is None or t.profile.effect is Effect.REDOABLE:
             return True
         return t.profile.effect is Effect.LABELLED and self.now < t.ran_at + t.profile.remembered
 
+    def _within_budget(self) -> bool:
+        if not (budget := self.facts.budget):
+            return True
+        for log in (self.taken, self.further):
+            while log and log[0] <= self.now - budget.span:
+                log.popleft()
+        return len(self.further) + 1 <= budget.free + budget.part * len(self.taken)
+
     def _may_go_to(self, t: Transaction, s: Shelf) -> bool:
         """A labelled transaction that may have run stays where its repeat would be known."""
         if t.ran_at is None or t.ran_on is None or t.profile.effect is Effect.REDOABLE:
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -6,7 +6,7 @@
 
 class OrdinaryPath(Scene):
     def begin(self, shelves: int, slots: int, *weights: float, reserve: float = 0.0) -> None:
-        self.start(shelves, plans=tuple(Plan(reserve * i, w, 0.0, 0.0, 10.0) for i, w in enumerate(weights)))
+        self.start(shelves, plans=tuple(Plan(reserve * i, w, 0.0, 0.0) for i, w in enumerate(weights)))
         for shelf in self.policy.shelves.values():
             shelf.bound = float(slots)
 
@@ -28,7 +28,7 @@
         self.end()
         self.kept("weights_and_slots")
 
-    def hidden_waking_volume(self) -> None:
+    def test_waking_volume(self) -> None:
         """A volume that slept gets no credit: it wakes level with the busy one, and they take turns."""
         self.begin(1, 2, 1.0)
         for id in range(8):
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,113 @@
+"""Each rule kept by one head alone. Without its guard, each of these traces changes."""
+
+from gorsethread.model import Effect, Ending, ForwardBudget, Group, Plan, Profile
+from tests.harness import PLAIN, Scene
+
+ONCE = Profile(0.3, Effect.IRREVERSIBLE, Group.ALL, 5.0, True, 1.0)
+SLOW = Profile(9.0, Effect.REDOABLE, Group.ALL, 5.0, False, 1.0)
+MARKED = Profile(0.3, Effect.LABELLED, Group.SHARD, 1.0, False, 1.0)
+
+
+class Rules(Scene):
+    def test_one_final_answer(self) -> None:
+        """No shelf holds the shard: answered before the cut-off. A forward lost: answered at the cut-off."""
+        self.start()
+        self.take(1, shard=9)
+        self.take(2, within=0.5)
+        self.end()
+        self.until(0.5)
+        self.answer(2, Ending.TIMED_OUT)
+        self.end()
+        self.until(3.0)
+        self.kept("one_final_answer")
+
+    def test_effects(self) -> None:
+        """An error may have run: an irreversible transaction ends, a labelled one stays with its shard."""
+        self.start(3, profiles=(PLAIN, ONCE, MARKED))
+        self.take(1, profile=0)
+        self.take(2, profile=1)
+        self.take(3, profile=2, shard=-1)
+        self.take(4, profile=1)
+        self.end()
+        self.answer(4, Ending.UNREACHED)
+        for id in (1, 2, 3):
+            self.answer(id, Ending.ERROR)
+        self.until(1.0)
+        self.answer(3, Ending.ERROR, 1)
+        self.until(2.5)
+        self.kept("effects")
+
+    def test_drain(self) -> None:
+        """A shelf told to drain, then gone, then replaced by another that holds the same shard."""
+        self.start(2)
+        self.shelves({1: 0.0}, ready=False, whole=False)
+        self.take(1, shard=1)
+        self.take(2, shard=2)
+        self.end()
+        self.policy.list_begins(True, False)
+        self.policy.shelf_listed(7, 0, 1, True, 0.0)
+        self.policy.list_ended()
+        self.take(3, shard=2)
+        self.end()
+        self.kept("drain")
+
+    def test_cold_shelf(self) -> None:
+        """Half of the always-safe units each span for one of two heads, more as the shelf warms."""
+        self.start(1, heads=2, profiles=(SLOW,))
+        self.until(5.0)
+        self.shelves({1: 4.5})
+        for id in range(12):
+            self.take(id, within=20.0)
+            self.end()
+        self.until(6.5)
+        for id, _ in list(self.host.sent):
+            self.answer(id)
+        self.end()
+        self.until(8.4)
+        self.kept("cold_shelf")
+
+    def test_key_turns(self) -> None:
+        """One at a time by key; after a time-out the key rests."""
+        self.start(profiles=(ONCE,), key_rest=0.5)
+        for id in (1, 2, 3):
+            self.take(id, key="k", within=3.0)
+        self.take(4, key="other")
+        self.end()
+        self.answer(1)
+        self.end()
+        self.until(0.1)
+        self.answer(2, Ending.TIMED_OUT)
+        self.answer(4)
+        self.end()
+        self.until(0.7)
+        self.kept("key_turns")
+
+    def test_budget(self) -> None:
+        """One further forward free and a quarter of what was taken: two of four."""
+        self.start(4, budget=ForwardBudget(1.0, 0.25, 10.0))
+        for id in (1, 2, 3, 4):
+            self.take(id, shard=id)
+        self.end()
+        for id in (1, 2, 3, 4):
+            self.answer(id, Ending.ERROR)
+        self.end()
+        self.kept("budget")
+
+    def test_limit(self) -> None:
+        """Half of 8 units a second and of 32 at once for one of two heads; empty at the start."""
+        self.start(profiles=(SLOW,), plans=(Plan(0.0, 1.0, 8.0, 32.0),))
+        self.until(1.0)
+        for id in range(4):
+            self.take(id, units=4, heads=2, within=5.0)
+        self.end()
+        self.until(2.6)
+        self.kept("limit")
+
+    def test_list_asked_for(self) -> None:
+        """Refused calls are asked again after growing waits."""
+        self.start(list_on_request=True)
+        for at in (1.0, 3.0, 7.0):
+            self.policy.list_refused()
+            self.end()
+            self.until(at)
+        self.kept("list_asked_for")
