--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -32,6 +32,8 @@
         self.answer(4, Ending.UNREACHED)
         for id in (1, 2, 3):
             self.answer(id, Ending.ERROR)
+        self.policy.shelves[3].errors = 1.0
+        self.end()
         self.until(1.0)
         self.answer(3, Ending.ERROR, 1)
         self.until(2.5)
@@ -66,6 +68,15 @@
         self.until(8.4)
         self.kept("cold_shelf")
 
+    def test_cold_shelf_after_own_start(self) -> None:
+        """An earlier life of this head may have spent its part: nothing for one span."""
+        self.start(1, profiles=(SLOW,))
+        self.shelves({1: -0.5})
+        self.take(1, within=20.0)
+        self.end()
+        self.until(2.1)
+        self.kept("cold_shelf_after_own_start")
+
     def test_key_turns(self) -> None:
         """One at a time by key; after a time-out the key rests."""
         self.start(profiles=(ONCE,), key_rest=0.5)
