New objects wait in the same lanes and are shed alike

Cause: new objects were never judged crowded out, so late ones stayed to the cut-off and took slots from reads. Told from slow shelves by the clients' waits of 3 to 4 s without a forward. A labelled transaction that may have run now also goes back to its own shelf when that one has enough.

--- a/gorsethread/model.py
+++ b/gorsethread/model.py
@@ -91,7 +91,6 @@
     limit_store: float
     reserve_store: float
     filled: float
-    new: list["Transaction"] = field(default_factory=list)
     waiting: int = 0
     out: int = 0
     ranking: list["Shelf"] = field(default_factory=list)
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -19,6 +19,7 @@
 HIGHEST_BOUND = 32.0
 LOWEST_BOUND = 0.25
 FURTHER_FORWARDS = 2
+NEW = -1  # the shard of a new object, which any shelf may take
 LOOK_AGAIN = 0.02  # seconds until a store or span that held something back is looked at again
 NEVER_RAN = (Ending.TURNED_AWAY, Ending.UNREACHED, Ending.NOT_SENT)
 MAY_STILL_RUN = (Ending.TIMED_OUT, Ending.BROKEN, Ending.CALLED_OFF)
@@ -44,7 +45,7 @@
         self.floor = 0.0
         self.shelves: dict[int, Shelf] = {}  # emptied as shelves leave the list with nothing out
         self.held_by: dict[int, Shelf] = {}  # shard to the shelf that now holds it, made anew by each list
-        self.pinned: dict[int, dict[str, list[Transaction]]] = {}  # by shard; emptied as they are sent
+        self.lanes: dict[int, dict[str, list[Transaction]]] = {}  # waiting, by shard; emptied as they go
         self.list_whole = False
         self.named: set[int] = set()
         self.list_waits = 0
@@ -206,14 +207,15 @@
         def edges(v: Volume) -> Iterator[tuple[int, Transaction]]:
             left = self._limit_left(v) - spent.get(v.id, 0.0)
             for id in free:
-                t = next((t for t in self.pinned.get(self.shelves[id].shard, {}).get(v.id, ())
+                t = next((t for t in self.lanes.get(self.shelves[id].shard, {}).get(v.id, ())
                           if not t.chosen), None)
                 if t and (t.forwards or t.units <= left) and self._may_go_to(t, self.shelves[id]):
                     yield id, t
-            t = next((t for t in v.new if not t.chosen), None)
+            t = next((t for t in self.lanes.get(NEW, {}).get(v.id, ()) if not t.chosen), None)
             if t and (t.forwards or t.units <= left):
                 for s in self._ranking(v):
-                    if s.id in free and self._may_go_to(t, s) and not self._has_enough(s, len(given[s.id])):
+                    if s.id in free and self._may_go_to(t, s) and (
+                            t.ran_at is not None or not self._has_enough(s, len(given[s.id]))):
                         yield s.id, t
                         break
 
@@ -286,10 +288,7 @@
         v.waiting += 1
         t.waiting = True
         self.changed = True
-        if t.shard >= 0:
-            insort(self.pinned.setdefault(t.shard, {}).setdefault(v.id, []), t, key=_turn)
-        else:
-            insort(v.new, t, key=_turn)
+        insort(self.lanes.setdefault(t.shard, {}).setdefault(v.id, []), t, key=_turn)
 
     def _unhold(self, t: Transaction) -> None:
         if not t.waiting:
@@ -297,15 +296,12 @@
         t.waiting = False
         v = t.volume
         v.waiting -= 1
-        if t.shard < 0:
-            v.new.remove(t)
-        else:
-            lane = self.pinned[t.shard]
-            lane[v.id].remove(t)
-            if not lane[v.id]:
-                del lane[v.id]
-                if not lane:
-                    del self.pinned[t.shard]
+        lane = self.lanes[t.shard]
+        lane[v.id].remove(t)
+        if not lane[v.id]:
+            del lane[v.id]
+            if not lane:
+                del self.lanes[t.shard]
         if not v.waiting and not v.out:
             self.busy.pop(v.id, None)
 
@@ -324,7 +320,7 @@
 
     def _has_enough(self, s: Shelf, chosen: int) -> bool:
         """A new object passes over a shelf whose slots its pinned transactions want, or that fails."""
-        pinned = sum(len(lane) for lane in self.pinned.get(s.shard, {}).values())
+        pinned = sum(len(lane) for lane in self.lanes.get(s.shard, {}).values())
         return len(s.out) + max(pinned, chosen) >= max(1, int(s.bound)) or s.errors > 0.2 or self._silent(s)
 
     def _meet(self, id: str, plan: int, heads: int) -> Volume:
@@ -349,8 +345,8 @@
     # ---- (1) a shelf's bound and health
 
     def _free_slots(self, s: Shelf) -> int:
-        if not s.ready or self.now < s.first_send or self.now < s.rest_until:
-            if s.ready and s.shard in self.pinned:
+        if self.now < s.first_send or self.now < s.rest_until:
+            if s.shard in self.lanes:
                 self.look_at = min(self.look_at, max(s.first_send, s.rest_until))
             return 0
         if self._cold_left(s) < 1.0:
@@ -434,7 +430,7 @@
         if self.now < min(last, t.promised_by - expected):
             self._note(min(last, t.promised_by - expected), t)
             return
-        lanes = self.pinned.get(t.shard, {}).values()
+        lanes = self.lanes.get(t.shard, {}).values()
         crowded = any(o.promised_by - expected > self.now for lane in lanes for o in lane)
         if self.now >= last or (t.waiting and crowded):
             self._unhold(t)
@@ -451,7 +447,10 @@
 
     def _expected(self, t: Transaction) -> float:
         """How long the shelf would take over it, as seen of late."""
-        s = self.held_by.get(t.shard)
+        if t.shard == NEW and self.held_by:
+            s = self._ranking(t.volume)[0]
+        else:
+            s = self.held_by.get(t.shard)
         return s.times.get(t.profile, s.time) if s else 0.0
 
     def _end(self, t: Transaction) -> None:
