--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -451,7 +451,7 @@
             s = self._ranking(t.volume)[0]
         else:
             s = self.held_by.get(t.shard)
-        return s.times.get(t.profile, s.time) if s else 0.0
+        return 1.5 * s.times.get(t.profile, s.time) if s else 0.0
 
     def _end(self, t: Transaction) -> None:
         t.over = True
