--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -447,11 +447,10 @@
 
     def _expected(self, t: Transaction) -> float:
         """How long the shelf would take over it, as seen of late."""
+        s = self.held_by.get(t.shard)
         if t.shard == NEW and self.held_by:
             s = self._ranking(t.volume)[0]
-        else:
-            s = self.held_by.get(t.shard)
-        return 1.5 * s.times.get(t.profile, s.time) if s else 0.0
+        return 0.5 * s.times.get(t.profile, s.time) if s else 0.0
 
     def _end(self, t: Transaction) -> None:
         t.over = True
