--- a/gorsethread/model.py
+++ b/gorsethread/model.py
@@ -48,6 +48,7 @@
     weight: float
     limit: float
     limit_burst: float
+    rate: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +81,7 @@
     largest_units: float
     beyond_worth: float
     repeats_marked: bool
+    meter: float
 
 
 @dataclass(slots=True, eq=False)
@@ -88,9 +90,12 @@
     plan: Plan
     total: float
     heads: int
+    part: float
     limit_store: float
     reserve_store: float
     filled: float
+    own_at: float
+    own: float = 0.0
     waiting: int = 0
     out: int = 0
     ranking: list["Shelf"] = field(default_factory=list)
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -101,7 +101,9 @@
         self._judge(s, how, elapsed, t.profile)
         v = t.volume
         t.out, v.out = t.out - 1, v.out - 1
-        v.total += elsewhere  # what others' heads sent for the volume counts as if sent here
+        v.total += elsewhere  # what other heads sent for the volume counts as if sent here
+        if how is Ending.HONOURED and self.facts.meter:
+            self._see_part(v, t.units, usage)
         if not v.out and not v.waiting:
             self.busy.pop(v.id, None)
         if how not in NEVER_RAN and t.ran_at is None:
@@ -311,6 +313,15 @@
         inside = min(units, v.reserve_store)
         return units - inside * (1.0 - self.facts.beyond_worth)
 
+    def _see_part(self, v: Volume, units: float, usage: float) -> None:
+        """This head's part of a volume's reserve follows its part of the service that answers tell of.
+        Guards against a lead that moves between heads; an even part stands until answers tell."""
+        v.own = v.own * 0.5 ** ((self.now - v.own_at) / self.facts.meter) + units
+        v.own_at = self.now
+        if usage > 1 and v.plan.rate:
+            seen = 0.69 * v.own / self.facts.meter / (0.01 * (usage - 1) * v.plan.rate)
+            v.part += 0.3 * (min(1.0, max(0.5 / v.heads, seen)) - v.part)
+
     def _ranking(self, v: Volume) -> list[Shelf]:
         """Rendezvous hashing on raw ids, so every head ranks the same way."""
         if not v.ranking:
@@ -325,7 +336,8 @@
 
     def _meet(self, id: str, plan: int, heads: int) -> Volume:
         p = self.facts.plans[plan]
-        v = self.volumes[id] = Volume(id, p, self.floor * p.weight, heads, 0.0, p.reserve / heads, self.born)
+        v = Volume(id, p, self.floor * p.weight, heads, 1.0 / heads, 0.0, p.reserve / heads, self.born, self.now)
+        self.volumes[id] = v
         return v
 
     def _age(self) -> None:
@@ -416,8 +428,8 @@
             return
         v.filled = self.now
         v.limit_store = min(v.plan.limit_burst / v.heads, v.limit_store + passed * v.plan.limit / v.heads)
-        most = (v.plan.reserve + self.facts.largest_units) / v.heads if v.plan.reserve else 0.0
-        v.reserve_store = min(most, v.reserve_store + passed * v.plan.reserve / v.heads)
+        most = (v.plan.reserve + self.facts.largest_units) * v.part if v.plan.reserve else 0.0
+        v.reserve_store = min(most, v.reserve_store + passed * v.plan.reserve * v.part)
 
     # ---- (4) shedding
 
