--- a/gorsethread/benchlink/__main__.py
+++ b/gorsethread/benchlink/__main__.py
@@ -64,7 +64,7 @@
         ),
         plans=tuple(
             Plan(g.get("floorRate", 0.0), g.get("proportion", 1.0), g.get("neverOver", 0.0),
-                 g.get("limitBurst", 0.0), g.get("baseRate", 0.0))
+                 g.get("limitBurst", 0.0))
             for g in setup["grades"]
         ),
         heads=setup["balancers"],
@@ -78,7 +78,6 @@
         largest_units=facts["mostUnits"],
         beyond_worth=facts.get("beyondShare", 0.0),
         repeats_marked=bool(setup["clients"].get("marksRetry")),
-        meter=facts.get("meter", 0.0),
     )
 
 
--- a/gorsethread/model.py
+++ b/gorsethread/model.py
@@ -48,7 +48,6 @@
     weight: float
     limit: float
     limit_burst: float
-    rate: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,7 +80,6 @@
     largest_units: float
     beyond_worth: float
     repeats_marked: bool
-    meter: float
 
 
 @dataclass(slots=True, eq=False)
@@ -90,12 +88,9 @@
     plan: Plan
     total: float
     heads: int
-    part: float
     limit_store: float
     reserve_store: float
     filled: float
-    own_at: float
-    own: float = 0.0
     waiting: int = 0
     out: int = 0
     ranking: list["Shelf"] = field(default_factory=list)
@@ -132,6 +127,7 @@
     promised_by: float
     units: float
     shard: int
+    cost: float = 0.0
     forwards: int = 0
     out: int = 0
     ran_at: float | None = None
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -38,6 +38,7 @@
         self.born = self.now = host.clock()
         self.quickest = min(p.promised for p in facts.profiles)
         self.order = 0
+        self.best = max(p.value for p in facts.profiles)
         self.spans = [0.0] * len(facts.profiles)  # the longest first try seen of each profile
         self.transactions: dict[int, Transaction] = {}  # emptied as each is over with its forwards in
         self.volumes: dict[str, Volume] = {}  # emptied of idle volumes by _age
@@ -76,6 +77,7 @@
         self.order += 1
         t = Transaction(id, self.order, p, v, key if p.in_order else None, cut_off,
                         now - age + p.promised, units, shard)
+        t.cost = units * self.best / p.value
         self.transactions[id] = t
         if self.facts.budget:
             self.taken.append(now)
@@ -101,9 +103,7 @@
         self._judge(s, how, elapsed, t.profile)
         v = t.volume
         t.out, v.out = t.out - 1, v.out - 1
-        v.total += elsewhere  # what other heads sent for the volume counts as if sent here
-        if how is Ending.HONOURED and self.facts.meter:
-            self._see_part(v, t.units, usage)
+        v.total += elsewhere  # what others' heads sent for the volume counts as if sent here
         if not v.out and not v.waiting:
             self.busy.pop(v.id, None)
         if how not in NEVER_RAN and t.ran_at is None:
@@ -200,11 +200,13 @@
         if not free or not self.busy:
             return
         given: dict[int, list[Transaction]] = {id: [] for id in free}
+        costs: dict[str, float] = {}
         spent: dict[str, float] = {}  # units chosen so far of each volume
 
         def mark(t: Transaction, sign: int) -> None:
             t.chosen = sign > 0
             spent[t.volume.id] = spent.get(t.volume.id, 0.0) + sign * t.units
+            costs[t.volume.id] = costs.get(t.volume.id, 0.0) + sign * t.cost
 
         def edges(v: Volume) -> Iterator[tuple[int, Transaction]]:
             left = self._limit_left(v) - spent.get(v.id, 0.0)
@@ -243,7 +245,7 @@
         unsaturated = {v.id: (v, edge[1]) for v in self.busy.values() if (edge := next(edges(v), None))}
         while slots and unsaturated:
             v = min(unsaturated.values(), key=lambda entry: (
-                entry[0].total + self._charge(entry[0], spent.get(entry[0].id, 0.0) + entry[1].units)
+                entry[0].total + self._charge(entry[0], costs.get(entry[0].id, 0.0) + entry[1].cost)
             ) / entry[0].plan.weight)[0]
             found = path(v, set())
             slots -= found
@@ -267,7 +269,7 @@
             s.cold_sent.append((self.now, t.units))
         if t.forwards == 0:
             v.limit_store -= t.units
-            v.total += self._charge(v, t.units)
+            v.total += self._charge(v, t.cost)
             v.reserve_store = max(0.0, v.reserve_store - t.units)
         elif self.facts.budget:
             self.further.append(self.now)
@@ -313,15 +315,6 @@
         inside = min(units, v.reserve_store)
         return units - inside * (1.0 - self.facts.beyond_worth)
 
-    def _see_part(self, v: Volume, units: float, usage: float) -> None:
-        """This head's part of a volume's reserve follows its part of the service that answers tell of.
-        Guards against a lead that moves between heads; an even part stands until answers tell."""
-        v.own = v.own * 0.5 ** ((self.now - v.own_at) / self.facts.meter) + units
-        v.own_at = self.now
-        if usage > 1 and v.plan.rate:
-            seen = 0.69 * v.own / self.facts.meter / (0.01 * (usage - 1) * v.plan.rate)
-            v.part += 0.3 * (min(1.0, max(0.5 / v.heads, seen)) - v.part)
-
     def _ranking(self, v: Volume) -> list[Shelf]:
         """Rendezvous hashing on raw ids, so every head ranks the same way."""
         if not v.ranking:
@@ -336,8 +329,7 @@
 
     def _meet(self, id: str, plan: int, heads: int) -> Volume:
         p = self.facts.plans[plan]
-        v = Volume(id, p, self.floor * p.weight, heads, 1.0 / heads, 0.0, p.reserve / heads, self.born, self.now)
-        self.volumes[id] = v
+        v = self.volumes[id] = Volume(id, p, self.floor * p.weight, heads, 0.0, p.reserve / heads, self.born)
         return v
 
     def _age(self) -> None:
@@ -428,8 +420,8 @@
             return
         v.filled = self.now
         v.limit_store = min(v.plan.limit_burst / v.heads, v.limit_store + passed * v.plan.limit / v.heads)
-        most = (v.plan.reserve + self.facts.largest_units) * v.part if v.plan.reserve else 0.0
-        v.reserve_store = min(most, v.reserve_store + passed * v.plan.reserve * v.part)
+        most = (v.plan.reserve + self.facts.largest_units) / v.heads if v.plan.reserve else 0.0
+        v.reserve_store = min(most, v.reserve_store + passed * v.plan.reserve / v.heads)
 
     # ---- (4) shedding
 
