--- a/gorsethread/model.py
+++ b/gorsethread/model.py
@@ -127,7 +127,6 @@
     promised_by: float
     units: float
     shard: int
-    cost: float = 0.0
     forwards: int = 0
     out: int = 0
     ran_at: float | None = None
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -38,7 +38,6 @@
         self.born = self.now = host.clock()
         self.quickest = min(p.promised for p in facts.profiles)
         self.order = 0
-        self.best = max(p.value for p in facts.profiles)
         self.spans = [0.0] * len(facts.profiles)  # the longest first try seen of each profile
         self.transactions: dict[int, Transaction] = {}  # emptied as each is over with its forwards in
         self.volumes: dict[str, Volume] = {}  # emptied of idle volumes by _age
@@ -77,7 +76,6 @@
         self.order += 1
         t = Transaction(id, self.order, p, v, key if p.in_order else None, cut_off,
                         now - age + p.promised, units, shard)
-        t.cost = units * self.best / p.value
         self.transactions[id] = t
         if self.facts.budget:
             self.taken.append(now)
@@ -200,13 +198,11 @@
         if not free or not self.busy:
             return
         given: dict[int, list[Transaction]] = {id: [] for id in free}
-        costs: dict[str, float] = {}
         spent: dict[str, float] = {}  # units chosen so far of each volume
 
         def mark(t: Transaction, sign: int) -> None:
             t.chosen = sign > 0
             spent[t.volume.id] = spent.get(t.volume.id, 0.0) + sign * t.units
-            costs[t.volume.id] = costs.get(t.volume.id, 0.0) + sign * t.cost
 
         def edges(v: Volume) -> Iterator[tuple[int, Transaction]]:
             left = self._limit_left(v) - spent.get(v.id, 0.0)
@@ -245,7 +241,7 @@
         unsaturated = {v.id: (v, edge[1]) for v in self.busy.values() if (edge := next(edges(v), None))}
         while slots and unsaturated:
             v = min(unsaturated.values(), key=lambda entry: (
-                entry[0].total + self._charge(entry[0], costs.get(entry[0].id, 0.0) + entry[1].cost)
+                entry[0].total + self._charge(entry[0], spent.get(entry[0].id, 0.0) + entry[1].units)
             ) / entry[0].plan.weight)[0]
             found = path(v, set())
             slots -= found
@@ -269,7 +265,7 @@
             s.cold_sent.append((self.now, t.units))
         if t.forwards == 0:
             v.limit_store -= t.units
-            v.total += self._charge(v, t.cost)
+            v.total += self._charge(v, t.units)
             v.reserve_store = max(0.0, v.reserve_store - t.units)
         elif self.facts.budget:
             self.further.append(self.now)
