--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -75,7 +75,8 @@
         p = self.facts.profiles[profile]
         self.order += 1
         t = Transaction(id, self.order, p, v, key if p.in_order else None, cut_off,
-                        now - age + p.promised, units, shard)
+                        min(cut_off, now - age + p.promised), units, shard)
+        # Guards rule 1 where a client leaves before its promised time: no look is set past the cut-off.
         self.transactions[id] = t
         if self.facts.budget:
             self.taken.append(now)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -21,6 +21,14 @@
         self.until(3.0)
         self.kept("one_final_answer")
 
+    def test_cut_off_before_promise(self) -> None:
+        """A client that leaves before the promised time is up is answered by its cut-off too."""
+        self.start()
+        self.take(1, shard=9, within=0.1)
+        self.end()
+        self.until(0.5)
+        self.kept("cut_off_before_promise")
+
     def test_effects(self) -> None:
         """An error may have run: an irreversible transaction ends, a labelled one stays with its shard."""
         self.start(3, profiles=(PLAIN, ONCE, MARKED))
