Look again when a shelf's rest ends and only new objects wait

Found by the trace test of labelled transactions: one waiting for its resting shelf was not sent when the rest ended, as only pinned ones asked for a look.

--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -347,7 +347,7 @@
 
     def _free_slots(self, s: Shelf) -> int:
         if self.now < s.first_send or self.now < s.rest_until:
-            if s.shard in self.lanes:
+            if s.shard in self.lanes or NEW in self.lanes:
                 self.look_at = min(self.look_at, max(s.first_send, s.rest_until))
             return 0
         if self._cold_left(s) < 1.0:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -40,7 +40,7 @@
         self.answer(4, Ending.UNREACHED)
         for id in (1, 2, 3):
             self.answer(id, Ending.ERROR)
-        self.policy.shelves[3].errors = 1.0
+        self.policy.shelves[3].first_send = 100.9
         self.end()
         self.until(1.0)
         self.answer(3, Ending.ERROR, 1)
