--- a/gorsethread/model.py
+++ b/gorsethread/model.py
@@ -93,6 +93,7 @@
     filled: float
     waiting: int = 0
     out: int = 0
+    woke: int = 0
     ranking: list["Shelf"] = field(default_factory=list)
 
 
@@ -108,6 +109,7 @@
     heard: float
     time: float = 0.0
     pressure: float = 0.0
+    place: int = 0
     times: dict[Profile, float] = field(default_factory=dict)
     errors: float = 0.0
     rest_until: float = 0.0
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -164,6 +164,8 @@
                 del self.shelves[id]
         ready = [s for s in self.shelves.values() if s.ready]
         self.held_by = {s.shard: s for s in sorted(ready, key=lambda s: (s.since, s.id))}
+        for place, s in enumerate(self.held_by.values()):
+            s.place = place
         for v in self.volumes.values():
             v.ranking = []
         self.changed = True
@@ -195,27 +197,32 @@
 
     def _share_out(self) -> None:
         """LexAS: the unsaturated volume with the least (B + cost) / w gets a slot by an augmenting path."""
-        free = {s.id: n for s in self.held_by.values() if (n := self._free_slots(s)) > 0}
-        if not free or not self.busy:
+        wanted = sorted((self.held_by[n] for n in self.lanes if n in self.held_by), key=lambda s: s.place)
+        if not wanted and NEW not in self.lanes:
             return
-        given: dict[int, list[Transaction]] = {id: [] for id in free}
+        free: dict[int, int] = {}  # worked out for shelves that are asked for, and no others
+        given: dict[int, list[Transaction]] = {}
         spent: dict[str, float] = {}  # units chosen so far of each volume
 
+        def room(s: Shelf) -> bool:
+            if s.id not in free:
+                free[s.id], given[s.id] = self._free_slots(s), []
+            return free[s.id] > 0
+
         def mark(t: Transaction, sign: int) -> None:
             t.chosen = sign > 0
             spent[t.volume.id] = spent.get(t.volume.id, 0.0) + sign * t.units
 
         def edges(v: Volume) -> Iterator[tuple[int, Transaction]]:
             left = self._limit_left(v) - spent.get(v.id, 0.0)
-            for id in free:
-                t = next((t for t in self.lanes.get(self.shelves[id].shard, {}).get(v.id, ())
-                          if not t.chosen), None)
-                if t and (t.forwards or t.units <= left) and self._may_go_to(t, self.shelves[id]):
-                    yield id, t
+            for s in wanted:
+                t = next((t for t in self.lanes[s.shard].get(v.id, ()) if not t.chosen), None)
+                if t and (t.forwards or t.units <= left) and room(s) and self._may_go_to(t, s):
+                    yield s.id, t
             t = next((t for t in self.lanes.get(NEW, {}).get(v.id, ()) if not t.chosen), None)
             if t and (t.forwards or t.units <= left):
                 for s in self._ranking(v):
-                    if s.id in free and self._may_go_to(t, s) and (
+                    if room(s) and self._may_go_to(t, s) and (
                             t.ran_at is not None or not self._has_enough(s, len(given[s.id]))):
                         yield s.id, t
                         break
@@ -238,15 +245,14 @@
                 mark(t, -1)
             return False
 
-        slots = sum(free.values())
-        unsaturated = {v.id: (v, edge[1]) for v in self.busy.values() if (edge := next(edges(v), None))}
-        while slots and unsaturated:
+        waiting = {id: self.busy[id] for lane in self.lanes.values() for id in lane}
+        unsaturated = {v.id: (v, edge[1]) for v in sorted(waiting.values(), key=lambda v: v.woke)
+                       if (edge := next(edges(v), None))}
+        while unsaturated:
             v = min(unsaturated.values(), key=lambda entry: (
                 entry[0].total + self._charge(entry[0], spent.get(entry[0].id, 0.0) + entry[1].units)
             ) / entry[0].plan.weight)[0]
-            found = path(v, set())
-            slots -= found
-            edge = next(edges(v), None) if found else None
+            edge = next(edges(v), None) if path(v, set()) else None
             if edge:
                 unsaturated[v.id] = (v, edge[1])
             else:
@@ -270,12 +276,10 @@
             v.reserve_store = max(0.0, v.reserve_store - t.units)
         elif self.facts.budget:
             self.further.append(self.now)
+        t.out, v.out = t.out + 1, v.out + 1
         self._unhold(t)
         s.out[(t.id, t.forwards)] = self.now
         t.forwards += 1
-        t.out += 1
-        v.out += 1
-        self.busy[v.id] = v
         self.host.forward(t.id, s.id, 0.0)
 
     def _hold(self, t: Transaction) -> None:
@@ -285,7 +289,7 @@
             if self.busy:
                 self.floor = min(b.total / b.plan.weight for b in self.busy.values())
             v.total = max(v.total, self.floor * v.plan.weight)
-            self.busy[v.id] = v
+            self.busy[v.id], v.woke = v, self.order
         v.waiting += 1
         t.waiting = True
         self.changed = True
