--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -17,7 +17,6 @@
 
 FIRST_BOUND = 4.0  # the design's start and ceiling
 HIGHEST_BOUND = 32.0
-LOWEST_BOUND = 0.25
 FURTHER_FORWARDS = 2
 NEW = -1  # the shard of a new object, which any shelf may take
 LOOK_AGAIN = 0.02  # seconds until a store or span that held something back is looked at again
@@ -366,24 +365,26 @@
 
     def _judge(self, s: Shelf, how: Ending, elapsed: float, p: Profile) -> None:
         s.errors += 0.1 * ((how is Ending.ERROR) - s.errors)
-        if how in (Ending.TIMED_OUT, Ending.UNREACHED, Ending.BROKEN):
+        if how in (Ending.UNREACHED, Ending.BROKEN):
             s.misses += 1
-            if how is not Ending.TIMED_OUT:
-                s.rest_until = self.now + min(2.0, 0.1 * 2.0**min(s.misses, 9))
+            s.rest_until = self.now + min(2.0, 0.1 * 2.0**min(s.misses, 9))
             return
-        s.heard, s.misses = self.now, 0
+        if how is Ending.TIMED_OUT:
+            s.misses += 1
+        else:
+            s.heard, s.misses = self.now, 0
         if how is Ending.TURNED_AWAY:
-            s.bound = max(LOWEST_BOUND, 0.7 * s.bound)
+            s.bound = max(1.0 / self.facts.heads, 0.7 * s.bound)
             s.rest_until = self.now + min(0.5, s.time)
             self.overload_until = self.now + 1.0
-        elif how is Ending.HONOURED:
+        elif how in (Ending.HONOURED, Ending.TIMED_OUT):
             s.time += (0.3 if s.time else 1.0) * (elapsed - s.time)
             s.pressure += (0.3 if s.pressure else 1.0) * (elapsed / p.promised - s.pressure)
             seen = s.times.get(p, elapsed)
             s.times[p] = seen + 0.3 * (elapsed - seen)
             room = 0.25 / max(s.pressure, 0.001)
             if room < 1.0:
-                s.bound = max(LOWEST_BOUND, s.bound * (1.0 - 0.5 * (1.0 - room) / max(1.0, s.bound)))
+                s.bound = max(1.0 / self.facts.heads, s.bound * (1.0 - 0.5 * (1.0 - room) / max(1.0, s.bound)))
             elif len(s.out) + 1 >= int(s.bound):
                 s.bound = min(HIGHEST_BOUND, s.bound + 0.5 / max(1.0, s.bound))
             if s.bound < 1.0:  # many heads share a slow shelf: pause between forwards
