--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -361,7 +361,7 @@
     def _silent(self, s: Shelf) -> bool:
         """Guards against a hung shelf holding slots: one forward at a time until it answers."""
         oldest = next(iter(s.out.values()), self.now)
-        return self.now - max(oldest, s.heard) > max(self.quickest, 4 * s.time)
+        return self.now - oldest > self.quickest
 
     def _judge(self, s: Shelf, how: Ending, elapsed: float, p: Profile) -> None:
         s.errors += 0.1 * ((how is Ending.ERROR) - s.errors)
@@ -374,8 +374,8 @@
         else:
             s.heard, s.misses = self.now, 0
         if how is Ending.TURNED_AWAY:
-            s.bound = max(1.0 / self.facts.heads, 0.7 * s.bound)
-            s.rest_until = self.now + min(0.5, s.time)
+            s.bound = max(1.0 / self.facts.heads, 0.5 * min(1.0, s.bound))
+            self._pace(s)
             self.overload_until = self.now + 1.0
         elif how in (Ending.HONOURED, Ending.TIMED_OUT):
             s.time += (0.3 if s.time else 1.0) * (elapsed - s.time)
@@ -387,8 +387,13 @@
                 s.bound = max(1.0 / self.facts.heads, s.bound * (1.0 - 0.5 * (1.0 - room) / max(1.0, s.bound)))
             elif len(s.out) + 1 >= int(s.bound):
                 s.bound = min(HIGHEST_BOUND, s.bound + 0.5 / max(1.0, s.bound))
-            if s.bound < 1.0:  # many heads share a slow shelf: pause between forwards
-                s.rest_until = self.now + s.time * (1.0 / s.bound - 1.0)
+            self._pace(s)
+
+    def _pace(self, s: Shelf) -> None:
+        """Many heads share a slow shelf: below one the bound is kept by pauses, uneven so heads spread."""
+        if s.bound < 1.0:
+            pause = max(s.time, self.quickest) * (1.0 / s.bound - 1.0) * (0.5 + self._random())
+            s.rest_until = self.now + min(pause, 10.0)
 
     # ---- (2) the cold ramp
 
@@ -437,7 +442,9 @@
             self._note(min(last, t.promised_by - expected), t)
             return
         lanes = self.lanes.get(t.shard, {}).values()
-        crowded = any(o.promised_by - expected > self.now for lane in lanes for o in lane)
+        s = self.held_by.get(t.shard)
+        crowded = (s is not None and s.bound < 1.0) or any(
+            o.promised_by - expected > self.now for lane in lanes for o in lane)
         if self.now >= last or (t.waiting and crowded):
             self._unhold(t)
             self._end(t)
