A crowded shelf is paced by a rate a unit of weight, the same at every head

Cause: with 60 heads, one forward a head is already a queue of seconds, and pauses held light and surging volumes alike. Now a late answer cuts a rate for a unit of weight (reserves first), and every head holds its even part of each volume to it; it doubles a second while answers are in time. Covers surges, repeats at once, slow shelves; may hurt where units cost very different work.

--- a/gorsethread/benchlink/__main__.py
+++ b/gorsethread/benchlink/__main__.py
@@ -64,7 +64,7 @@
         ),
         plans=tuple(
             Plan(g.get("floorRate", 0.0), g.get("proportion", 1.0), g.get("neverOver", 0.0),
-                 g.get("limitBurst", 0.0))
+                 g.get("limitBurst", 0.0), g.get("baseRate", 0.0))
             for g in setup["grades"]
         ),
         heads=setup["balancers"],
--- a/gorsethread/model.py
+++ b/gorsethread/model.py
@@ -48,6 +48,7 @@
     weight: float
     limit: float
     limit_burst: float
+    usual: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +95,7 @@
     waiting: int = 0
     out: int = 0
     woke: int = 0
+    paces: dict[int, tuple[float, float]] = field(default_factory=dict)
     ranking: list["Shelf"] = field(default_factory=list)
 
 
@@ -108,7 +110,10 @@
     bound: float
     heard: float
     time: float = 0.0
-    pressure: float = 0.0
+    rate: float = float("inf")
+    unit_time: float = float("inf")
+    cut_at: float = 0.0
+    grown_at: float = 0.0
     place: int = 0
     times: dict[Profile, float] = field(default_factory=dict)
     errors: float = 0.0
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -19,6 +19,7 @@
 HIGHEST_BOUND = 32.0
 FURTHER_FORWARDS = 2
 NEW = -1  # the shard of a new object, which any shelf may take
+WAIT_PART = 0.3  # of the shortest promise: the longest wait at a shelf that is not crowded
 LOOK_AGAIN = 0.02  # seconds until a store or span that held something back is looked at again
 NEVER_RAN = (Ending.TURNED_AWAY, Ending.UNREACHED, Ending.NOT_SENT)
 MAY_STILL_RUN = (Ending.TIMED_OUT, Ending.BROKEN, Ending.CALLED_OFF)
@@ -36,6 +37,8 @@
         self.chance = seed & (2**64 - 1)
         self.born = self.now = host.clock()
         self.quickest = min(p.promised for p in facts.profiles)
+        # What a unit of weight usually asks for, in units a second.
+        self.usual = sum(p.usual / p.weight for p in facts.plans) / len(facts.plans)
         self.order = 0
         self.spans = [0.0] * len(facts.profiles)  # the longest first try seen of each profile
         self.transactions: dict[int, Transaction] = {}  # emptied as each is over with its forwards in
@@ -98,7 +101,7 @@
         self.changed = True
         if t is None:
             return
-        self._judge(s, how, elapsed, t.profile)
+        self._judge(s, how, elapsed, t)
         v = t.volume
         t.out, v.out = t.out - 1, v.out - 1
         v.total += elsewhere  # what others' heads sent for the volume counts as if sent here
@@ -153,6 +156,7 @@
             # Guards against all heads rushing to a shelf that just came back; costs up to half a span.
             s.first_send = self.now + 0.5 * self.facts.cold.span * self._random()
             s.bound, s.rest_until, s.misses, s.errors, s.heard = FIRST_BOUND, 0.0, 0, 0.0, s.first_send
+            s.rate = 1.0
             s.cold_sent.clear()
 
     def list_ended(self) -> None:
@@ -216,13 +220,15 @@
             left = self._limit_left(v) - spent.get(v.id, 0.0)
             for s in wanted:
                 t = next((t for t in self.lanes[s.shard].get(v.id, ()) if not t.chosen), None)
-                if t and (t.forwards or t.units <= left) and room(s) and self._may_go_to(t, s):
+                if t and (t.forwards or t.units <= left) and room(s) and self._may_go_to(t, s) and (
+                        t.forwards or self._in_pace(t, s, spent.get(v.id, 0.0))):
                     yield s.id, t
             t = next((t for t in self.lanes.get(NEW, {}).get(v.id, ()) if not t.chosen), None)
             if t and (t.forwards or t.units <= left):
                 for s in self._ranking(v):
                     if room(s) and self._may_go_to(t, s) and (
-                            t.ran_at is not None or not self._has_enough(s, len(given[s.id]))):
+                            t.forwards or not self._has_enough(s, len(given[s.id]))
+                            and self._in_pace(t, s, spent.get(v.id, 0.0))):
                         yield s.id, t
                         break
 
@@ -271,6 +277,9 @@
             s.cold_sent.append((self.now, t.units))
         if t.forwards == 0:
             v.limit_store -= t.units
+            if s.shard in v.paces:
+                level, at = v.paces[s.shard]
+                v.paces[s.shard] = (level - t.units, at)
             v.total += self._charge(v, t.units)
             v.reserve_store = max(0.0, v.reserve_store - t.units)
         elif self.facts.budget:
@@ -363,7 +372,7 @@
         oldest = next(iter(s.out.values()), self.now)
         return self.now - oldest > self.quickest
 
-    def _judge(self, s: Shelf, how: Ending, elapsed: float, p: Profile) -> None:
+    def _judge(self, s: Shelf, how: Ending, elapsed: float, t: Transaction) -> None:
         s.errors += 0.1 * ((how is Ending.ERROR) - s.errors)
         if how in (Ending.UNREACHED, Ending.BROKEN):
             s.misses += 1
@@ -373,27 +382,50 @@
             s.misses += 1
         else:
             s.heard, s.misses = self.now, 0
+        part = 1.0  # of what was sent, how much the shelf could take in good time
         if how is Ending.TURNED_AWAY:
-            s.bound = max(1.0 / self.facts.heads, 0.5 * min(1.0, s.bound))
-            self._pace(s)
+            part = 0.5
             self.overload_until = self.now + 1.0
-        elif how in (Ending.HONOURED, Ending.TIMED_OUT):
+        elif how is Ending.TIMED_OUT:
+            part = 0.5
+        elif how is Ending.HONOURED:
             s.time += (0.3 if s.time else 1.0) * (elapsed - s.time)
-            s.pressure += (0.3 if s.pressure else 1.0) * (elapsed / p.promised - s.pressure)
-            seen = s.times.get(p, elapsed)
-            s.times[p] = seen + 0.3 * (elapsed - seen)
-            room = 0.25 / max(s.pressure, 0.001)
-            if room < 1.0:
-                s.bound = max(1.0 / self.facts.heads, s.bound * (1.0 - 0.5 * (1.0 - room) / max(1.0, s.bound)))
-            elif len(s.out) + 1 >= int(s.bound):
-                s.bound = min(HIGHEST_BOUND, s.bound + 0.5 / max(1.0, s.bound))
-            self._pace(s)
-
-    def _pace(self, s: Shelf) -> None:
-        """Many heads share a slow shelf: below one the bound is kept by pauses, uneven so heads spread."""
-        if s.bound < 1.0:
-            pause = max(s.time, self.quickest) * (1.0 / s.bound - 1.0) * (0.5 + self._random())
-            s.rest_until = self.now + min(pause, 10.0)
+            seen = s.times.get(t.profile, elapsed)
+            s.times[t.profile] = seen + 0.3 * (elapsed - seen)
+            s.unit_time = min(1.02 * s.unit_time, elapsed / t.units)
+            wait = elapsed - s.unit_time * t.units
+            part = WAIT_PART * self.quickest / max(wait, 0.001)
+        if part < 1.0:
+            # Answers to what was sent before the last cut say nothing of the cut.
+            if self.now - elapsed >= s.cut_at:
+                s.cut_at = self.now
+                s.rate = max(0.01, min(s.rate, 2.0) * max(0.5, part))
+                s.bound = max(1.0, s.bound * max(0.5, part))
+        elif how is Ending.HONOURED:
+            s.rate *= 2.0 ** min(1.0, self.now - s.grown_at)
+            if s.rate > 8.0:
+                s.rate = float("inf")
+            if len(s.out) + 1 >= int(s.bound):
+                s.bound = min(HIGHEST_BOUND, s.bound + 0.5 / s.bound)
+        s.grown_at = self.now
+
+    def _in_pace(self, t: Transaction, s: Shelf, chosen: float) -> bool:
+        """Many heads crowd a shelf though none has more than one forward there: below one slot a head the
+        bound is a rate, the same for a unit of weight at every head, so volumes are held alike whichever and
+        however many heads they come through, and what all heads send adds up."""
+        v = t.volume
+        if s.rate == float("inf"):
+            v.paces.pop(s.shard, None)
+            return True
+        fill = (v.plan.reserve * min(1.0, s.rate) + v.plan.weight * self.usual * s.rate) / v.heads
+        most = self.facts.largest_units + fill
+        level, at = v.paces.get(s.shard, (most, self.now))
+        level = min(most, level + fill * (self.now - at))
+        v.paces[s.shard] = (level, self.now)
+        if level >= t.units + chosen:
+            return True
+        self.look_at = min(self.look_at, self.now + max(LOOK_AGAIN, (t.units + chosen - level) / fill))
+        return False
 
     # ---- (2) the cold ramp
 
@@ -443,7 +475,7 @@
             return
         lanes = self.lanes.get(t.shard, {}).values()
         s = self.held_by.get(t.shard)
-        crowded = (s is not None and s.bound < 1.0) or any(
+        crowded = (s is not None and s.rate < 2.0) or any(
             o.promised_by - expected > self.now for lane in lanes for o in lane)
         if self.now >= last or (t.waiting and crowded):
             self._unhold(t)
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -6,7 +6,7 @@
 
 class OrdinaryPath(Scene):
     def begin(self, shelves: int, slots: int, *weights: float, reserve: float = 0.0) -> None:
-        self.start(shelves, plans=tuple(Plan(reserve * i, w, 0.0, 0.0) for i, w in enumerate(weights)))
+        self.start(shelves, plans=tuple(Plan(reserve * i, w, 0.0, 0.0, 4.0) for i, w in enumerate(weights)))
         for shelf in self.policy.shelves.values():
             shelf.bound = float(slots)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -114,7 +114,7 @@
 
     def test_limit(self) -> None:
         """Half of 8 units a second and of 32 at once for one of two heads; empty at the start."""
-        self.start(profiles=(SLOW,), plans=(Plan(0.0, 1.0, 8.0, 32.0),))
+        self.start(profiles=(SLOW,), plans=(Plan(0.0, 1.0, 8.0, 32.0, 4.0),))
         self.until(1.0)
         for id in range(4):
             self.take(id, units=4, heads=2, within=5.0)
