--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -386,20 +386,19 @@
         if how is Ending.TURNED_AWAY:
             part = 0.5
             self.overload_until = self.now + 1.0
-        elif how is Ending.TIMED_OUT:
-            part = 0.5
-        elif how is Ending.HONOURED:
+        elif how in (Ending.HONOURED, Ending.TIMED_OUT):
             s.time += (0.3 if s.time else 1.0) * (elapsed - s.time)
             seen = s.times.get(t.profile, elapsed)
             s.times[t.profile] = seen + 0.3 * (elapsed - seen)
-            s.unit_time = min(1.02 * s.unit_time, elapsed / t.units)
-            wait = elapsed - s.unit_time * t.units
+            if how is Ending.HONOURED:
+                s.unit_time = min(1.02 * s.unit_time, elapsed / t.units)
+            wait = elapsed - s.unit_time * t.units if s.unit_time < float("inf") else elapsed
             part = WAIT_PART * self.quickest / max(wait, 0.001)
         if part < 1.0:
             # Answers to what was sent before the last cut say nothing of the cut.
             if self.now - elapsed >= s.cut_at:
                 s.cut_at = self.now
-                s.rate = max(0.01, min(s.rate, 2.0) * max(0.5, part))
+                s.rate = max(0.01, min(s.rate, 1.0) * max(0.3, part))
                 s.bound = max(1.0, s.bound * max(0.5, part))
         elif how is Ending.HONOURED:
             s.rate *= 2.0 ** min(1.0, self.now - s.grown_at)
