--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -19,7 +19,7 @@
 HIGHEST_BOUND = 32.0
 FURTHER_FORWARDS = 2
 NEW = -1  # the shard of a new object, which any shelf may take
-WAIT_PART = 0.5  # of the shortest promise: the longest wait at a shelf that is not crowded
+WAIT_PART = 0.3  # of the shortest promise: the longest wait at a shelf that is not crowded
 LOOK_AGAIN = 0.02  # seconds until a store or span that held something back is looked at again
 NEVER_RAN = (Ending.TURNED_AWAY, Ending.UNREACHED, Ending.NOT_SENT)
 MAY_STILL_RUN = (Ending.TIMED_OUT, Ending.BROKEN, Ending.CALLED_OFF)
@@ -383,7 +383,7 @@
             s.heard, s.misses = self.now, 0
         part = 1.0  # of what was sent, how much the shelf could take in good time
         if how is Ending.TURNED_AWAY:
-            part = 0.5
+            part = 0.3
             self.overload_until = self.now + 1.0
         elif how in (Ending.HONOURED, Ending.TIMED_OUT):
             s.time += (0.3 if s.time else 1.0) * (elapsed - s.time)
@@ -397,10 +397,10 @@
             # Answers to what was sent before the last cut say nothing of the cut.
             if self.now - elapsed >= s.cut_at:
                 s.cut_at = self.now
-                s.rate = max(0.01, min(s.rate, 2.0) * max(0.5, part))
+                s.rate = max(0.01, min(s.rate, 8.0) * max(0.3, part))
                 s.bound = max(1.0, s.bound * max(0.5, part))
         elif how is Ending.HONOURED:
-            s.rate = min(4.0, s.rate * 2.0 ** min(1.0, self.now - s.grown_at))
+            s.rate = min(8.0, s.rate * 2.0 ** min(1.0, self.now - s.grown_at))
             if len(s.out) + 1 >= int(s.bound):
                 s.bound = min(HIGHEST_BOUND, s.bound + 0.5 / s.bound)
         s.grown_at = self.now
@@ -409,12 +409,12 @@
         """Many heads crowd a shelf though none has more than one forward there: below one slot a head the
         bound is a rate, the same for a unit of weight at every head, so volumes are held alike whichever and
         however many heads they come through, and what all heads send adds up."""
-        v, rate = t.volume, min(s.rate, 2.0)
+        v, rate = t.volume, min(s.rate, 8.0)
         fill = (v.plan.reserve * min(1.0, rate) + v.plan.weight * self.usual * rate) / v.heads
         level, at = v.paces.get(s.shard, (1.0 + fill, self.now))
         level = min(1.0 + fill, level + fill * (self.now - at))
         v.paces[s.shard] = (level, self.now)
-        if level > chosen or s.rate > 2.0:
+        if level > chosen or s.rate >= 8.0:
             return True
         self.look_at = min(self.look_at, self.now + max(LOOK_AGAIN, (chosen - level) / fill))
         return False
