--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -277,8 +277,9 @@
             s.cold_sent.append((self.now, t.units))
         if t.forwards == 0:
             v.limit_store -= t.units
-            level, at = v.paces[s.shard]
-            v.paces[s.shard] = (max(level - t.units, -self.facts.largest_units), at)
+            if s.shard in v.paces:
+                level, at = v.paces[s.shard]
+                v.paces[s.shard] = (level - t.units, at)
             v.total += self._charge(v, t.units)
             v.reserve_store = max(0.0, v.reserve_store - t.units)
         elif self.facts.budget:
@@ -383,7 +384,7 @@
             s.heard, s.misses = self.now, 0
         part = 1.0  # of what was sent, how much the shelf could take in good time
         if how is Ending.TURNED_AWAY:
-            part = 0.3
+            part = 0.5
             self.overload_until = self.now + 1.0
         elif how in (Ending.HONOURED, Ending.TIMED_OUT):
             s.time += (0.3 if s.time else 1.0) * (elapsed - s.time)
@@ -397,7 +398,7 @@
             # Answers to what was sent before the last cut say nothing of the cut.
             if self.now - elapsed >= s.cut_at:
                 s.cut_at = self.now
-                s.rate = max(0.01, min(s.rate, 8.0) * max(0.3, part))
+                s.rate = max(0.01, min(s.rate, 2.0) * max(0.5, part))
                 s.bound = max(1.0, s.bound * max(0.5, part))
         elif how is Ending.HONOURED:
             s.rate = min(8.0, s.rate * 2.0 ** min(1.0, self.now - s.grown_at))
@@ -409,14 +410,19 @@
         """Many heads crowd a shelf though none has more than one forward there: below one slot a head the
         bound is a rate, the same for a unit of weight at every head, so volumes are held alike whichever and
         however many heads they come through, and what all heads send adds up."""
-        v, rate = t.volume, min(s.rate, 8.0)
-        fill = (v.plan.reserve * min(1.0, rate) + v.plan.weight * self.usual * rate) / v.heads
-        level, at = v.paces.get(s.shard, (1.0 + fill, self.now))
-        level = min(1.0 + fill, level + fill * (self.now - at))
+        v = t.volume
+        if s.rate >= 8.0:
+            v.paces.pop(s.shard, None)
+            return True
+        fill = (v.plan.reserve * min(1.0, s.rate) + v.plan.weight * self.usual * s.rate) / v.heads
+        most = self.facts.largest_units * min(1.0, s.rate) + fill
+        level, at = v.paces.get(s.shard, (most, self.now))
+        level = min(most, level + fill * (self.now - at))
         v.paces[s.shard] = (level, self.now)
-        if level > chosen or s.rate >= 8.0:
+        short = min(t.units, most) + chosen - level
+        if short <= 0.0:
             return True
-        self.look_at = min(self.look_at, self.now + max(LOOK_AGAIN, (chosen - level) / fill))
+        self.look_at = min(self.look_at, self.now + max(LOOK_AGAIN, short / fill))
         return False
 
     # ---- (2) the cold ramp
