--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -415,7 +415,7 @@
             v.paces.pop(s.shard, None)
             return True
         fill = (v.plan.reserve * min(1.0, s.rate) + v.plan.weight * self.usual * s.rate) / v.heads
-        most = self.facts.largest_units * min(1.0, s.rate) + fill
+        most = 2.0 * self.facts.largest_units + fill
         level, at = v.paces.get(s.shard, (most, self.now))
         level = min(most, level + fill * (self.now - at))
         v.paces[s.shard] = (level, self.now)
