--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -36,6 +36,7 @@
         self.facts = facts
         self.chance = seed & (2**64 - 1)
         self.born = self.now = host.clock()
+        self.dearest = max(p.value for p in facts.profiles)
         self.quickest = min(p.promised for p in facts.profiles)
         # What a unit of weight usually asks for, in units a second.
         self.usual = sum(p.usual / p.weight for p in facts.plans) / len(facts.plans)
@@ -419,7 +420,9 @@
         level, at = v.paces.get(s.shard, (most, self.now))
         level = min(most, level + fill * (self.now - at))
         v.paces[s.shard] = (level, self.now)
-        short = min(t.units, most) + chosen - level
+        # Where a volume is held, its low values leave a part of the store to its high ones.
+        keep = self.facts.largest_units * (1.0 - t.profile.value / self.dearest)
+        short = min(most, t.units + keep) + chosen - level
         if short <= 0.0:
             return True
         self.look_at = min(self.look_at, self.now + max(LOOK_AGAIN, short / fill))
