An overdue forward cuts the rate at once; answers past the promise cut to a fifth

Holds against hangs, pauses and slow shelves alike; one slow transaction may cut a rate for a second.

--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -371,7 +371,10 @@
     def _silent(self, s: Shelf) -> bool:
         """Guards against a hung shelf holding slots: one forward at a time until it answers."""
         oldest = next(iter(s.out.values()), self.now)
-        return self.now - oldest > self.quickest
+        overdue = self.now - oldest > self.quickest
+        if overdue and oldest >= s.cut_at:
+            self._cut(s, 0.5)
+        return overdue
 
     def _judge(self, s: Shelf, how: Ending, elapsed: float, t: Transaction) -> None:
         s.errors += 0.1 * ((how is Ending.ERROR) - s.errors)
@@ -398,15 +401,18 @@
         if part < 1.0:
             # Answers to what was sent before the last cut say nothing of the cut.
             if self.now - elapsed >= s.cut_at:
-                s.cut_at = self.now
-                s.rate = max(0.01, min(s.rate, 2.0) * max(0.5, part))
-                s.bound = max(1.0, s.bound * max(0.5, part))
+                self._cut(s, max(0.5 if elapsed <= t.profile.promised else 0.2, part))
         elif how is Ending.HONOURED:
             s.rate = min(8.0, s.rate * 2.0 ** min(1.0, self.now - s.grown_at))
             if len(s.out) + 1 >= int(s.bound):
                 s.bound = min(HIGHEST_BOUND, s.bound + 0.5 / s.bound)
         s.grown_at = self.now
 
+    def _cut(self, s: Shelf, part: float) -> None:
+        s.cut_at = s.grown_at = self.now
+        s.rate = max(0.01, min(s.rate, 2.0) * part)
+        s.bound = max(1.0, s.bound * part)
+
     def _in_pace(self, t: Transaction, s: Shelf, chosen: float) -> bool:
         """Many heads crowd a shelf though none has more than one forward there: below one slot a head the
         bound is a rate, the same for a unit of weight at every head, so volumes are held alike whichever and
