--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -278,9 +278,9 @@
             s.cold_sent.append((self.now, t.units))
         if t.forwards == 0:
             v.limit_store -= t.units
-            if s.shard in v.paces:
-                level, at = v.paces[s.shard]
-                v.paces[s.shard] = (level - t.units, at)
+            if t.shard in v.paces:
+                level, at = v.paces[t.shard]
+                v.paces[t.shard] = (level - t.units, at)
             v.total += self._charge(v, t.units)
             v.reserve_store = max(0.0, v.reserve_store - t.units)
         elif self.facts.budget:
@@ -419,13 +419,13 @@
         however many heads they come through, and what all heads send adds up."""
         v = t.volume
         if s.rate >= 8.0:
-            v.paces.pop(s.shard, None)
+            v.paces.pop(t.shard, None)
             return True
         fill = (v.plan.reserve * min(1.0, s.rate) + v.plan.weight * self.usual * s.rate) / v.heads
         most = 2.0 * self.facts.largest_units + fill
-        level, at = v.paces.get(s.shard, (most, self.now))
+        level, at = v.paces.get(t.shard, (most, self.now))
         level = min(most, level + fill * (self.now - at))
-        v.paces[s.shard] = (level, self.now)
+        v.paces[t.shard] = (level, self.now)
         # Where a volume is held, its low values leave a part of the store to its high ones.
         keep = self.facts.largest_units * (1.0 - t.profile.value / self.dearest)
         short = min(most, t.units + keep) + chosen - level
