--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -419,7 +419,6 @@
         however many heads they come through, and what all heads send adds up."""
         v = t.volume
         if s.rate >= 8.0:
-            v.paces.pop(t.shard, None)
             return True
         fill = (v.plan.reserve * min(1.0, s.rate) + v.plan.weight * self.usual * s.rate) / v.heads
         most = 2.0 * self.facts.largest_units + fill
