--- a/gorsethread/model.py
+++ b/gorsethread/model.py
@@ -92,9 +92,8 @@
     limit_store: float
     reserve_store: float
     filled: float
-    waiting: int = 0
     out: int = 0
-    woke: int = 0
+    lanes: dict[int, list["Transaction"]] = field(default_factory=dict)  # waiting, by shard
     paces: dict[int, tuple[float, float]] = field(default_factory=dict)
     ranking: list["Shelf"] = field(default_factory=list)
 
@@ -114,7 +113,6 @@
     unit_time: float = float("inf")
     cut_at: float = 0.0
     grown_at: float = 0.0
-    place: int = 0
     times: dict[Profile, float] = field(default_factory=dict)
     errors: float = 0.0
     rest_until: float = 0.0
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -13,7 +13,7 @@
 from hashlib import blake2b
 
 from gorsethread.host import Host
-from gorsethread.model import Effect, Ending, Group, Profile, Shelf, StartFacts, Transaction, Volume
+from gorsethread.model import Effect, Ending, Group, Shelf, StartFacts, Transaction, Volume
 
 FIRST_BOUND = 4.0  # the design's start and ceiling
 HIGHEST_BOUND = 32.0
@@ -48,7 +48,7 @@
         self.floor = 0.0
         self.shelves: dict[int, Shelf] = {}  # emptied as shelves leave the list with nothing out
         self.held_by: dict[int, Shelf] = {}  # shard to the shelf that now holds it, made anew by each list
-        self.lanes: dict[int, dict[str, list[Transaction]]] = {}  # waiting, by shard; emptied as they go
+        self.wanted: dict[int, int] = {}  # how many wait, by shard; no more entries than shards
         self.list_whole = False
         self.named: set[int] = set()
         self.list_waits = 0
@@ -106,7 +106,7 @@
         v = t.volume
         t.out, v.out = t.out - 1, v.out - 1
         v.total += elsewhere  # what others' heads sent for the volume counts as if sent here
-        if not v.out and not v.waiting:
+        if not v.out and not v.lanes:
             self.busy.pop(v.id, None)
         if how not in NEVER_RAN and t.ran_at is None:
             t.ran_at, t.ran_on = now - elapsed, s
@@ -168,8 +168,6 @@
                 del self.shelves[id]
         ready = [s for s in self.shelves.values() if s.ready]
         self.held_by = {s.shard: s for s in sorted(ready, key=lambda s: (s.since, s.id))}
-        for place, s in enumerate(self.held_by.values()):
-            s.place = place
         for v in self.volumes.values():
             v.ranking = []
         self.changed = True
@@ -201,9 +199,6 @@
 
     def _share_out(self) -> None:
         """LexAS: the unsaturated volume with the least (B + cost) / w gets a slot by an augmenting path."""
-        wanted = sorted((self.held_by[n] for n in self.lanes if n in self.held_by), key=lambda s: s.place)
-        if not wanted and NEW not in self.lanes:
-            return
         free: dict[int, int] = {}  # worked out for shelves that are asked for, and no others
         given: dict[int, list[Transaction]] = {}
         spent: dict[str, float] = {}  # units chosen so far of each volume
@@ -219,17 +214,15 @@
 
         def edges(v: Volume) -> Iterator[tuple[int, Transaction]]:
             left = self._limit_left(v) - spent.get(v.id, 0.0)
-            for s in wanted:
-                t = next((t for t in self.lanes[s.shard].get(v.id, ()) if not t.chosen), None)
-                if t and (t.forwards or t.units <= left) and room(s) and self._may_go_to(t, s) and (
-                        t.forwards or self._in_pace(t, s, spent.get(v.id, 0.0))):
-                    yield s.id, t
-            t = next((t for t in self.lanes.get(NEW, {}).get(v.id, ()) if not t.chosen), None)
-            if t and (t.forwards or t.units <= left):
-                for s in self._ranking(v):
-                    if room(s) and self._may_go_to(t, s) and (
-                            t.forwards or not self._has_enough(s, len(given[s.id]))
-                            and self._in_pace(t, s, spent.get(v.id, 0.0))):
+            for shard, lane in v.lanes.items():
+                t = next((t for t in lane if not t.chosen), None)
+                if t is None or not t.forwards and t.units > left:
+                    continue
+                held_by = self.held_by.get(shard)
+                for s in self._ranking(v) if shard == NEW else (held_by,) if held_by else ():
+                    if room(s) and self._may_go_to(t, s) and (t.forwards or (
+                            shard != NEW or not self._has_enough(s, len(given[s.id]))
+                            ) and self._in_pace(t, s, spent.get(v.id, 0.0))):
                         yield s.id, t
                         break
 
@@ -251,9 +244,8 @@
                 mark(t, -1)
             return False
 
-        waiting = {id: self.busy[id] for lane in self.lanes.values() for id in lane}
-        unsaturated = {v.id: (v, edge[1]) for v in sorted(waiting.values(), key=lambda v: v.woke)
-                       if (edge := next(edges(v), None))}
+        unsaturated = {v.id: (v, edge[1]) for v in self.busy.values()
+                       if v.lanes and (edge := next(edges(v), None))}
         while unsaturated:
             v = min(unsaturated.values(), key=lambda entry: (
                 entry[0].total + self._charge(entry[0], spent.get(entry[0].id, 0.0) + entry[1].units)
@@ -298,25 +290,21 @@
             if self.busy:
                 self.floor = min(b.total / b.plan.weight for b in self.busy.values())
             v.total = max(v.total, self.floor * v.plan.weight)
-            self.busy[v.id], v.woke = v, self.order
-        v.waiting += 1
-        t.waiting = True
-        self.changed = True
-        insort(self.lanes.setdefault(t.shard, {}).setdefault(v.id, []), t, key=_turn)
+            self.busy[v.id] = v
+        t.waiting = self.changed = True
+        insort(v.lanes.setdefault(t.shard, []), t, key=_turn)
+        self.wanted[t.shard] = self.wanted.get(t.shard, 0) + 1
 
     def _unhold(self, t: Transaction) -> None:
         if not t.waiting:
             return
         t.waiting = False
-        v = t.volume
-        v.waiting -= 1
-        lane = self.lanes[t.shard]
-        lane[v.id].remove(t)
-        if not lane[v.id]:
-            del lane[v.id]
-            if not lane:
-                del self.lanes[t.shard]
-        if not v.waiting and not v.out:
+        v, lane = t.volume, t.volume.lanes[t.shard]
+        lane.remove(t)
+        self.wanted[t.shard] -= 1
+        if not lane:
+            del v.lanes[t.shard]
+        if not v.lanes and not v.out:
             self.busy.pop(v.id, None)
 
     def _charge(self, v: Volume, units: float) -> float:
@@ -334,8 +322,8 @@
 
     def _has_enough(self, s: Shelf, chosen: int) -> bool:
         """A new object passes over a shelf whose slots its pinned transactions want, or that fails."""
-        pinned = sum(len(lane) for lane in self.lanes.get(s.shard, {}).values())
-        return len(s.out) + max(pinned, chosen) >= max(1, int(s.bound)) or s.errors > 0.2 or self._silent(s)
+        asked = len(s.out) + max(self.wanted.get(s.shard, 0), chosen)
+        return asked >= max(1, int(s.bound)) or s.errors > 0.2 or self._silent(s)
 
     def _meet(self, id: str, plan: int, heads: int) -> Volume:
         p = self.facts.plans[plan]
@@ -360,8 +348,7 @@
 
     def _free_slots(self, s: Shelf) -> int:
         if self.now < s.first_send or self.now < s.rest_until:
-            if s.shard in self.lanes or NEW in self.lanes:
-                self.look_at = min(self.look_at, max(s.first_send, s.rest_until))
+            self.look_at = min(self.look_at, max(s.first_send, s.rest_until))
             return 0
         if self._cold_left(s) < 1.0:
             self.look_at = min(self.look_at, self.now + LOOK_AGAIN)
@@ -430,7 +417,8 @@
         short = min(most, t.units + keep) + chosen - level
         if short <= 0.0:
             return True
-        self.look_at = min(self.look_at, self.now + max(LOOK_AGAIN, short / fill))
+        if self.now + short / fill < t.promised_by:
+            self.look_at = min(self.look_at, self.now + max(LOOK_AGAIN, short / fill))
         return False
 
     # ---- (2) the cold ramp
@@ -479,10 +467,8 @@
         if self.now < min(last, t.promised_by - expected):
             self._note(min(last, t.promised_by - expected), t)
             return
-        lanes = self.lanes.get(t.shard, {}).values()
         s = self.held_by.get(t.shard)
-        crowded = (s is not None and s.rate < 2.0) or any(
-            o.promised_by - expected > self.now for lane in lanes for o in lane)
+        crowded = self.wanted.get(t.shard, 0) > 1 or (s is not None and s.rate < 2.0)
         if self.now >= last or (t.waiting and crowded):
             self._unhold(t)
             self._end(t)
