--- a/gorsethread/model.py
+++ b/gorsethread/model.py
@@ -109,7 +109,6 @@
     bound: float
     heard: float
     time: float = 0.0
-    wait: float = 0.0
     rate: float = 8.0
     unit_time: float = float("inf")
     cut_at: float = 0.0
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -383,10 +383,8 @@
             s.times[t.profile] = seen + 0.3 * (elapsed - seen)
             if how is Ending.HONOURED:
                 s.unit_time = min(1.02 * s.unit_time, elapsed / t.units)
-            wait = elapsed - s.unit_time * t.units if s.unit_time < float("inf") else elapsed
-            # One answer in good time may have met a short stop, so its wait counts by a mean over a few.
-            s.wait = wait if elapsed > t.profile.promised else s.wait + 0.3 * (wait - s.wait)
-            part = WAIT_PART * self.quickest / max(s.wait, 0.001)
+            wait = elapsed - 2.0 * s.unit_time * t.units if s.unit_time < float("inf") else elapsed
+            part = WAIT_PART * self.quickest / max(wait, 0.001)
         if part < 1.0:
             # Answers to what was sent before the last cut say nothing of the cut.
             if self.now - elapsed >= s.cut_at:
@@ -399,7 +397,7 @@
 
     def _cut(self, s: Shelf, part: float) -> None:
         s.cut_at = s.grown_at = self.now
-        s.rate = max(0.01, min(s.rate, 4.0) * part)
+        s.rate = max(0.01, min(s.rate, 2.0) * part)
         s.bound = max(1.0, s.bound * part)
 
     def _in_pace(self, t: Transaction, s: Shelf, chosen: float) -> bool:
