--- a/gorsethread/model.py
+++ b/gorsethread/model.py
@@ -111,6 +111,7 @@
     time: float = 0.0
     rate: float = 8.0
     unit_time: float = float("inf")
+    lates: int = 0
     cut_at: float = 0.0
     grown_at: float = 0.0
     times: dict[Profile, float] = field(default_factory=dict)
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -386,10 +386,13 @@
             wait = elapsed - 2.0 * s.unit_time * t.units if s.unit_time < float("inf") else elapsed
             part = WAIT_PART * self.quickest / max(wait, 0.001)
         if part < 1.0:
-            # Answers to what was sent before the last cut say nothing of the cut.
-            if self.now - elapsed >= s.cut_at:
+            # One late answer in good time may have met a short stop or a flush. Answers to what was sent
+            # before the last cut say nothing of the cut.
+            s.lates += 1
+            if self.now - elapsed >= s.cut_at and (s.lates > 1 or elapsed > t.profile.promised):
                 self._cut(s, max(0.5 if elapsed <= t.profile.promised else 0.2, part))
         elif how is Ending.HONOURED:
+            s.lates = 0
             s.rate = min(8.0, s.rate * 2.0 ** min(1.0, self.now - s.grown_at))
             if len(s.out) + 1 >= int(s.bound):
                 s.bound = min(HIGHEST_BOUND, s.bound + 0.5 / s.bound)
