--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -389,7 +389,7 @@
             # One late answer in good time may have met a short stop or a flush. Answers to what was sent
             # before the last cut say nothing of the cut.
             s.lates += 1
-            if self.now - elapsed >= s.cut_at and (s.lates > 1 or elapsed > t.profile.promised):
+            if self.now - elapsed >= s.cut_at:
                 self._cut(s, max(0.5 if elapsed <= t.profile.promised else 0.2, part))
         elif how is Ending.HONOURED:
             s.lates = 0
@@ -400,7 +400,7 @@
 
     def _cut(self, s: Shelf, part: float) -> None:
         s.cut_at = s.grown_at = self.now
-        s.rate = max(0.01, min(s.rate, 2.0) * part)
+        s.rate = max(0.01, min(s.rate, 4.0) * part)
         s.bound = max(1.0, s.bound * part)
 
     def _in_pace(self, t: Transaction, s: Shelf, chosen: float) -> bool:
