--- a/gorsethread/benchlink/__main__.py
+++ b/gorsethread/benchlink/__main__.py
@@ -76,6 +76,7 @@
         most_forwards=may["maxAttempts"],
         longest_return=may["maxRetryAfter"] if may["retryAfter"] else 0.0,
         largest_units=facts["mostUnits"],
+        share_worth=facts.get("shareWorth", 1.0),
         beyond_worth=facts.get("beyondShare", 0.0),
         repeats_marked=bool(setup["clients"].get("marksRetry")),
     )
--- a/gorsethread/model.py
+++ b/gorsethread/model.py
@@ -79,6 +79,7 @@
     most_forwards: int
     longest_return: float
     largest_units: float
+    share_worth: float
     beyond_worth: float
     repeats_marked: bool
 
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -400,7 +400,7 @@
 
     def _cut(self, s: Shelf, part: float) -> None:
         s.cut_at = s.grown_at = self.now
-        s.rate = max(0.01, min(s.rate, 4.0) * part)
+        s.rate = max(0.01, min(s.rate, 8.0 * self.facts.share_worth) * part)
         s.bound = max(1.0, s.bound * part)
 
     def _in_pace(self, t: Transaction, s: Shelf, chosen: float) -> bool:
