A new transaction searches its volume alone; new objects out of pace ask no further shelf

Now an arrival searches its own volume, as the others found no path just before, and a new object whose pace has run dry waits at the first shelf that does not have enough.

--- a/gorsethread/model.py
+++ b/gorsethread/model.py
@@ -108,11 +108,9 @@
     ready: bool
     first_send: float
     bound: float
-    heard: float
+    rate: float
     time: float = 0.0
-    rate: float = 8.0
     unit_time: float = float("inf")
-    lates: int = 0
     cut_at: float = 0.0
     grown_at: float = 0.0
     times: dict[Profile, float] = field(default_factory=dict)
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -19,6 +19,7 @@
 HIGHEST_BOUND = 32.0
 FURTHER_FORWARDS = 2
 NEW = -1  # the shard of a new object, which any shelf may take
+FREE_RATE = 8.0  # times the usual rate of a unit of weight; from here on a shelf holds nothing back
 WAIT_PART = 0.3  # of the shortest promise: the longest wait at a shelf that is not crowded
 LOOK_AGAIN = 0.02  # seconds until a store or span that held something back is looked at again
 NEVER_RAN = (Ending.TURNED_AWAY, Ending.UNREACHED, Ending.NOT_SENT)
@@ -36,7 +37,7 @@
         self.facts = facts
         self.chance = seed & (2**64 - 1)
         self.born = self.now = host.clock()
-        self.dearest = max(p.value for p in facts.profiles)
+        self.dearest = max(p.value for p in facts.profiles) or 1.0
         self.quickest = min(p.promised for p in facts.profiles)
         # What a unit of weight usually asks for, in units a second.
         self.usual = sum(p.usual / p.weight for p in facts.plans) / len(facts.plans)
@@ -45,6 +46,7 @@
         self.transactions: dict[int, Transaction] = {}  # emptied as each is over with its forwards in
         self.volumes: dict[str, Volume] = {}  # emptied of idle volumes by _age
         self.busy: dict[str, Volume] = {}  # volumes with something waiting or out; emptied with them
+        self.stirred: dict[str, Volume] = {}  # got something to send since the last search, which empties it
         self.floor = 0.0
         self.shelves: dict[int, Shelf] = {}  # emptied as shelves leave the list with nothing out
         self.held_by: dict[int, Shelf] = {}  # shard to the shelf that now holds it, made anew by each list
@@ -149,15 +151,14 @@
 
     def shelf_listed(self, id: int, zone: int, shard: int, ready: bool, since: float) -> None:
         self.named.add(id)
-        fresh = Shelf(id, zone, shard, 0.0, ready, self.now, FIRST_BOUND, self.now)
-        s = self.shelves.setdefault(id, fresh)
+        s = self.shelves.setdefault(
+            id, Shelf(id, zone, shard, 0.0, ready, self.now, FIRST_BOUND, FREE_RATE))
         back = since > max(s.since, self.born)
         s.zone, s.shard, s.ready, s.since = zone, shard, ready, max(since, s.since)
         if back:
             # Guards against all heads rushing to a shelf that just came back; costs up to half a span.
             s.first_send = self.now + 0.5 * self.facts.cold.span * self._random()
-            s.bound, s.rest_until, s.misses, s.errors, s.heard = FIRST_BOUND, 0.0, 0, 0.0, s.first_send
-            s.rate = 1.0
+            s.bound, s.rate, s.rest_until, s.misses, s.errors = FIRST_BOUND, 1.0, 0.0, 0, 0.0
             s.cold_sent.clear()
 
     def list_ended(self) -> None:
@@ -187,9 +188,11 @@
             self.host.follow_list()
         if now - self.aged >= 0.5:
             self._age()
-        if self.changed:
+        if self.changed or self.stirred:
+            # A new transaction changes nothing for other volumes, which found no path just before.
+            self._share_out(list((self.busy if self.changed else self.stirred).values()))
             self.changed = False
-            self._share_out()
+            self.stirred.clear()
         need = min(self.agenda[0][0] if self.agenda else float("inf"), self.list_ask_at, self.look_at)
         if need < self.alarm:
             self.alarm = need
@@ -197,7 +200,7 @@
 
     # ---- the ordinary path
 
-    def _share_out(self) -> None:
+    def _share_out(self, asking: list[Volume]) -> None:
         """LexAS: the unsaturated volume with the least (B + cost) / w gets a slot by an augmenting path."""
         free: dict[int, int] = {}  # worked out for shelves that are asked for, and no others
         given: dict[int, list[Transaction]] = {}
@@ -220,11 +223,12 @@
                     continue
                 held_by = self.held_by.get(shard)
                 for s in self._ranking(v) if shard == NEW else (held_by,) if held_by else ():
-                    if room(s) and self._may_go_to(t, s) and (t.forwards or (
-                            shard != NEW or not self._has_enough(s, len(given[s.id]))
-                            ) and self._in_pace(t, s, spent.get(v.id, 0.0))):
+                    if not room(s) or not self._may_go_to(t, s) or (
+                            shard == NEW and not t.forwards and self._has_enough(s, len(given[s.id]))):
+                        continue
+                    if t.forwards or self._in_pace(t, s, spent.get(v.id, 0.0)):
                         yield s.id, t
-                        break
+                    break
 
         def path(v: Volume, seen: set[int]) -> bool:
             for id, t in edges(v):
@@ -244,8 +248,7 @@
                 mark(t, -1)
             return False
 
-        unsaturated = {v.id: (v, edge[1]) for v in self.busy.values()
-                       if v.lanes and (edge := next(edges(v), None))}
+        unsaturated = {v.id: (v, edge[1]) for v in asking if v.lanes and (edge := next(edges(v), None))}
         while unsaturated:
             v = min(unsaturated.values(), key=lambda entry: (
                 entry[0].total + self._charge(entry[0], spent.get(entry[0].id, 0.0) + entry[1].units)
@@ -291,7 +294,8 @@
                 self.floor = min(b.total / b.plan.weight for b in self.busy.values())
             v.total = max(v.total, self.floor * v.plan.weight)
             self.busy[v.id] = v
-        t.waiting = self.changed = True
+        t.waiting = True
+        self.stirred[v.id] = v
         insort(v.lanes.setdefault(t.shard, []), t, key=_turn)
         self.wanted[t.shard] = self.wanted.get(t.shard, 0) + 1
 
@@ -323,7 +327,7 @@
     def _has_enough(self, s: Shelf, chosen: int) -> bool:
         """A new object passes over a shelf whose slots its pinned transactions want, or that fails."""
         asked = len(s.out) + max(self.wanted.get(s.shard, 0), chosen)
-        return asked >= max(1, int(s.bound)) or s.errors > 0.2 or self._silent(s)
+        return asked >= max(1, int(s.bound)) or s.errors > 0.2
 
     def _meet(self, id: str, plan: int, heads: int) -> Volume:
         p = self.facts.plans[plan]
@@ -369,10 +373,7 @@
             s.misses += 1
             s.rest_until = self.now + min(2.0, 0.1 * 2.0**min(s.misses, 9))
             return
-        if how is Ending.TIMED_OUT:
-            s.misses += 1
-        else:
-            s.heard, s.misses = self.now, 0
+        s.misses = s.misses + 1 if how is Ending.TIMED_OUT else 0
         part = 1.0  # of what was sent, how much the shelf could take in good time
         if how is Ending.TURNED_AWAY:
             part = 0.5
@@ -382,25 +383,22 @@
             seen = s.times.get(t.profile, elapsed)
             s.times[t.profile] = seen + 0.3 * (elapsed - seen)
             if how is Ending.HONOURED:
-                s.unit_time = min(1.02 * s.unit_time, elapsed / t.units)
+                s.unit_time = min(1.02 * s.unit_time, elapsed / max(t.units, 1.0))
             wait = elapsed - 2.0 * s.unit_time * t.units if s.unit_time < float("inf") else elapsed
             part = WAIT_PART * self.quickest / max(wait, 0.001)
         if part < 1.0:
-            # One late answer in good time may have met a short stop or a flush. Answers to what was sent
-            # before the last cut say nothing of the cut.
-            s.lates += 1
+            # Answers to what was sent before the last cut say nothing of the cut.
             if self.now - elapsed >= s.cut_at:
                 self._cut(s, max(0.5 if elapsed <= t.profile.promised else 0.2, part))
         elif how is Ending.HONOURED:
-            s.lates = 0
-            s.rate = min(8.0, s.rate * 2.0 ** min(1.0, self.now - s.grown_at))
+            s.rate = min(FREE_RATE, s.rate * 2.0 ** min(1.0, self.now - s.grown_at))
             if len(s.out) + 1 >= int(s.bound):
                 s.bound = min(HIGHEST_BOUND, s.bound + 0.5 / s.bound)
         s.grown_at = self.now
 
     def _cut(self, s: Shelf, part: float) -> None:
         s.cut_at = s.grown_at = self.now
-        s.rate = max(0.01, min(s.rate, 8.0 * self.facts.share_worth) * part)
+        s.rate = max(0.01, min(s.rate, FREE_RATE * self.facts.share_worth) * part)
         s.bound = max(1.0, s.bound * part)
 
     def _in_pace(self, t: Transaction, s: Shelf, chosen: float) -> bool:
@@ -408,9 +406,9 @@
         bound is a rate, the same for a unit of weight at every head, so volumes are held alike whichever and
         however many heads they come through, and what all heads send adds up."""
         v = t.volume
-        if s.rate >= 8.0:
-            return True
         fill = (v.plan.reserve * min(1.0, s.rate) + v.plan.weight * self.usual * s.rate) / v.heads
+        if s.rate >= FREE_RATE or fill <= 0.0:
+            return True
         most = 2.0 * self.facts.largest_units + fill
         level, at = v.paces.get(t.shard, (most, self.now))
         level = min(most, level + fill * (self.now - at))
