--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -36,31 +36,27 @@
         self.host = host
         self.facts = facts
         self.chance = seed & (2**64 - 1)
-        self.born = self.now = host.clock()
+        self.born = self.now = self.aged = host.clock()
         self.dearest = max(p.value for p in facts.profiles) or 1.0
         self.quickest = min(p.promised for p in facts.profiles)
-        # What a unit of weight usually asks for, in units a second.
         self.usual = sum(p.usual / p.weight for p in facts.plans) / len(facts.plans)
-        self.order = 0
+        self.order = self.list_waits = 0
         self.spans = [0.0] * len(facts.profiles)  # the longest first try seen of each profile
         self.transactions: dict[int, Transaction] = {}  # emptied as each is over with its forwards in
         self.volumes: dict[str, Volume] = {}  # emptied of idle volumes by _age
         self.busy: dict[str, Volume] = {}  # volumes with something waiting or out; emptied with them
         self.stirred: dict[str, Volume] = {}  # got something to send since the last search, which empties it
-        self.floor = 0.0
+        self.floor = self.overload_until = 0.0
         self.shelves: dict[int, Shelf] = {}  # emptied as shelves leave the list with nothing out
         self.held_by: dict[int, Shelf] = {}  # shard to the shelf that now holds it, made anew by each list
         self.wanted: dict[int, int] = {}  # how many wait, by shard; no more entries than shards
         self.list_whole = False
         self.named: set[int] = set()
-        self.list_waits = 0
         self.list_ask_at = 0.0 if facts.list_on_request else float("inf")
         self.lines: dict[str, deque[Transaction]] = {}  # emptied as keys fall idle and their rest ends
         self.key_rests: dict[str, float] = {}
         self.agenda: list[tuple[float, int, Transaction | str]] = []  # emptied as its times pass
         self.alarm = self.look_at = float("inf")
-        self.aged = self.now
-        self.overload_until = 0.0
         self.taken: deque[float] = deque()  # both emptied as the budget's span passes
         self.further: deque[float] = deque()
         self.changed = True
@@ -72,7 +68,9 @@
         units: float, shard: int, heads: int, repeat: bool,
     ) -> None:
         now = self.now = self.host.clock()
-        v = self.volumes.get(volume) or self._meet(volume, plan, heads)
+        if not (v := self.volumes.get(volume)):
+            floor = self.floor * self.facts.plans[plan].weight
+            v = self.volumes[volume] = Volume(volume, self.facts.plans[plan], floor, heads, 0.0, self.born)
         v.heads = heads
         # A client's repeat belongs to its first try, whose age shows in how little time is left.
         self.spans[profile] = max(self.spans[profile], cut_off - now)
@@ -99,11 +97,9 @@
     ) -> None:
         now = self.now = self.host.clock()
         s, t = self.shelves.get(shelf), self.transactions.get(id)
-        if s is None or s.out.pop((id, number), None) is None:
+        if s is None or t is None or s.out.pop((id, number), None) is None:
             return
         self.changed = True
-        if t is None:
-            return
         self._judge(s, how, elapsed, t)
         v = t.volume
         t.out, v.out = t.out - 1, v.out - 1
@@ -126,8 +122,7 @@
 
     def client_left(self, id: int) -> None:
         self.now = self.host.clock()
-        t = self.transactions.get(id)
-        if t:
+        if t := self.transactions.get(id):
             self._unhold(t)
             t.over = True
             self._close(t)
@@ -251,8 +246,7 @@
         unsaturated = {v.id: (v, edge[1]) for v in asking if v.lanes and (edge := next(edges(v), None))}
         while unsaturated:
             v = min(unsaturated.values(), key=lambda entry: (
-                entry[0].total + self._charge(entry[0], spent.get(entry[0].id, 0.0) + entry[1].units)
-            ) / entry[0].plan.weight)[0]
+                entry[0].total + spent.get(entry[0].id, 0.0) + entry[1].units) / entry[0].plan.weight)[0]
             edge = next(edges(v), None) if path(v, set()) else None
             if edge:
                 unsaturated[v.id] = (v, edge[1])
@@ -274,10 +268,8 @@
         if t.forwards == 0:
             v.limit_store -= t.units
             if t.shard in v.paces:
-                level, at = v.paces[t.shard]
-                v.paces[t.shard] = (level - t.units, at)
-            v.total += self._charge(v, t.units)
-            v.reserve_store = max(0.0, v.reserve_store - t.units)
+                v.paces[t.shard] = (v.paces[t.shard][0] - t.units, v.paces[t.shard][1])
+            v.total += t.units
         elif self.facts.budget:
             self.further.append(self.now)
         t.out, v.out = t.out + 1, v.out + 1
@@ -311,12 +303,6 @@
         if not v.lanes and not v.out:
             self.busy.pop(v.id, None)
 
-    def _charge(self, v: Volume, units: float) -> float:
-        """Exception for reserves: units inside the reserve are charged at what units beyond all earn."""
-        self._refill(v)
-        inside = min(units, v.reserve_store)
-        return units - inside * (1.0 - self.facts.beyond_worth)
-
     def _ranking(self, v: Volume) -> list[Shelf]:
         """Rendezvous hashing on raw ids, so every head ranks the same way."""
         if not v.ranking:
@@ -329,33 +315,25 @@
         asked = len(s.out) + max(self.wanted.get(s.shard, 0), chosen)
         return asked >= max(1, int(s.bound)) or s.errors > 0.2
 
-    def _meet(self, id: str, plan: int, heads: int) -> Volume:
-        p = self.facts.plans[plan]
-        v = self.volumes[id] = Volume(id, p, self.floor * p.weight, heads, 0.0, p.reserve / heads, self.born)
-        return v
-
     def _age(self) -> None:
         """Leads and lags fade over about a second, over which worth is counted; forgets idle volumes."""
-        now = self.now
         if self.busy:
             self.floor = min(v.total / v.plan.weight for v in self.busy.values())
         for id, v in list(self.volumes.items()):
             lead = v.total / v.plan.weight - self.floor
-            v.total = (self.floor + lead * 0.5 ** (now - self.aged)) * v.plan.weight
-            if id not in self.busy and now - v.filled > 60.0:
+            v.total = (self.floor + lead * 0.5 ** (self.now - self.aged)) * v.plan.weight
+            if id not in self.busy and self.now - v.filled > 60.0:
                 self._refill(v)
                 if v.limit_store >= v.plan.limit_burst / v.heads:
                     del self.volumes[id]
-        self.aged = now
+        self.aged = self.now
 
     # ---- (1) a shelf's bound and health
 
     def _free_slots(self, s: Shelf) -> int:
-        if self.now < s.first_send or self.now < s.rest_until:
-            self.look_at = min(self.look_at, max(s.first_send, s.rest_until))
-            return 0
-        if self._cold_left(s) < 1.0:
-            self.look_at = min(self.look_at, self.now + LOOK_AGAIN)
+        rests = max(s.first_send, s.rest_until, self.now + LOOK_AGAIN if self._cold_left(s) < 1.0 else 0.0)
+        if self.now < rests:
+            self.look_at = min(self.look_at, rests)
             return 0
         return (1 if self._silent(s) or s.misses else max(1, int(s.bound))) - len(s.out)
 
@@ -441,21 +419,16 @@
     # ---- (3) the limit store
 
     def _limit_left(self, v: Volume) -> float:
+        self._refill(v)
         if not v.plan.limit:
             return float("inf")
-        self._refill(v)
         if v.limit_store < self.facts.largest_units:
             self.look_at = min(self.look_at, self.now + LOOK_AGAIN)
         return v.limit_store
 
     def _refill(self, v: Volume) -> None:
-        passed = self.now - v.filled
-        if passed <= 0:
-            return
-        v.filled = self.now
-        v.limit_store = min(v.plan.limit_burst / v.heads, v.limit_store + passed * v.plan.limit / v.heads)
-        most = (v.plan.reserve + self.facts.largest_units) / v.heads if v.plan.reserve else 0.0
-        v.reserve_store = min(most, v.reserve_store + passed * v.plan.reserve / v.heads)
+        filled = v.limit_store + (self.now - v.filled) * v.plan.limit / v.heads
+        v.limit_store, v.filled = min(v.plan.limit_burst / v.heads, filled), self.now
 
     # ---- (4) shedding
 
@@ -475,12 +448,10 @@
             self._end(t)
             self._close(t)
             return
-        if not t.late:
-            waiting = t.waiting
+        if t.waiting and not t.late:
             self._unhold(t)
             t.late = True
-            if waiting:
-                self._hold(t)
+            self._hold(t)
         self._note(min(last, self.now + 0.5 * self.quickest), t)
 
     def _expected(self, t: Transaction) -> float:
@@ -504,11 +475,10 @@
     # ---- (5) further forwards
 
     def _may_go_again(self, t: Transaction, how: Ending) -> bool:
-        if t.out or t.forwards >= min(self.facts.most_forwards, 1 + FURTHER_FORWARDS):
-            return False
-        if self.now < self.overload_until or self.now >= t.cut_off:
+        most = min(self.facts.most_forwards, 1 + FURTHER_FORWARDS)
+        if t.out or t.forwards >= most or self.now >= t.cut_off:
             return False
-        if not self._within_budget():
+        if self.now < self.overload_until or not self._within_budget():
             return False
         if t.ran_at is None or t.profile.effect is Effect.REDOABLE:
             return True
@@ -538,12 +508,10 @@
         if not t.over or t.out:
             return
         self.transactions.pop(t.id, None)
-        if t.key is None or t.key not in self.lines:
-            return
-        line = self.lines[t.key]
-        if t in line:
-            line.remove(t)
-        self._next_in_line(t.key)
+        if t.key is not None and t.key in self.lines:
+            if t in self.lines[t.key]:
+                self.lines[t.key].remove(t)
+            self._next_in_line(t.key)
 
     def _next_in_line(self, key: str) -> None:
         line = self.lines.get(key)
