--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -65,7 +65,7 @@
             self.end()
             if id == 1:
                 self.until(0.9)
-                self.take(9, within=0.15)
+                self.take(9, within=0.08)
                 self.end()
             self.until(answered)
             self.answer(id, how, finished=True)
