--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -147,7 +147,7 @@
     def shelf_listed(self, id: int, zone: int, shard: int, ready: bool, since: float) -> None:
         self.named.add(id)
         s = self.shelves.setdefault(
-            id, Shelf(id, zone, shard, 0.0, ready, self.now, FIRST_BOUND, FREE_RATE))
+            id, Shelf(id, zone, shard, 0.0, ready, self.now, FIRST_BOUND, FREE_RATE * self.facts.share_worth))
         back = since > max(s.since, self.born)
         s.zone, s.shard, s.ready, s.since = zone, shard, ready, max(since, s.since)
         if back:
@@ -313,7 +313,7 @@
     def _has_enough(self, s: Shelf, chosen: int) -> bool:
         """A new object passes over a shelf whose slots its pinned transactions want, or that fails."""
         asked = len(s.out) + max(self.wanted.get(s.shard, 0), chosen)
-        return asked >= max(1, int(s.bound)) or s.errors > 0.2
+        return asked >= max(1, int(s.bound)) or s.errors > 0.2 or s.rate < 0.5
 
     def _age(self) -> None:
         """Leads and lags fade over about a second, over which worth is counted; forgets idle volumes."""
