--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -313,7 +313,7 @@
     def _has_enough(self, s: Shelf, chosen: int) -> bool:
         """A new object passes over a shelf whose slots its pinned transactions want, or that fails."""
         asked = len(s.out) + max(self.wanted.get(s.shard, 0), chosen)
-        return asked >= max(1, int(s.bound)) or s.errors > 0.2 or s.rate < 0.5
+        return asked >= max(1, int(s.bound)) or s.errors > 0.2
 
     def _age(self) -> None:
         """Leads and lags fade over about a second, over which worth is counted; forgets idle volumes."""
