--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -39,6 +39,8 @@
         self.born = self.now = self.aged = host.clock()
         self.dearest = max(p.value for p in facts.profiles) or 1.0
         self.quickest = min(p.promised for p in facts.profiles)
+        # Holding units beyond the reserve costs less the less they earn, so a shelf's rate starts lower.
+        self.first_rate = FREE_RATE * facts.share_worth**2
         self.usual = sum(p.usual / p.weight for p in facts.plans) / len(facts.plans)
         self.order = self.list_waits = 0
         self.spans = [0.0] * len(facts.profiles)  # the longest first try seen of each profile
@@ -147,7 +149,7 @@
     def shelf_listed(self, id: int, zone: int, shard: int, ready: bool, since: float) -> None:
         self.named.add(id)
         s = self.shelves.setdefault(
-            id, Shelf(id, zone, shard, 0.0, ready, self.now, FIRST_BOUND, FREE_RATE * self.facts.share_worth))
+            id, Shelf(id, zone, shard, 0.0, ready, self.now, FIRST_BOUND, self.first_rate))
         back = since > max(s.since, self.born)
         s.zone, s.shard, s.ready, s.since = zone, shard, ready, max(since, s.since)
         if back:
@@ -376,7 +378,7 @@
 
     def _cut(self, s: Shelf, part: float) -> None:
         s.cut_at = s.grown_at = self.now
-        s.rate = max(0.01, min(s.rate, FREE_RATE * self.facts.share_worth) * part)
+        s.rate = max(0.01, min(s.rate, self.first_rate) * part)
         s.bound = max(1.0, s.bound * part)
 
     def _in_pace(self, t: Transaction, s: Shelf, chosen: float) -> bool:
