--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -148,8 +148,8 @@
 
     def shelf_listed(self, id: int, zone: int, shard: int, ready: bool, since: float) -> None:
         self.named.add(id)
-        s = self.shelves.setdefault(
-            id, Shelf(id, zone, shard, 0.0, ready, self.now, FIRST_BOUND, self.first_rate))
+        new = Shelf(id, zone, shard, 0.0, ready, self.now, FIRST_BOUND, self.first_rate)
+        s = self.shelves.setdefault(id, new)
         back = since > max(s.since, self.born)
         s.zone, s.shard, s.ready, s.since = zone, shard, ready, max(since, s.since)
         if back:
