--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -394,13 +394,11 @@
         level = min(most, level + fill * (self.now - at))
         v.paces[t.shard] = (level, self.now)
         # Where a volume is held, its low values leave a part of the store to its high ones.
-        keep = self.facts.largest_units * (1.0 - t.profile.value / self.dearest)
+        keep = 2.0 * self.facts.largest_units * (1.0 - t.profile.value / self.dearest)
         short = min(most, t.units + keep) + chosen - level
-        if short <= 0.0:
-            return True
-        if self.now + short / fill < t.promised_by:
+        if short > 0.0 and self.now + short / fill < t.promised_by:
             self.look_at = min(self.look_at, self.now + max(LOOK_AGAIN, short / fill))
-        return False
+        return short <= 0.0
 
     # ---- (2) the cold ramp
 
