--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -389,12 +389,12 @@
         fill = (v.plan.reserve * min(1.0, s.rate) + v.plan.weight * self.usual * s.rate) / v.heads
         if s.rate >= FREE_RATE or fill <= 0.0:
             return True
-        most = 3.0 * self.facts.largest_units + fill
+        most = 1.5 * self.facts.largest_units + fill
         level, at = v.paces.get(t.shard, (most, self.now))
         level = min(most, level + fill * (self.now - at))
         v.paces[t.shard] = (level, self.now)
         # Where a volume is held, its low values leave a part of the store to its high ones.
-        keep = 3.0 * self.facts.largest_units * (1.0 - t.profile.value / self.dearest)
+        keep = (most - fill) * (1.0 - t.profile.value / self.dearest)
         short = min(most, t.units + keep) + chosen - level
         if short > 0.0 and self.now + short / fill < t.promised_by:
             self.look_at = min(self.look_at, self.now + max(LOOK_AGAIN, short / fill))
