Answers late within their promise cut from where the rate stands, only worse ones from the first rate

Also: the first rate is never under the usual one, also where units beyond the reserve earn nothing.

--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -40,7 +40,7 @@
         self.dearest = max(p.value for p in facts.profiles) or 1.0
         self.quickest = min(p.promised for p in facts.profiles)
         # Holding units beyond the reserve costs less the less they earn, so a shelf's rate starts lower.
-        self.first_rate = FREE_RATE * facts.share_worth**2
+        self.first_rate = max(1.0, FREE_RATE * facts.share_worth**2)
         self.usual = sum(p.usual / p.weight for p in facts.plans) / len(facts.plans)
         self.order = self.list_waits = 0
         self.spans = [0.0] * len(facts.profiles)  # the longest first try seen of each profile
@@ -344,7 +344,7 @@
         oldest = next(iter(s.out.values()), self.now)
         overdue = self.now - oldest > self.quickest
         if overdue and oldest >= s.cut_at:
-            self._cut(s, 0.5)
+            self._cut(s, self.first_rate, 0.5)
         return overdue
 
     def _judge(self, s: Shelf, how: Ending, elapsed: float, t: Transaction) -> None:
@@ -369,16 +369,19 @@
         if part < 1.0:
             # Answers to what was sent before the last cut say nothing of the cut.
             if self.now - elapsed >= s.cut_at:
-                self._cut(s, max(0.5 if elapsed <= t.profile.promised else 0.2, part))
+                if elapsed <= t.profile.promised:  # it may have met a short stop only
+                    self._cut(s, FREE_RATE, max(0.5, part))
+                else:
+                    self._cut(s, self.first_rate, max(0.2, part))
         elif how is Ending.HONOURED:
             s.rate = min(FREE_RATE, s.rate * 2.0 ** min(1.0, self.now - s.grown_at))
             if len(s.out) + 1 >= int(s.bound):
                 s.bound = min(HIGHEST_BOUND, s.bound + 0.5 / s.bound)
         s.grown_at = self.now
 
-    def _cut(self, s: Shelf, part: float) -> None:
+    def _cut(self, s: Shelf, most: float, part: float) -> None:
         s.cut_at = s.grown_at = self.now
-        s.rate = max(0.01, min(s.rate, self.first_rate) * part)
+        s.rate = max(0.01, min(s.rate, most) * part)
         s.bound = max(1.0, s.bound * part)
 
     def _in_pace(self, t: Transaction, s: Shelf, chosen: float) -> bool:
