--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -370,7 +370,7 @@
             # Answers to what was sent before the last cut say nothing of the cut.
             if self.now - elapsed >= s.cut_at:
                 if elapsed <= t.profile.promised:  # it may have met a short stop only
-                    self._cut(s, FREE_RATE, max(0.5, part))
+                    self._cut(s, 2.0 * self.first_rate, max(0.5, part))
                 else:
                     self._cut(s, self.first_rate, max(0.2, part))
         elif how is Ending.HONOURED:
