--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -150,13 +150,12 @@
         self.named.add(id)
         new = Shelf(id, zone, shard, 0.0, ready, self.now, FIRST_BOUND, self.first_rate)
         s = self.shelves.setdefault(id, new)
-        back = since > max(s.since, self.born)
-        s.zone, s.shard, s.ready, s.since = zone, shard, ready, max(since, s.since)
-        if back:
+        if since > max(s.since, self.born):
             # Guards against all heads rushing to a shelf that just came back; costs up to half a span.
             s.first_send = self.now + 0.5 * self.facts.cold.span * self._random()
             s.bound, s.rate, s.rest_until, s.misses, s.errors = FIRST_BOUND, 1.0, 0.0, 0, 0.0
             s.cold_sent.clear()
+        s.zone, s.shard, s.ready, s.since = zone, shard, ready, max(since, s.since)
 
     def list_ended(self) -> None:
         for id, s in list(self.shelves.items()):
@@ -369,10 +368,8 @@
         if part < 1.0:
             # Answers to what was sent before the last cut say nothing of the cut.
             if self.now - elapsed >= s.cut_at:
-                if elapsed <= t.profile.promised:  # it may have met a short stop only
-                    self._cut(s, 2.0 * self.first_rate, max(0.5, part))
-                else:
-                    self._cut(s, self.first_rate, max(0.2, part))
+                late = elapsed > t.profile.promised  # else it may have met a short stop only
+                self._cut(s, self.first_rate * (1.0 if late else 2.0), max(0.2 if late else 0.5, part))
         elif how is Ending.HONOURED:
             s.rate = min(FREE_RATE, s.rate * 2.0 ** min(1.0, self.now - s.grown_at))
             if len(s.out) + 1 >= int(s.bound):
