--- /dev/null
+++ b/gorsethread/transport/base.py
@@ -0,0 +1,90 @@
+"""What the rest of the program may ask of the world. A virtual clock and network can stand behind it."""
+
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, Protocol
+
+
+class StreamClosed(Exception):
+    """The stream has ended; the text says how."""
+
+
+class Unreachable(Exception):
+    """No connection was established in time; nothing was sent."""
+
+
+class Chance(Protocol):
+    """One stream of draws; the same name and seed give the same draws."""
+
+    def random(self) -> float: ...
+    def uniform(self, a: float, b: float) -> float: ...
+    def randrange(self, stop: int) -> int: ...
+    def expovariate(self, rate: float) -> float: ...
+
+
+class Timer(Protocol):
+    def cancel(self) -> None: ...
+
+
+class Stream(Protocol):
+    """Ordered bytes both ways. unsent: bytes written that the network has not taken yet."""
+
+    peer: str
+
+    @property
+    def unsent(self) -> int: ...
+
+    async def read(self) -> bytes:
+        """Some bytes, at least one; StreamClosed at the end or a reset."""
+        ...
+
+    def write(self, data: bytes) -> None:
+        """Queues bytes; after the end they are dropped, and the next read raises."""
+        ...
+
+    async def drained(self) -> None:
+        """Returns once nothing written is unsent; StreamClosed if that can't come."""
+        ...
+
+    def close(self) -> None: ...
+
+
+class Listener(Protocol):
+    port: int
+
+    def close(self) -> None: ...
+
+
+class Transport(Protocol):
+    def now(self) -> float:
+        """Seconds on a clock that never goes back; one for all processes of a machine."""
+        ...
+
+    def at(self, when: float, act: Callable[[], None]) -> Timer: ...
+
+    def soon(self, act: Callable[[], None]) -> None:
+        """Calls act after what is going on now, before anything new is read."""
+        ...
+
+    async def sleep(self, seconds: float) -> None: ...
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Runs on its own; an exception in it is a defect: it is reported and ends the program."""
+        ...
+
+    async def connect(self, host: str, port: int, within: float) -> Stream:
+        """Unreachable where none is established within that many seconds."""
+        ...
+
+    def listen(self, host: str, port: int, on_stream: Callable[[Stream], Awaitable[None]]) -> Listener:
+        """port 0 takes a free one. OSError where the address can't be had."""
+        ...
+
+    def chance(self, name: str) -> Chance: ...
+
+    def load(self, path: str) -> bytes | None:
+        """What was last saved there; None where there is nothing to read."""
+        ...
+
+    def save(self, path: str, data: bytes) -> None:
+        """Whole or not at all; OSError where it can't be written."""
+        ...
--- /dev/null
+++ b/gorsethread/transport/real.py
@@ -0,0 +1,166 @@
+"""The real side: Tornado's streams on the loop of asyncio, the machine's monotonic clock."""
+
+import asyncio
+import random
+import signal
+import socket
+import time
+from collections.abc import Awaitable, Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import bind_sockets
+from tornado.tcpserver import TCPServer
+
+from gorsethread.transport.base import Chance, Stream, StreamClosed, Timer, Unreachable
+
+READ_SIZE = 65536
+
+
+class RealStream:
+    def __init__(self, stream: IOStream, peer: str) -> None:
+        self._stream = stream
+        self.peer = peer
+        self._flushed: asyncio.Future[None] | None = None
+        self._written = 0
+        stream.set_nodelay(True)
+
+    @property
+    def unsent(self) -> int:
+        return self._stream._total_write_index - self._stream._total_write_done_index
+
+    async def read(self) -> bytes:
+        try:
+            return await self._stream.read_bytes(READ_SIZE, partial=True)
+        except StreamClosedError as error:
+            raise StreamClosed(str(error.real_error or "closed")) from None
+
+    def write(self, data: bytes) -> None:
+        if self._stream.closed():
+            return
+        self._flushed = self._stream.write(data)  # type: ignore[assignment]
+        self._flushed.add_done_callback(_seen)  # type: ignore[union-attr]
+
+    async def drained(self) -> None:
+        if self._stream.closed():
+            raise StreamClosed("closed")
+        if self._flushed is not None:
+            try:
+                await asyncio.shield(self._flushed)
+            except StreamClosedError as error:
+                raise StreamClosed(str(error.real_error or "closed")) from None
+
+    def close(self) -> None:
+        self._stream.close()
+
+
+def _seen(future: "asyncio.Future[None]") -> None:
+    if not future.cancelled():
+        future.exception()  # a write's failure shows at the next read
+
+
+class _Acceptor(TCPServer):
+    def __init__(self, on_stream: Callable[[Stream], Awaitable[None]]) -> None:
+        super().__init__(read_chunk_size=READ_SIZE, max_buffer_size=4 * READ_SIZE)
+        self._on_stream = on_stream
+
+    async def handle_stream(self, stream: IOStream, address: Any) -> None:
+        await self._on_stream(RealStream(stream, f"{address[0]}:{address[1]}"))
+
+
+class RealListener:
+    def __init__(self, server: TCPServer, port: int) -> None:
+        self._server, self.port = server, port
+
+    def close(self) -> None:
+        self._server.stop()
+
+
+class RealTransport:
+    """seed: every stream of chance comes from it and from the stream's own name."""
+
+    def __init__(self, seed: int = 0) -> None:
+        self._seed = seed
+        self._loop = asyncio.get_event_loop()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.failed: BaseException | None = None
+        self._over: asyncio.Future[None] = self._loop.create_future()
+
+    def now(self) -> float:
+        return time.monotonic()
+
+    def at(self, when: float, act: Callable[[], None]) -> Timer:
+        return self._loop.call_at(when, act)
+
+    def soon(self, act: Callable[[], None]) -> None:
+        self._loop.call_soon(act)
+
+    async def sleep(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: "asyncio.Task[None]") -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) and self.failed is None:
+            self.failed = error
+            self.finish()
+
+    async def connect(self, host: str, port: int, within: float) -> Stream:
+        stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM), read_chunk_size=READ_SIZE,
+                          max_buffer_size=4 * READ_SIZE)
+        try:
+            await asyncio.wait_for(stream.connect((host, port)), within)
+        except (StreamClosedError, asyncio.TimeoutError, OSError) as error:
+            stream.close()
+            reason = str(getattr(error, "real_error", None) or error) or "no answer in time"
+            raise Unreachable(f"{host}:{port}: {reason}") from None
+        return RealStream(stream, f"{host}:{port}")
+
+    def listen(self, host: str, port: int, on_stream: Callable[[Stream], Awaitable[None]]) -> RealListener:
+        sockets = bind_sockets(port, host, family=socket.AF_INET)
+        server = _Acceptor(on_stream)
+        server.add_sockets(sockets)
+        return RealListener(server, sockets[0].getsockname()[1])
+
+    def chance(self, name: str) -> Chance:
+        return random.Random(f"{self._seed}/{name}")
+
+    def load(self, path: str) -> bytes | None:
+        try:
+            return Path(path).read_bytes()
+        except OSError:
+            return None
+
+    def save(self, path: str, data: bytes) -> None:
+        fresh = Path(f"{path}.new")
+        fresh.write_bytes(data)
+        fresh.replace(path)
+
+    def on_terminate(self, act: Callable[[], None]) -> None:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, act)
+
+    def finish(self) -> None:
+        if not self._over.done():
+            self._over.set_result(None)
+
+    async def until_finished(self) -> None:
+        """Returns at finish(); raises what a spawned piece of work raised."""
+        await self._over
+        if self.failed is not None:
+            raise self.failed
+
+
+def run(main: Callable[[RealTransport], Coroutine[Any, Any, None]], seed: int = 0) -> None:
+    """Runs a program to its end on a transport of its own."""
+
+    async def whole() -> None:
+        transport = RealTransport(seed)
+        await main(transport)
+
+    asyncio.run(whole())
