--- /dev/null
+++ b/gorsethread/__main__.py
@@ -0,0 +1,5 @@
+"""python -m gorsethread"""
+
+from gorsethread.cli.main import app
+
+app(prog_name="gorsethread")
--- /dev/null
+++ b/gorsethread/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/gorsethread/head/clients.py
@@ -0,0 +1,130 @@
+"""The client side of a head: each command checked, sorted into its profile, handed on, answered once."""
+
+from typing import Any
+
+from gorsethread.head.driver import Driver, Open
+from gorsethread.head.facts import Sorter, units_of
+from gorsethread.head.placement import UNPLACED, Placement
+from gorsethread.nvme.command import Command, Completion, Opcode, Status
+from gorsethread.nvme.subsystem import BLOCK, Namespace, Subsystem
+from gorsethread.queues.serve import IoCommand
+from gorsethread.sitefile import site_pb2 as pb
+from gorsethread.transport.base import Timer, Transport
+
+MILLISECOND = 0.001
+
+
+class Tenants:
+    """Which volumes a host sees through this head."""
+
+    def __init__(self, site: pb.Site, head: int) -> None:
+        self._tenants = {host: t.name for t in site.tenant for host in t.host}
+        self._volumes: dict[str, list[Namespace]] = {t.name: [] for t in site.tenant}
+        for v in site.volume:
+            if head in v.head:
+                self._volumes[v.tenant].append(Namespace(v.number, v.blocks, v.extent_blocks))
+
+    def admits(self, host: str) -> list[Namespace] | None:
+        tenant = self._tenants.get(host)
+        return None if tenant is None else self._volumes[tenant]
+
+
+class Awaiting:
+    """One command from its capsule to its answer."""
+
+    __slots__ = ("side", "io", "cut_off", "timer", "taken", "profile")
+
+    def __init__(self, side: "ClientSide", io: IoCommand, profile: int, cut_off: float) -> None:
+        self.side, self.io, self.profile, self.cut_off = side, io, profile, cut_off
+        self.timer: Timer | None = None
+        self.taken: Open | None = None
+
+    def honoured(self, shard: int, data: bytes) -> None:
+        self.io.answer(Completion(0, dw0=shard + 1), data)
+
+    def pushed_back(self, return_after: float) -> None:
+        """The return time rounded up to the controller's delays, and exactly in the free field."""
+        delays = self.side.subsystem.retry_delays
+        retry = 0
+        if return_after > 0 and delays:
+            retry = next((n for n, d in enumerate(delays, 1) if d >= return_after), len(delays))
+        self.side.log.debug("pushed back", volume=self.io.command.nsid, return_after=round(return_after, 3))
+        self.io.answer(Completion(0, Status.COMMAND_INTERRUPTED, retry=retry, dw1=round(return_after * 1000)))
+
+    def given_up(self) -> None:
+        self.side.log.debug("given up", volume=self.io.command.nsid)
+        self.io.answer(Completion(0, Status.INTERNAL_ERROR, final=True))
+
+
+class ClientSide:
+    """The owner of I/O commands at a head's server."""
+
+    def __init__(self, transport: Transport, site: pb.Site, driver: Driver, placement: Placement,
+                 subsystem: Subsystem, log: Any) -> None:
+        self.transport, self.driver, self.placement = transport, driver, placement
+        self.subsystem, self.log = subsystem, log
+        self._sorter = Sorter(site)
+        self._slack = site.rules.answer_slack
+        self._unit_bytes = site.links.unit_bytes
+        self._cut_offs = [p.cut_off for p in site.profile]
+        self._in_order = [p.in_order for p in site.profile]
+        plans = {p.name: n for n, p in enumerate(site.plan)}
+        self._volumes = {v.number: (v, plans[v.plan]) for v in site.volume}
+        self._shards = {s.shard for s in site.shelf}
+        self.draining = False
+
+    def announced(self, io: IoCommand) -> None:
+        command = io.command
+        if self.draining:
+            # Ending in order: what was not taken may safely come again, at another head.
+            io.answer(Completion(0, Status.COMMAND_INTERRUPTED))
+            return
+        volume, _ = self._volumes[command.nsid]
+        profile = self._sorter.profile(volume.plan, command.opcode, command.blocks * BLOCK, command.hints)
+        most = self._cut_offs[profile]
+        patience = min(command.patience, most) if command.patience else most
+        waiting = Awaiting(self, io, profile, io.arrived + max(MILLISECOND, patience - self._slack))
+        io.owned = waiting
+        if command.opcode == Opcode.WRITE:
+            waiting.timer = self.transport.at(waiting.cut_off, lambda: self._never_came(waiting))
+
+    def _never_came(self, waiting: Awaiting) -> None:
+        """The data of a write did not come in its time: it was not taken, and nothing of it ran."""
+        if waiting.taken is None:
+            waiting.io.answer(Completion(0, Status.DATA_TRANSFER_ERROR))
+
+    def taken(self, io: IoCommand, data: bytes) -> None:
+        command, waiting = io.command, io.owned
+        if waiting.timer:
+            waiting.timer.cancel()
+        volume, plan = self._volumes[command.nsid]
+        extent = command.first_block // volume.extent_blocks
+        shard = self.placement.shard_of(volume.number, extent)
+        if shard == UNPLACED and command.named_shard in self._shards:
+            # The client was told where the extent lies, by a head that knew.
+            shard = command.named_shard
+            self.placement.placed(volume.number, extent, shard)
+        if shard == UNPLACED and command.opcode == Opcode.READ:
+            io.answer(Completion(0, Status.UNWRITTEN_BLOCK))
+            return
+        length = command.blocks * BLOCK
+        onward = Command(
+            command.opcode, nsid=command.nsid, cdw2=command.cdw2, cdw3=command.cdw3 & 0xFF,
+            metadata=command.metadata, cdw10=command.cdw10, cdw11=command.cdw11, cdw12=command.cdw12,
+            cdw13=command.cdw13,
+        )
+        key = f"{volume.number}/{extent}" if self._in_order[waiting.profile] else None
+        waiting.taken = self.driver.take(
+            waiting, onward, data, length if command.opcode == Opcode.READ else 0, profile=waiting.profile,
+            plan=plan, key=key, cut_off=waiting.cut_off, volume=volume.number, extent=extent,
+            units=float(units_of(length, self._unit_bytes)), shard=shard, heads=len(volume.head),
+        )
+
+    def left(self, io: IoCommand) -> None:
+        waiting = io.owned
+        if waiting is None:
+            return
+        if waiting.timer:
+            waiting.timer.cancel()
+        if waiting.taken is not None:
+            self.driver.client_left(waiting.taken)
--- /dev/null
+++ b/gorsethread/head/driver.py
@@ -0,0 +1,260 @@
+"""Hands what happens to the policy, a batch a turn of the loop, and carries out its acts.
+
+One final answer a command is kept here mechanically: a transaction that was answered, or whose client left,
+takes no further act. A time-out at the cut-off is the wire's; what follows from it is the policy's.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from gorsethread.head.links import NOTHING, Forward, ShelfLink, Told
+from gorsethread.head.placement import UNPLACED, Placement
+from gorsethread.model import Ending, StartFacts
+from gorsethread.nvme.command import Command
+from gorsethread.policy import Policy
+from gorsethread.transport.base import Timer, Transport
+
+NEVER_RAN = (Ending.TURNED_AWAY, Ending.UNREACHED, Ending.NOT_SENT)
+
+
+class Client(Protocol):
+    """Whoever is owed the answer; each transaction sees exactly one of these calls, or none once it left."""
+
+    def honoured(self, shard: int, data: bytes) -> None: ...
+    def pushed_back(self, return_after: float) -> None: ...
+    def given_up(self) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class Open:
+    """A transaction from its taking until it is answered and its forwards are in."""
+
+    id: int
+    client: Client
+    command: Command
+    data: bytes
+    read: int
+    volume: int
+    extent: int
+    shard: int
+    cut_off: float
+    forwards: int = 0
+    out: dict[int, Forward] = field(default_factory=dict)
+    answered: bool = False
+    timer: Timer | None = None
+
+
+class Driver:
+    """The host of one policy. All times are the transport's."""
+
+    def __init__(self, transport: Transport, facts: StartFacts, seed: int, placement: Placement,
+                 follow_list: Callable[[], None], log: Any) -> None:
+        self.transport, self.placement, self.log = transport, placement, log
+        self._follow_list = follow_list
+        self._now = transport.now()
+        self._batch: list[Callable[[], None]] = []
+        self._due = False
+        self.open: dict[int, Open] = {}  # emptied as transactions end
+        self.links: dict[int, ShelfLink] = {}  # emptied as shelves leave the list and their forwards are in
+        self.shards: dict[int, int] = {}  # of every shelf in links
+        # First writes out of extents being placed: how many, and whether one may have run; emptied as they end.
+        self._placing: dict[tuple[int, int], tuple[int, bool]] = {}
+        self.counts: Counter[str] = Counter()
+        self._last_id = 0
+        self.policy = Policy(self, facts, seed)
+        self.recorder: Callable[[tuple[Any, ...]], None] | None = None  # sees events and acts, for replays
+        self.happened(lambda: None)
+
+    # ---- what happens
+
+    def happened(self, tell: Callable[[], None]) -> None:
+        """Queues one call on the policy; all of a turn are worked on together."""
+        self._batch.append(tell)
+        if not self._due:
+            self._due = True
+            self.transport.soon(self._work)
+
+    def take(self, client: Client, command: Command, data: bytes, read: int, *, profile: int, plan: int,
+             key: str | None, cut_off: float, volume: int, extent: int, units: float, shard: int,
+             heads: int) -> Open:
+        self._last_id = (self._last_id + 1) % 2**32
+        while self._last_id in self.open:
+            self._last_id = (self._last_id + 1) % 2**32
+        t = Open(self._last_id, client, command, data, read, volume, extent, shard, cut_off)
+        self.open[t.id] = t
+        t.timer = self.transport.at(cut_off, lambda: self._cut_off(t))
+        self.counts["taken"] += 1
+        self._tell("transaction_taken", t.id, profile, plan, key, cut_off, str(volume), units, shard, heads,
+                   command.repeat)
+        return t
+
+    def client_left(self, t: Open) -> None:
+        """Its client no longer awaits an answer."""
+        if t.answered:
+            return
+        t.answered = True
+        self.counts["left"] += 1
+        for f in t.out.values():
+            if link := self.links.get(f.shelf):
+                link.call_off(f)
+        self._tell("client_left", t.id)
+        self._close(t)
+
+    def listed(self, entries: list[tuple[int, int, int, bool, float]], whole: bool, remembered: bool) -> None:
+        """(shelf, zone, shard, ready, since) of each entry; since in this head's time, 0: long ago."""
+        self._tell("list_begins", whole, remembered)
+        for entry in entries:
+            self._tell("shelf_listed", *entry)
+        self._tell("list_ended")
+
+    def list_refused(self) -> None:
+        self._tell("list_refused")
+
+    def _tell(self, method: str, *facts: Any) -> None:
+        def tell() -> None:
+            if self.recorder:
+                self.recorder(("event", self._now, method, *facts))
+            getattr(self.policy, method)(*facts)
+
+        self.happened(tell)
+
+    def _work(self) -> None:
+        self._due = False
+        self._now = self.transport.now()
+        batch, self._batch = self._batch, []
+        for tell in batch:
+            tell()
+        if self.recorder:
+            self.recorder(("batch", self._now))
+        self.policy.batch_ended()
+
+    def _cut_off(self, t: Open) -> None:
+        for f in list(t.out.values()):
+            if not f.over:
+                f.over = True
+                if link := self.links.get(f.shelf):
+                    link.call_off(f)
+                self._ended(f, Ending.TIMED_OUT, NOTHING)
+
+    def _ended(self, f: Forward, how: Ending, told: Told) -> None:
+        t = self.open.get(f.transaction)
+        if t is None:
+            return
+        t.out.pop(f.number, None)
+        self.counts[how.value] += 1
+        if f.first_write:
+            self._placing_ended(t, how)
+        if how is Ending.HONOURED and not t.answered:
+            # Not held back until the batch: the answer goes to the client at once.
+            t.answered = True
+            self.counts["honoured"] += 1
+            t.client.honoured(self.shards.get(f.shelf, UNPLACED), told.data)
+        elapsed = self.transport.now() - f.sent_at
+        self._tell("forward_ended", t.id, f.number, how, f.shelf, elapsed, t.answered, told.elsewhere, told.usage)
+        self._close(t)
+
+    def _close(self, t: Open) -> None:
+        if t.answered and not t.out:
+            self.open.pop(t.id, None)
+            if t.timer:
+                t.timer.cancel()
+
+    # ---- the policy's acts (gorsethread/host.py)
+
+    def clock(self) -> float:
+        return self._now
+
+    def forward(self, transaction: int, shelf: int, wait: float) -> None:
+        if self.recorder:
+            self.recorder(("act", "forward", transaction, shelf, wait))
+        t = self.open.get(transaction)
+        if t is None:
+            return
+        f = Forward(t.id, t.forwards, shelf, self._now, t.command, t.data, t.read, self._ended)
+        t.forwards += 1
+        t.out[f.number] = f
+        link = self.links.get(shelf)
+        if t.answered or self._now >= t.cut_off or link is None or not self._holds(t, f):
+            f.over = True
+            self._ended(f, Ending.NOT_SENT, NOTHING)
+            return
+        self.counts["forwards"] += 1
+        if wait > 0 and self._now + wait < t.cut_off:
+            self.transport.at(self._now + wait, lambda: self._time_out(f))
+        link.send(f)
+
+    def _holds(self, t: Open, f: Forward) -> bool:
+        """Two first writes of one extent must not part it: the second goes where the first went, or nowhere."""
+        shard = self.shards[f.shelf]
+        if t.shard != UNPLACED:
+            return t.shard == shard
+        owner = self.placement.shard_of(t.volume, t.extent)
+        if owner == UNPLACED:
+            self.placement.placed(t.volume, t.extent, shard)
+            self._placing[t.volume, t.extent] = (0, False)
+        elif owner != shard:
+            return False
+        if (placing := self._placing.get((t.volume, t.extent))) is not None:
+            f.first_write = True
+            self._placing[t.volume, t.extent] = (placing[0] + 1, placing[1])
+        return True
+
+    def _placing_ended(self, t: Open, how: Ending) -> None:
+        """An extent stays where a first write of it may have run; it is free again once none has."""
+        out, ran = self._placing[t.volume, t.extent]
+        out, ran = out - 1, ran or how not in NEVER_RAN
+        if out:
+            self._placing[t.volume, t.extent] = (out, ran)
+            return
+        del self._placing[t.volume, t.extent]
+        if not ran:
+            self.placement.released(t.volume, t.extent)
+
+    def _time_out(self, f: Forward) -> None:
+        if not f.over:
+            f.over = True
+            if link := self.links.get(f.shelf):
+                link.call_off(f)
+            self._ended(f, Ending.TIMED_OUT, NOTHING)
+
+    def recall(self, transaction: int, forward: int) -> None:
+        if self.recorder:
+            self.recorder(("act", "recall", transaction, forward))
+        t = self.open.get(transaction)
+        if t and (f := t.out.get(forward)) and not f.over:
+            f.over = True
+            if link := self.links.get(f.shelf):
+                link.call_off(f)
+            self._ended(f, Ending.CALLED_OFF, NOTHING)
+
+    def push_back(self, transaction: int, return_after: float) -> None:
+        if self.recorder:
+            self.recorder(("act", "push_back", transaction, return_after))
+        t = self.open.get(transaction)
+        if t and not t.answered:
+            t.answered = True
+            self.counts["pushed back"] += 1
+            t.client.pushed_back(return_after)
+            self._close(t)
+
+    def give_up(self, transaction: int) -> None:
+        if self.recorder:
+            self.recorder(("act", "give_up", transaction))
+        t = self.open.get(transaction)
+        if t and not t.answered:
+            t.answered = True
+            self.counts["given up"] += 1
+            t.client.given_up()
+            self._close(t)
+
+    def wake(self, delay: float, name: str) -> None:
+        if self.recorder:
+            self.recorder(("act", "wake", delay, name))
+        self.transport.at(self._now + delay, lambda: self._tell("woken", name))
+
+    def follow_list(self) -> None:
+        if self.recorder:
+            self.recorder(("act", "follow_list"))
+        self._follow_list()
--- /dev/null
+++ b/gorsethread/head/facts.py
@@ -0,0 +1,62 @@
+"""From the site file to what the policy starts with, and which profile, units and key a command has."""
+
+from gorsethread.model import ColdRule, Effect, ForwardBudget, Group, Plan, Profile, StartFacts
+from gorsethread.nvme.command import Opcode
+from gorsethread.sitefile import site_pb2 as pb
+
+EFFECTS = {pb.REDOABLE: Effect.REDOABLE, pb.LABELLED: Effect.LABELLED, pb.IRREVERSIBLE: Effect.IRREVERSIBLE}
+GROUPS = {pb.GROUP_UNSET: Group.ALL, pb.ALL: Group.ALL, pb.ZONE: Group.ZONE, pb.SHARD: Group.SHARD}
+OPERATIONS = {pb.READ: Opcode.READ, pb.WRITE: Opcode.WRITE}
+
+
+def start_facts(site: pb.Site) -> StartFacts:
+    rules, cold = site.rules, site.rules.cold
+    budget = None
+    if rules.HasField("budget"):
+        budget = ForwardBudget(rules.budget.free, rules.budget.part, rules.budget.span)
+    return StartFacts(
+        profiles=tuple(
+            Profile(p.promised, EFFECTS[p.effect], GROUPS[p.group], p.remembered, p.in_order, p.value)
+            for p in site.profile
+        ),
+        plans=tuple(Plan(p.reserve, p.weight, p.limit, p.limit_burst, p.usual) for p in site.plan),
+        heads=len(site.head),
+        list_on_request=True,
+        ask_within=site.list.ask_within,
+        cold=ColdRule(cold.units, cold.span, cold.warm_after, cold.first_part),
+        budget=budget,
+        key_rest=rules.key_rest,
+        most_forwards=rules.most_forwards,
+        longest_return=rules.longest_return,
+        largest_units=float(units_of(site.links.largest_bytes, site.links.unit_bytes)),
+        share_worth=rules.share_worth,
+        repeats_marked=True,
+    )
+
+
+def units_of(length: int, unit_bytes: int) -> int:
+    """One unit for each begun piece, at least one."""
+    return max(1, -(-length // unit_bytes))
+
+
+class Sorter:
+    """Which profile a command of a plan belongs to: the first that fits, as validation made sure of one."""
+
+    def __init__(self, site: pb.Site) -> None:
+        self._by_plan: dict[str, list[tuple[int, int, pb.Match]]] = {
+            plan.name: [
+                (number, OPERATIONS[p.match.operation], p.match)
+                for number, p in enumerate(site.profile)
+                if not p.match.plan or plan.name in p.match.plan
+            ]
+            for plan in site.plan
+        }
+
+    def profile(self, plan: str, opcode: int, length: int, hints: int) -> int:
+        """length in bytes; KeyError for a plan or opcode the site does not have."""
+        for number, operation, match in self._by_plan[plan]:
+            if operation == opcode and length >= match.least_bytes and (
+                    not match.most_bytes or length <= match.most_bytes) and (
+                    not match.HasField("hints") or hints == match.hints):
+                return number
+        raise KeyError(opcode)
--- /dev/null
+++ b/gorsethread/head/links.py
@@ -0,0 +1,155 @@
+"""Links from a head to its shelves: many commands a connection, each forward's one ending told as it was.
+
+A link connects when a forward needs it and says nothing of its own accord about when to try again: a forward
+that finds no connection ends as UNREACHED, and the policy lets the shelf rest.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from gorsethread.model import Ending
+from gorsethread.nvme.command import Command, Completion, Status, told_service
+from gorsethread.queues.dial import Association, Names, dial
+from gorsethread.transport.base import Transport, Unreachable
+
+ENDINGS: dict[int, Ending] = {Status.SUCCESS: Ending.HONOURED, Status.ABORT_REQUESTED: Ending.CALLED_OFF}
+
+
+@dataclass(slots=True, eq=False)
+class Forward:
+    """One sending of a transaction to a shelf. over: its ending has been told; later answers are dropped."""
+
+    transaction: int
+    number: int
+    shelf: int
+    sent_at: float
+    command: Command
+    data: bytes
+    read: int
+    ended: "Callable[[Forward, Ending, Told], None]"
+    cid: int = -1
+    over: bool = False
+    first_write: bool = False  # of an extent that nobody has placed yet
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What a shelf's answer brought: data of a read, units served elsewhere, usage, its own service time."""
+
+    data: bytes = b""
+    elsewhere: int = 0
+    usage: int = 0
+    service: float = 0.0
+
+
+NOTHING = Told()
+
+
+@dataclass(slots=True, eq=False)
+class ShelfLink:
+    transport: Transport
+    shelf: int
+    address: tuple[str, int]
+    names: Names
+    connect_within: float
+    queue_size: int
+    digests: bool
+    log: Any
+    association: Association | None = None
+    connecting: bool = False
+    out: dict[int, Forward] = field(default_factory=dict)  # by command id; emptied by answers
+    waiting: list[Forward] = field(default_factory=list)  # for the connection; emptied as it stands or fails
+    closed: bool = False
+
+    def send(self, f: Forward) -> None:
+        if self.association is not None:
+            self._submit(f)
+            return
+        self.waiting.append(f)
+        if not self.connecting:
+            self.connecting = True
+            self.transport.spawn(self._connect())
+
+    def call_off(self, f: Forward) -> None:
+        """Asks the shelf to drop it; it still holds its command id until the shelf has answered."""
+        if self.association is not None and f.cid in self.out and self.out[f.cid] is f:
+            self.association.abort(f.cid)
+
+    @property
+    def idle(self) -> bool:
+        return not self.out and not self.waiting
+
+    def close(self) -> None:
+        self.closed = True
+        if self.association is not None:
+            self.association.close()
+
+    async def _connect(self) -> None:
+        try:
+            association = await dial(self.transport, self.address, self.names, within=self.connect_within,
+                                     size=self.queue_size, digests=self.digests)
+        except Unreachable as error:
+            self.connecting = False
+            self.log.info("shelf not reached", shelf=self.shelf, reason=str(error))
+            waiting, self.waiting = self.waiting, []
+            for f in waiting:
+                self._end(f, Ending.UNREACHED)
+            return
+        self.connecting = False
+        if self.closed:
+            association.close()
+        if self.closed or association.io.queue.over or association.admin.queue.over:
+            waiting, self.waiting = self.waiting, []
+            for f in waiting:
+                self._end(f, Ending.UNREACHED)
+            return
+        self.association = association
+        association.io.ended = self._broke
+        association.admin.ended = lambda reason: association.io.close(f"admin queue: {reason}")
+        self.log.info("shelf connected", shelf=self.shelf)
+        waiting, self.waiting = self.waiting, []
+        for f in waiting:
+            # What was ended (its time came, the client left) while the link was set up is not sent at all.
+            if not f.over:
+                self._submit(f)
+
+    def _submit(self, f: Forward) -> None:
+        association = self.association
+        assert association is not None
+        queue = association.io.queue
+        if len(queue) >= queue.size:
+            # A shelf that answers nothing keeps the ids of commands long given up here. Once none is left
+            # the link is made anew; what is out on it ends as broken. Hurts forwards still in good time.
+            association.close("no command id is left")
+            self.waiting.append(f)
+            if not self.connecting:
+                self.connecting = True
+                self.transport.spawn(self._connect())
+            return
+        f.cid = queue.submit(f.command, lambda done, data: self._done(f, done, data), f.data, f.read)
+        self.out[f.cid] = f
+
+    def _done(self, f: Forward, completion: Completion, data: bytes) -> None:
+        self.out.pop(f.cid, None)
+        elsewhere, usage, service = told_service(completion)
+        if completion.pushed_back:
+            how = Ending.TURNED_AWAY
+        else:
+            how = ENDINGS.get(completion.status, Ending.ERROR)
+        self._end(f, how, Told(data, elsewhere, usage, service))
+
+    def _broke(self, reason: str) -> None:
+        association, self.association = self.association, None
+        out, self.out = self.out, {}
+        if association is not None:
+            association.close(reason)
+        if not self.closed:
+            self.log.info("shelf link broke", shelf=self.shelf, reason=reason, out=len(out))
+        for f in out.values():
+            self._end(f, Ending.BROKEN)
+
+    def _end(self, f: Forward, how: Ending, told: Told = NOTHING) -> None:
+        if not f.over:
+            f.over = True
+            f.ended(f, how, told)
--- /dev/null
+++ b/gorsethread/head/placement.py
@@ -0,0 +1,49 @@
+"""Where an extent lives, as one head knows it. A versioned extent map will take this place."""
+
+from collections import OrderedDict
+from typing import Protocol
+
+from gorsethread.sitefile import site_pb2 as pb
+
+UNPLACED = -1
+REMEMBERED_MOST = 1 << 20  # extents; the least used are forgotten first
+
+
+class Placement(Protocol):
+    def shard_of(self, volume: int, extent: int) -> int:
+        """The shard that holds it, or UNPLACED for an extent nobody has written."""
+        ...
+
+    def placed(self, volume: int, extent: int, shard: int) -> None:
+        """A first write of it goes, or went, to this shard."""
+        ...
+
+    def released(self, volume: int, extent: int) -> None:
+        """Its first write is known not to have run."""
+        ...
+
+
+class SitePlacement:
+    """Fixed volumes by the site file; others by first write, remembered for this life of the head."""
+
+    def __init__(self, site: pb.Site, most: int = REMEMBERED_MOST) -> None:
+        self._fixed = {v.number: tuple(v.shard) for v in site.volume if v.placement == pb.FIXED}
+        self._written: OrderedDict[tuple[int, int], int] = OrderedDict()
+        self._most = most
+
+    def shard_of(self, volume: int, extent: int) -> int:
+        if shards := self._fixed.get(volume):
+            return shards[extent % len(shards)]
+        shard = self._written.get((volume, extent), UNPLACED)
+        if shard != UNPLACED:
+            self._written.move_to_end((volume, extent))
+        return shard
+
+    def placed(self, volume: int, extent: int, shard: int) -> None:
+        if volume not in self._fixed:
+            self._written[(volume, extent)] = shard
+            if len(self._written) > self._most:
+                self._written.popitem(last=False)
+
+    def released(self, volume: int, extent: int) -> None:
+        self._written.pop((volume, extent), None)
--- /dev/null
+++ b/gorsethread/head/program.py
@@ -0,0 +1,101 @@
+"""Assembles a head from a site file and runs it to its end."""
+
+from typing import Any
+
+from gorsethread.head.clients import ClientSide, Tenants
+from gorsethread.head.driver import Driver
+from gorsethread.head.facts import start_facts
+from gorsethread.head.links import ShelfLink
+from gorsethread.head.listing import ListFollower
+from gorsethread.head.placement import SitePlacement
+from gorsethread.nvme.subsystem import Subsystem
+from gorsethread.queues.dial import Names
+from gorsethread.queues.serve import QueueServer
+from gorsethread.sitefile import site_pb2 as pb
+from gorsethread.sitefile.reading import split_address
+from gorsethread.transport.base import Transport
+
+RETRY_DELAYS = (0.1, 0.3)  # beside the site's longest return time
+
+
+class Links:
+    """Keeps a link for each shelf in the list."""
+
+    def __init__(self, transport: Transport, site: pb.Site, head: int, log: Any) -> None:
+        self.transport, self.site, self.log = transport, site, log
+        host = f"nqn.2026-12.org.gorsethread:head:{head}"
+        self.names = Names(site.subsystem, host, head.to_bytes(16, "little"))
+        self.driver: Driver
+
+    def listed(self, shelf: int, shard: int, address: tuple[str, int], state: str) -> None:
+        links = self.driver.links
+        link = links.get(shelf)
+        if state == "gone":
+            self._forget(shelf)
+            return
+        if link is not None and link.address != address:
+            link.close()
+            link = None
+        if link is None:
+            known = self.site.links
+            links[shelf] = ShelfLink(self.transport, shelf, address, self.names, known.connect_within,
+                                     known.queue_size, known.digests, self.log)
+        self.driver.shards[shelf] = shard
+
+    def only(self, shelves: set[int]) -> None:
+        for shelf in [s for s in self.driver.links if s not in shelves]:
+            self._forget(shelf)
+
+    def _forget(self, shelf: int) -> None:
+        """A link with forwards out stays until they are in; the list may name the shelf again by then."""
+        link = self.driver.links.get(shelf)
+        if link is not None and link.idle:
+            link.close()
+            del self.driver.links[shelf]
+            self.driver.shards.pop(shelf, None)
+
+
+class Head:
+    def __init__(self, transport: Transport, site: pb.Site, number: int, seed: int, remember: str, log: Any,
+                 most_connections: int = 0) -> None:
+        self.transport, self.site, self.number, self.log = transport, site, number, log
+        placement = SitePlacement(site)
+        links = Links(transport, site, number, log)
+        self.follower = ListFollower(transport, site.list.address, number, remember, links, log)
+        self.driver = Driver(transport, start_facts(site), seed, placement, self.follower.follow, log)
+        self.follower.driver = links.driver = self.driver
+        delays = tuple(sorted({*RETRY_DELAYS, max(RETRY_DELAYS[-1], site.rules.longest_return)}))
+        admits = Tenants(site, number).admits
+        self.subsystem = Subsystem(site.subsystem, admits, f"head-{number}", "gorsethread",
+                                   site.links.largest_bytes, delays)
+        self.clients = ClientSide(transport, site, self.driver, placement, self.subsystem, log)
+        self.server = QueueServer(transport, self.subsystem, self.clients,
+                                  most_connections or site.links.connections, log)
+        self.port = 0
+
+    def start(self) -> None:
+        """OSError where its address can't be had."""
+        address = next(h.address for h in self.site.head if h.number == self.number)
+        host, port = split_address(address)
+        self.follower.start()
+        self._listener = self.transport.listen(host, port, self.server.on_stream)
+        self.port = self._listener.port
+        self.log.info("head serves", address=f"{host}:{self.port}")
+
+    async def end(self) -> None:
+        """In order: no new connections or commands, open ones answered by their cut-offs, then the end."""
+        self.clients.draining = True
+        self.server.closing = True
+        self._listener.close()
+        self.log.info("head ends", open=len(self.driver.open))
+        while any(not t.answered for t in self.driver.open.values()):
+            await self.transport.sleep(0.02)
+        for connection in list(self.server.connections):
+            if connection.stream.unsent:
+                await self.transport.sleep(0.1)
+                break
+        self.follower.stop()
+        self.server.stop("the head ends")
+        for link in self.driver.links.values():
+            link.close()
+        self.log.info("head ended", **{k.replace(" ", "_"): v for k, v in sorted(self.driver.counts.items())})
--- /dev/null
+++ b/gorsethread/lab/processes.py
@@ -0,0 +1,85 @@
+"""The processes of a day or a bench: a folder of their own, free ports, started and ended by name."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+from pathlib import Path
+
+from google.protobuf import text_format
+
+from gorsethread.sitefile import site_pb2 as pb
+from gorsethread.transport.base import Stream, Transport
+
+
+async def _close(stream: Stream) -> None:
+    stream.close()
+
+
+def free_port(transport: Transport) -> int:
+    listener = transport.listen("127.0.0.1", 0, _close)
+    port = listener.port
+    listener.close()
+    return port
+
+
+def resized(site: pb.Site, transport: Transport, heads: int, shelves: int) -> pb.Site:
+    """The same site on free loopback ports, with another number of heads and shelves."""
+    new = pb.Site()
+    new.CopyFrom(site)
+    del new.head[:], new.shelf[:]
+    new.list.address = f"127.0.0.1:{free_port(transport)}"
+    for n in range(heads):
+        new.head.add(number=n, address=f"127.0.0.1:{free_port(transport)}")
+    zones = max((s.zone for s in site.shelf), default=0) + 1
+    for n in range(shelves):
+        new.shelf.add(number=n, address=f"127.0.0.1:{free_port(transport)}", shard=n, zone=n % zones)
+    for v in new.volume:
+        if heads != len(site.head):
+            v.head[:] = sorted({(h + v.number) % heads for h in v.head})
+        if shelves != len(site.shelf):
+            v.shard[:] = sorted({(s + v.number) % shelves for s in v.shard})
+    return new
+
+
+class Processes:
+    """Children of this one, each with its log and its record in the folder."""
+
+    def __init__(self, folder: Path, site: pb.Site) -> None:
+        self.folder = folder
+        self.site_path = folder / "site.txtpb"
+        self.site_path.write_text(text_format.MessageToString(site))
+        self.running: dict[str, asyncio.subprocess.Process] = {}
+
+    def record(self, name: str) -> Path:
+        return self.folder / f"{name.replace(' ', '-')}.jsonl"
+
+    async def start(self, name: str, *arguments: str) -> None:
+        with (self.folder / f"{name.replace(' ', '-')}.log").open("ab") as log:
+            self.running[name] = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "gorsethread", *arguments, stdin=asyncio.subprocess.DEVNULL, stdout=log,
+                stderr=log, env={**os.environ, "PYTHONHASHSEED": "0"})
+
+    def pid(self, name: str) -> int | None:
+        process = self.running.get(name)
+        return process.pid if process and process.returncode is None else None
+
+    async def end(self, name: str, number: signal.Signals = signal.SIGTERM, within: float = 15.0) -> int | None:
+        """Its exit status; a process that does not end in time is killed."""
+        process = self.running.pop(name, None)
+        if process is None:
+            return None
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(number)
+        try:
+            return await asyncio.wait_for(process.wait(), within)
+        except TimeoutError:
+            process.kill()
+            await process.wait()
+            return None
+
+    async def end_all(self) -> dict[str, int | None]:
+        names = list(self.running)
+        statuses = await asyncio.gather(*(self.end(name) for name in names))
+        return dict(zip(names, statuses, strict=True))
--- a/gorsethread/logs.py
+++ b/gorsethread/logs.py
@@ -9,7 +9,9 @@
 
 def start_logs(as_json: bool, level: str = "info") -> None:
     """Where every later line goes: standard error, from that level up."""
-    last: Any = structlog.processors.JSONRenderer() if as_json else structlog.dev.ConsoleRenderer(colors=False)
+    last: Any = structlog.dev.ConsoleRenderer(colors=False)
+    if as_json:
+        last = structlog.processors.JSONRenderer()
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
--- a/gorsethread/nvme/__init__.py
+++ b/gorsethread/nvme/__init__.py
@@ -1,1 +1,1 @@
-"""NVMe over TCP, the subset a head and its shelves speak: bytes to PDUs and back. No I/O, no clock, no decisions."""
+"""NVMe over TCP, the subset a head and its shelves speak: bytes to PDUs and back. No I/O, no clock."""
--- a/gorsethread/nvme/command.py
+++ b/gorsethread/nvme/command.py
@@ -1,5 +1,5 @@
-"""Commands and completions (NVM Express Base 2.0, sections 3.3.3 and 4; Fabrics commands in section 6), and the
-fields the specification leaves free that a head, its clients and its shelves use (table in docs/wire.md)."""
+"""Commands and completions (NVM Express Base 2.0, sections 3.3.3 and 4; Fabrics commands in section 6), and
+the fields the specification leaves free that a head, its clients and shelves use (table in docs/wire.md)."""
 
 import struct
 from dataclasses import dataclass, replace
@@ -67,7 +67,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Command:
-    """A submission queue entry. metadata, cdw2 and cdw3 carry the free fields in Read, Write and Flush."""
+    """A submission queue entry. metadata, cdw2 and cdw3 carry the free fields in Read and Write."""
 
     opcode: int
     cid: int = 0
@@ -100,7 +100,7 @@
 
     @property
     def hints(self) -> int:
-        """Dataset management byte of Read and Write: access frequency, latency, sequential, incompressible."""
+        """Dataset management byte of Read and Write: frequency, latency, sequential, incompressible."""
         return self.cdw13 & 0xFF
 
     @property
@@ -184,9 +184,9 @@
     return Completion(cid, status, bool(field & 0x8000), field >> 12 & 3, dw0, dw1, sq_head, queue)
 
 
-# What a shelf tells in the completion of a Read, Write or Flush: dw0 holds units served elsewhere (low half) and
-# usage (high half: 0 or 1 + percent), dw1 its own service time in microseconds. A head tells its clients 1 + the
-# shard that holds the extent in dw0, and the return time of a push-back in milliseconds in dw1.
+# What a shelf tells in the completion of a Read or Write: dw0 holds units served elsewhere (low half) and usage
+# (high half: 0 or 1 + percent), dw1 its own service time in microseconds. A head tells its clients 1 + the shard
+# that holds the extent in dw0, and the return time of a push-back in milliseconds in dw1.
 def tell_service(elsewhere: int, usage: int, seconds: float) -> tuple[int, int]:
     return min(elsewhere, 0xFFFF) | min(usage, 0xFFFF) << 16, min(round(seconds * 1e6), 0xFFFFFFFF)
 
--- a/gorsethread/nvme/controller_queue.py
+++ b/gorsethread/nvme/controller_queue.py
@@ -1,4 +1,4 @@
-"""The controller side of one queue: commands with their data in, completions out. Bytes in, bytes out, no I/O.
+"""The controller side of one queue: commands and their data in, completions out. Bytes in, bytes out.
 
 Data of writes is asked for by R2T, one at a time a command, and only while what is held of all of them stays
 under a bound, so a host that sends nothing of what it announced costs a bounded piece of memory.
@@ -154,7 +154,8 @@
             self._refuse(cid, Status.COMMAND_INTERRUPTED, final=False)
         elif not intact:
             self._refuse(cid, Status.TRANSIENT_TRANSPORT_ERROR, final=False)
-        elif not command.to_controller:
+        elif not command.to_controller or not command.sgl_length:
+            # The opcode permits data to the controller; the length says whether there is any.
             if data:
                 self._refuse(cid, Status.SGL_LENGTH_INVALID)
             elif command.sgl_length > self.most_data:
@@ -168,7 +169,7 @@
                 self._taken(command, data)
         elif command.sgl_type != SGL_TRANSPORT:
             self._refuse(cid, Status.SGL_TYPE_INVALID)
-        elif data or not 0 < command.sgl_length <= self.most_data:
+        elif data or command.sgl_length > self.most_data:
             self._refuse(cid, Status.SGL_LENGTH_INVALID)
         elif self._announced(command):
             self._incoming[cid] = _Incoming(command, bytearray())
--- a/gorsethread/nvme/pdu.py
+++ b/gorsethread/nvme/pdu.py
@@ -266,5 +266,5 @@
         if type is PduType.R2T:
             return ReadyToTransfer(cid, tag, offset, length)
         if length != len(data) or not data:
-            return self._malformed(FatalError.INVALID_HEADER_FIELD, 16, f"data length {length}, {len(data)} came")
+            return self._malformed(FatalError.INVALID_HEADER_FIELD, 16, f"data length {length}")
         return DataTransfer(type, cid, tag, offset, data, bool(flags & LAST_PDU), intact)
--- a/gorsethread/queues/dial.py
+++ b/gorsethread/queues/dial.py
@@ -4,6 +4,7 @@
 import struct
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from gorsethread.nvme.command import (
     Admin,
@@ -50,7 +51,8 @@
             self._opened.set_result(None)
 
     def _ended(self, reason: str) -> None:
-        for waiting in (self._opened, *self._calls):
+        all_waiting: list[asyncio.Future[Any]] = [self._opened, *self._calls]
+        for waiting in all_waiting:
             if not waiting.done():
                 waiting.set_exception(StreamClosed(reason))
                 waiting.exception()
--- a/gorsethread/queues/serve.py
+++ b/gorsethread/queues/serve.py
@@ -1,4 +1,4 @@
-"""Serves a subsystem: connections in, Fabrics and admin commands answered, I/O commands handed to an owner."""
+"""Serves a subsystem: connections in, Fabrics and admin commands answered, I/O commands handed on."""
 
 from typing import Any, Protocol
 
--- a/gorsethread/sitefile/reading.py
+++ b/gorsethread/sitefile/reading.py
@@ -3,6 +3,7 @@
 import re
 from collections.abc import Callable, Iterable
 from pathlib import Path
+from typing import Any
 
 from google.protobuf import text_format
 from google.protobuf.message import Message
@@ -18,7 +19,7 @@
         self.faults = faults
 
 
-_TOKEN = re.compile(r'#[^\n]*|"(?:\\.|[^"\\\n])*"|\'(?:\\.|[^\'\\\n])*\'|[A-Za-z_][\w.]*|[{}<>\[\],:;]|[^\s\w]|\S')
+_TOKEN = re.compile(r"""#[^\n]*|"(?:\\.|[^"\\\n])*"|'(?:\\.|[^'\\\n])*'|[A-Za-z_][\w.]*|\S""")
 
 
 def field_lines(text: str) -> dict[str, int]:
@@ -104,12 +105,13 @@
     c.number(site.list, "list", "ask_within", 0, 3600, "seconds", open_below=True)
     c.number(site.list, "list", "late_least", 0, 3600, "seconds")
     c.number(site.list, "list", "late_most", site.list.late_least, 3600, "seconds")
-    for kind, machines in (("head", site.head), ("shelf", site.shelf)):
+    both: tuple[tuple[str, Any], ...] = (("head", site.head), ("shelf", site.shelf))
+    for kind, machines in both:
         c.need(bool(machines), kind, "there is none")
         c.one_each(machines, kind, "number")
         c.one_each(machines, kind, "address")
-        for n, machine in enumerate(machines):
-            c.address(machine.address, f"{kind}[{n}].address")
+        for n, address in enumerate([m.address for m in machines]):
+            c.address(address, f"{kind}[{n}].address")
     c.one_each(site.shelf, "shelf", "shard")
     m = site.machine
     c.number(m, "machine", "cores", 1, 1024, "cores")
@@ -130,11 +132,11 @@
         c.number(p, path, "promised", 0, 3600, "seconds", open_below=True)
         c.number(p, path, "cut_off", 0, 3600, "seconds", open_below=True)
         c.need(p.cut_off >= p.promised, f"{path}.cut_off", "is shorter than the promised time")
-        c.need(p.cut_off > site.rules.answer_slack, f"{path}.cut_off", "leaves no time beside rules.answer_slack")
+        c.need(p.cut_off > site.rules.answer_slack, f"{path}.cut_off", "is not over rules.answer_slack")
         c.number(p, path, "value", 0, 1e6, "value", open_below=True)
-        c.need(p.effect != pb.EFFECT_UNSET, f"{path}.effect", "is missing (REDOABLE, LABELLED, IRREVERSIBLE)")
+        c.need(p.effect != pb.EFFECT_UNSET, f"{path}.effect", "is missing (REDOABLE, LABELLED or IRREVERSIBLE)")
         if p.effect == pb.LABELLED:
-            c.need(p.group != pb.GROUP_UNSET, f"{path}.group", "a labelled profile says which shelves drop repeats")
+            c.need(p.group != pb.GROUP_UNSET, f"{path}.group", "is missing: which shelves drop repeats")
             c.number(p, path, "remembered", 0, 86400, "seconds", open_below=True)
         else:
             c.need(p.group == pb.GROUP_UNSET and not p.remembered, f"{path}.group",
@@ -167,7 +169,7 @@
         c.number(p, path, "usual", 0, 1e9, "units a second", open_below=True)
         for name in ("reserve", "limit", "limit_burst", "limit_slack"):
             c.number(p, path, name, 0, 1e9, "units")
-        c.need(bool(p.limit) == bool(p.limit_burst), f"{path}.limit_burst", "limit and limit_burst go together")
+        c.need(bool(p.limit) == bool(p.limit_burst), f"{path}.limit_burst", "goes together with limit")
         c.need(not p.limit or p.limit >= p.reserve, f"{path}.limit", "is under the reserve")
     c.one_each(site.tenant, "tenant", "name")
     hosts: dict[str, str] = {}
@@ -175,7 +177,7 @@
         c.need(bool(t.host), f"tenant[{n}]", "has no host NQN")
         for k, host in enumerate(t.host):
             c.nqn(host, f"tenant[{n}].host[{k}]")
-            c.need(host not in hosts, f"tenant[{n}].host[{k}]", f"{host!r} belongs to {hosts.get(host)!r} too")
+            c.need(host not in hosts, f"tenant[{n}].host[{k}]", f"{host!r} is {hosts.get(host)!r}'s too")
             hosts[host] = t.name
     plans, tenants = {p.name for p in site.plan}, {t.name for t in site.tenant}
     shards, heads = {s.shard for s in site.shelf}, {h.number for h in site.head}
@@ -190,7 +192,7 @@
         c.number(v, path, "blocks", 1, 2**40, "blocks")
         c.number(v, path, "extent_blocks", 1, 65535, "blocks")
         c.need(v.placement != pb.PLACEMENT_UNSET, f"{path}.placement", "is missing (FIXED or FIRST_WRITE)")
-        c.need(v.placement != pb.FIXED or bool(v.shard), f"{path}.shard", "a fixed placement names its shards")
+        c.need(v.placement != pb.FIXED or bool(v.shard), f"{path}.shard", "is missing in a fixed placement")
         c.need(v.placement != pb.FIRST_WRITE or not v.shard, f"{path}.shard", "belongs to a fixed placement")
         for name, numbers, known in (("shard", v.shard, shards), ("head", v.head, heads)):
             c.need(len(set(numbers)) == len(numbers), f"{path}.{name}", "names one twice")
@@ -230,7 +232,8 @@
     c.number(links, "links", "connections", 1, 1e6, "connections")
 
 
-CHECKS: tuple[Callable[[_Checker], None], ...] = (_check_machines, _check_profiles, _check_volumes, _check_rules)
+CHECKS: tuple[Callable[[_Checker], None], ...] = (
+    _check_machines, _check_profiles, _check_volumes, _check_rules)
 
 
 def parse_site(text: str, file: str = "site") -> pb.Site:
--- a/gorsethread/transport/base.py
+++ b/gorsethread/transport/base.py
@@ -54,6 +54,16 @@
     def close(self) -> None: ...
 
 
+class Blocks(Protocol):
+    """A file of bytes that outlives the process, also one that is killed."""
+
+    def read(self, offset: int, length: int) -> bytes:
+        """Zeros where nothing was written."""
+        ...
+
+    def write(self, offset: int, data: bytes) -> None: ...
+
+
 class Transport(Protocol):
     def now(self) -> float:
         """Seconds on a clock that never goes back; one for all processes of a machine."""
@@ -88,3 +98,9 @@
     def save(self, path: str, data: bytes) -> None:
         """Whole or not at all; OSError where it can't be written."""
         ...
+
+    def blocks(self, path: str) -> Blocks: ...
+
+    def append(self, path: str) -> Callable[[bytes], None]:
+        """Adds to a file's end, each call at once and whole, so that a kill loses nothing said before."""
+        ...
--- a/gorsethread/transport/real.py
+++ b/gorsethread/transport/real.py
@@ -1,6 +1,7 @@
 """The real side: Tornado's streams on the loop of asyncio, the machine's monotonic clock."""
 
 import asyncio
+import os
 import random
 import signal
 import socket
@@ -39,8 +40,8 @@
     def write(self, data: bytes) -> None:
         if self._stream.closed():
             return
-        self._flushed = self._stream.write(data)  # type: ignore[assignment]
-        self._flushed.add_done_callback(_seen)  # type: ignore[union-attr]
+        self._flushed = self._stream.write(data)
+        self._flushed.add_done_callback(_seen)
 
     async def drained(self) -> None:
         if self._stream.closed():
@@ -55,6 +56,10 @@
         self._stream.close()
 
 
+def void(_: object) -> None:
+    pass
+
+
 def _seen(future: "asyncio.Future[None]") -> None:
     if not future.cancelled():
         future.exception()  # a write's failure shows at the next read
@@ -77,6 +82,22 @@
         self._server.stop()
 
 
+class FileBlocks:
+    def __init__(self, path: str) -> None:
+        self._file = os.open(path, os.O_RDWR | os.O_CREAT, 0o644)
+
+    def read(self, offset: int, length: int) -> bytes:
+        return os.pread(self._file, length, offset).ljust(length, b"\0")
+
+    def write(self, offset: int, data: bytes) -> None:
+        os.pwrite(self._file, data, offset)
+
+
+class Draws(random.Random):
+    def randrange(self, stop: int) -> int:  # type: ignore[override]
+        return super().randrange(stop)
+
+
 class RealTransport:
     """seed: every stream of chance comes from it and from the stream's own name."""
 
@@ -115,7 +136,7 @@
                           max_buffer_size=4 * READ_SIZE)
         try:
             await asyncio.wait_for(stream.connect((host, port)), within)
-        except (StreamClosedError, asyncio.TimeoutError, OSError) as error:
+        except (StreamClosedError, TimeoutError, OSError) as error:
             stream.close()
             reason = str(getattr(error, "real_error", None) or error) or "no answer in time"
             raise Unreachable(f"{host}:{port}: {reason}") from None
@@ -128,7 +149,7 @@
         return RealListener(server, sockets[0].getsockname()[1])
 
     def chance(self, name: str) -> Chance:
-        return random.Random(f"{self._seed}/{name}")
+        return Draws(f"{self._seed}/{name}")
 
     def load(self, path: str) -> bytes | None:
         try:
@@ -141,6 +162,13 @@
         fresh.write_bytes(data)
         fresh.replace(path)
 
+    def blocks(self, path: str) -> FileBlocks:
+        return FileBlocks(path)
+
+    def append(self, path: str) -> Callable[[bytes], None]:
+        file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
+        return lambda data: void(os.write(file, data))
+
     def on_terminate(self, act: Callable[[], None]) -> None:
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, act)
