--- a/gorsethread/standins/client.py
+++ b/gorsethread/standins/client.py
@@ -22,6 +22,7 @@
 STAMP = struct.Struct("<QQII8s")
 POST_HINTS = 0x10
 OBJECTS_KNOWN = 64  # of the extents a tenant wrote last, which its reads go back to
+HOT_EXTENTS = 3  # of a volume, which take all its small writes, so that they meet
 REPEATS = 0.7  # part of the transactions that a client tries a second time
 LEAVES = 0.01  # part of the reads whose client does not wait for the answer
 
@@ -237,6 +238,7 @@
                 operation, blocks = Opcode.READ, 1 + self.chance.randrange(3)
             elif draw < 0.85:
                 operation, blocks, hints = Opcode.WRITE, 1 + self.chance.randrange(2), POST_HINTS
+                extent = self.chance.randrange(min(extents, HOT_EXTENTS))
             else:
                 operation, blocks = Opcode.READ, 8 + self.chance.randrange(8)
             first = extent * volume.extent_blocks + self.chance.randrange(volume.extent_blocks - blocks)
