--- a/gorsethread/lab/day.py
+++ b/gorsethread/lab/day.py
@@ -75,6 +75,8 @@
                  say: Callable[[str], None]) -> None:
         self.transport, self.plan, self.say_line = transport, plan, say
         self.folder = folder
+        if list(self.folder.glob("*.jsonl")):
+            raise FileExistsError(f"{self.folder} holds the records of another day")
         self.site = resized(site, transport, plan.heads, plan.shelves)
         self.processes = Processes(folder, self.site)
         self.recorder = Recorder(transport, "day", str(self.processes.record("day")))
@@ -223,8 +225,6 @@
     # ---- the day
 
     async def play(self) -> DayResult:
-        if list(self.folder.glob("*.jsonl")):
-            raise FileExistsError(f"{self.folder} holds the records of another day")
         self.zero = self.transport.now() + START_UP
         self._write_script()
         self.say(f"a day of {self.plan.seconds:g} s: {self.plan.heads} heads, {self.plan.shelves} shelves, "
--- /dev/null
+++ b/tests/test_day.py
@@ -0,0 +1,44 @@
+"""Whole days with every process on its own: a good head keeps the rules, a planted break of each is seen."""
+
+import json
+import subprocess
+import sys
+import tempfile
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+
+SITE = Path(__file__).parent.parent / "deploy" / "site.txtpb"
+# Rule: seed and load of a short day on which its planted break has something to break.
+PLANTS = {1: (1, 1.0), 2: (2, 1.0), 3: (3, 1.0), 4: (4, 1.0), 5: (5, 2.0), 6: (6, 1.0), 7: (7, 6.0)}
+
+
+def play(*options: str) -> tuple[int, dict[str, Any]]:
+    with tempfile.TemporaryDirectory(prefix="gorsethread-day-") as folder:
+        out = Path(folder) / "day.json"
+        done = subprocess.run(
+            [sys.executable, "-m", "gorsethread", "day", "--site", str(SITE), "--json", str(out), *options],
+            capture_output=True, text=True, timeout=120, check=False)
+        if not out.exists():
+            raise AssertionError(done.stdout + done.stderr)
+        return done.returncode, {**json.loads(out.read_text()), "shown": done.stdout}
+
+
+class Days(unittest.TestCase):
+    def test_a_bad_day_keeps_every_rule(self) -> None:
+        status, day = play("--seconds", "16", "--seed", "3")
+        self.assertEqual((0, 0, 0, 0, [0] * 7), (status, day["lost"], day["duplicated"], day["wrong_reads"],
+                                                 day["rules"]), day["shown"])
+        self.assertGreater(day["honoured"], 200)
+
+    def test_a_planted_break_of_each_rule_is_caught(self) -> None:
+        def planted(rule: int) -> tuple[int, int, dict[str, Any]]:
+            seed, factor = PLANTS[rule]
+            return rule, *play("--seconds", "12", "--seed", str(seed), "--factor", str(factor), "--plant", str(rule))
+
+        with ThreadPoolExecutor(2) as pool:
+            for rule, status, day in pool.map(planted, PLANTS):
+                with self.subTest(rule=rule):
+                    self.assertEqual(1, status)
+                    self.assertGreater(day["rules"][rule - 1], 0, day["shown"])
--- /dev/null
+++ b/tests/test_same_decisions.py
@@ -0,0 +1,182 @@
+"""One recorded sequence of events: the same decisions through the head's driver and through the bench's link."""
+
+import json
+import random
+import unittest
+from dataclasses import dataclass, field
+from typing import Any
+
+from gorsethread.benchlink.__main__ import EFFECTS, ENDINGS, GROUPS, Link
+from gorsethread.head.driver import Driver
+from gorsethread.head.facts import start_facts
+from gorsethread.head.links import NOTHING, Forward, Told
+from gorsethread.head.placement import SitePlacement
+from gorsethread.logs import log_for, start_logs
+from gorsethread.model import Ending, StartFacts
+from gorsethread.nvme.command import Opcode, io_command
+from gorsethread.sitefile.reading import parse_site
+from tests.rig import SITE
+from tests.virtual import Clockwork
+
+
+@dataclass
+class Link_:
+    """Holds forwards until the script ends them."""
+
+    held: list[Forward] = field(default_factory=list)
+
+    def send(self, f: Forward) -> None:
+        self.held.append(f)
+
+    def call_off(self, f: Forward) -> None:
+        pass
+
+
+class Deaf:
+    profile = 0
+
+    def honoured(self, shard: int, data: bytes) -> None: ...
+    def pushed_back(self, return_after: float) -> None: ...
+    def given_up(self) -> None: ...
+
+
+def _word(table: dict[str, Any], value: Any) -> str:
+    return next(word for word, known in table.items() if known is value)
+
+
+def setup_of(facts: StartFacts) -> dict[str, Any]:
+    """The bench's start-up message for the same facts."""
+    return {
+        "balancers": facts.heads, "membershipMode": "subscribe", "clients": {"marksRetry": facts.repeats_marked},
+        "contract": {"askWithin": facts.ask_within, "fall": facts.cold.span, "cold": facts.cold.warm_after,
+                     "coldFrom": facts.cold.first_part, "orderSettle": facts.key_rest},
+        "permissions": {"maxAttempts": facts.most_forwards, "retryAfter": True,
+                        "maxRetryAfter": facts.longest_return},
+        "specifics": {"coldUnits": facts.cold.units, "mostUnits": facts.largest_units,
+                      "shareWorth": facts.share_worth},
+        "services": [{"aim": p.promised, "effect": _word(EFFECTS, p.effect), "group": _word(GROUPS, p.group),
+                      "window": p.remembered, "keepOrder": p.in_order, "worth": p.value} for p in facts.profiles],
+        "grades": [{"floorRate": p.reserve, "proportion": p.weight, "neverOver": p.limit,
+                    "limitBurst": p.limit_burst, "baseRate": p.usual} for p in facts.plans],
+    }
+
+
+def bench_event(method: str, facts: tuple[Any, ...], page: list[Any]) -> list[dict[str, Any]]:
+    """One of the driver's calls as the bench's wire has it; a list is gathered until it ends."""
+    if method == "transaction_taken":
+        names = ("corr", "tierClass", "contract", "item", "dropDead", "vol", "quotaUnits", "slotNo", "setSize")
+        event = {k: v for k, v in zip(names, facts, strict=False) if v is not None}
+        return [{"verb": "order", **event, "stateBits": 2 if facts[9] else 0}]
+    if method == "forward_ended":
+        names = ("corr", "shot", "how", "shelf", "elapsed", "doneFlag", "delta", "usage")
+        event = dict(zip(names, facts, strict=True))
+        return [{"verb": "done", **event, "how": _word(ENDINGS, event["how"])}]
+    if method == "woken":
+        return [{"verb": "due", "keyBack": facts[0]}]
+    if method == "client_left":
+        return [{"verb": "cancelledByClient", "corr": facts[0]}]
+    if method == "list_refused":
+        return [{"verb": "sync", "form": "refused"}]
+    if method == "list_begins":
+        page[:] = ["remembered" if facts[1] else "all" if facts[0] else "changes"]
+    elif method == "shelf_listed":
+        id, zone, shard, ready, since = facts
+        page.append({"shelf": id, "rackZone": zone, "pod": shard, "since": since,
+                     "condition": "Ready" if ready else "Terminating"})
+    elif method == "list_ended":
+        return [{"verb": "page", "page": 0, "membersList": page[1:]},
+                {"verb": "sync", "form": page[0], "page": 0}]
+    return []
+
+
+def bench_act(act: dict[str, Any]) -> tuple[Any, ...]:
+    verb = act["verb"]
+    if verb == "forward":
+        return "forward", act["corr"], act["shelf"], act["tryFor"]
+    if verb == "deny":
+        return "push_back", act["corr"], act["coolDown"]
+    if verb == "dropRequest":
+        return "give_up", act["corr"]
+    if verb == "arm":
+        return "wake", act["delay"], act["keyBack"]
+    return ("follow_list",)
+
+
+class SameDecisions(unittest.TestCase):
+    def test_through_head_and_bench(self) -> None:
+        for seed in range(5):
+            with self.subTest(seed=seed):
+                told, decided = self.play(seed)
+                self.assertGreater(sum(a[0] == "forward" for a in decided), 100)
+                self.assertEqual({"forward", "push_back", "give_up", "wake", "follow_list"},
+                                 {a[0] for a in decided})
+                self.assertEqual(decided, self.through_bench(told, seed))
+
+    def play(self, seed: int) -> tuple[list[tuple[Any, ...]], list[tuple[Any, ...]]]:
+        """A made-up day through the driver alone: what it told the policy, and what that decided."""
+        start_logs(False, "critical")
+        chance = random.Random(seed)
+        clock = Clockwork()
+        site = parse_site(SITE)
+        told: list[tuple[Any, ...]] = []
+        driver = Driver(clock, start_facts(site), seed, SitePlacement(site), lambda: None, log_for())  # type: ignore[arg-type]
+        driver.recorder = told.append
+        links = {n: Link_() for n in (0, 1)}
+        driver.links.update(links)  # type: ignore[arg-type]
+        driver.shards.update({0: 0, 1: 1})
+        clock.settle()
+        driver.listed([(0, 0, 0, True, 0.0), (1, 0, 1, True, 0.0)], True, True)
+        for step in range(600):
+            clock.move(clock.time + chance.random() * 0.02)
+            draw = chance.random()
+            if draw < 0.5:
+                self.take(driver, chance)
+            elif draw < 0.53 and driver.open:
+                driver.client_left(chance.choice([t for t in driver.open.values()]))
+            elif draw < 0.54:
+                driver.list_refused()
+            if step in (200, 400):
+                driver.listed([(1, 0, 1, step == 400, clock.time - 0.5)], False, False)
+            for link in links.values():
+                while link.held and chance.random() < 0.45:
+                    f = link.held.pop(0)
+                    if not f.over:
+                        f.over = True
+                        how = chance.choice([Ending.HONOURED] * 6 + [Ending.ERROR, Ending.TURNED_AWAY,
+                                                                     Ending.BROKEN, Ending.UNREACHED])
+                        driver._ended(f, how, Told(elsewhere=chance.randrange(3)) if chance.random() < 0.5 else NOTHING)
+        clock.move(clock.time + 3.0)
+        self.assertEqual({}, driver.open, "every transaction has ended")
+        self.assertEqual({}, driver._placing)
+        return told, [t[1:] for t in told if t[0] == "act"]
+
+    def take(self, driver: Driver, chance: random.Random) -> None:
+        write = chance.random() < 0.5
+        volume = chance.choice((1, 2))
+        profile = chance.choice((1, 2)) if write else 0
+        extent = chance.randrange(4)
+        shard = driver.placement.shard_of(volume, extent)
+        if not write and shard < 0:
+            return
+        command = io_command(Opcode.WRITE if write else Opcode.READ, volume, extent * 64,
+                             attempt=int(chance.random() < 0.1))
+        key = f"{volume}/{extent}" if profile == 1 else None
+        driver.take(Deaf(), command, b"", 0, profile=profile, plan=0, key=key,
+                    cut_off=driver.transport.now() + chance.uniform(0.05, 1.0), volume=volume, extent=extent,
+                    units=float(1 + chance.randrange(8)), shard=shard, heads=1)
+
+    def through_bench(self, told: list[tuple[Any, ...]], seed: int) -> list[tuple[Any, ...]]:
+        link = Link()
+        up = {"verb": "up", "salt": seed, "setup": setup_of(start_facts(parse_site(SITE)))}
+        decided: list[tuple[Any, ...]] = []
+        happened: list[dict[str, Any]] = [up]
+        page: list[Any] = []
+        for entry in told:
+            if entry[0] == "event":
+                happened += bench_event(entry[2], entry[3:], page)
+            elif entry[0] == "batch":
+                line = json.dumps({"wall": entry[1], "heads": [{"i": "head/0", "happened": happened}]})
+                for reply in link.batch(line)["heads"]:
+                    decided += [bench_act(act) for act in reply["output"]]
+                happened = []
+        return decided
--- /dev/null
+++ b/tests/test_witness.py
@@ -0,0 +1,109 @@
+"""Each rule broken once in what shelves and clients saw: the witness says which, and is quiet otherwise."""
+
+import unittest
+from typing import Any
+
+from gorsethread.sitefile.reading import parse_site
+from gorsethread.witness.judge import Verdict, Witness
+from tests.rig import SITE
+
+Seen = dict[str, Any]
+
+
+def sent(t: float, label: int, profile: int = 0, key: str = "", units: int = 1, attempt: int = 0) -> Seen:
+    return {"t": t, "who": "client", "e": "sent", "label": label, "attempt": attempt, "head": 0, "volume": 1,
+            "profile": profile, "units": units, "key": key, "by": t + 1, "due": t}
+
+
+def answer(t: float, label: int, how: str = "honoured", attempt: int = 0) -> Seen:
+    return {"t": t, "who": "client", "e": "answer", "label": label, "attempt": attempt, "how": how, "status": 0,
+            "wrong": 0}
+
+
+def arrived(t: float, label: int, shelf: int = 0, units: int = 1, attempt: int = 0) -> Seen:
+    return {"t": t, "who": f"shelf {shelf}", "e": "arrived", "shelf": shelf, "start": 1, "head": 0,
+            "label": label, "attempt": attempt, "volume": 1, "units": units, "op": 1}
+
+
+def ended(t: float, label: int, how: str = "honoured", shelf: int = 0) -> Seen:
+    return {"t": t, "who": f"shelf {shelf}", "e": "ended", "shelf": shelf, "start": 1, "head": 0, "label": label,
+            "attempt": 0, "how": how, "ran": how == "honoured"}
+
+
+def ran(t: float, label: int) -> Seen:
+    return {"t": t, "who": "shelf 0", "e": "ran", "shelf": 0, "label": label, "attempt": 0}
+
+
+def told(t: float, state: str) -> Seen:
+    return {"t": t, "who": "list", "e": "told", "head": 0, "shelf": 0, "state": state, "start": 1}
+
+
+class Judged(unittest.TestCase):
+    def judge(self, *seen: Seen, site: str = SITE) -> Verdict:
+        return Witness(parse_site(site), seen).judge()
+
+    def broken(self, rule: int, *seen: Seen, site: str = SITE) -> None:
+        verdict = self.judge(*seen, site=site)
+        self.assertEqual([rule], sorted({b.rule for b in verdict.breaks}), [str(b) for b in verdict.breaks])
+
+    def kept(self, *seen: Seen, site: str = SITE) -> None:
+        self.assertEqual([], [str(b) for b in self.judge(*seen, site=site).breaks])
+
+    def test_one_answer(self) -> None:
+        self.kept(sent(0, 1), arrived(0.1, 1), ended(0.2, 1), answer(0.3, 1))
+        self.broken(1, sent(0, 1), arrived(0.1, 1))
+        self.broken(1, sent(0, 1), answer(1.0, 1, "unanswered"))
+        self.broken(1, sent(0, 1), answer(0.1, 1), answer(0.2, 1, "pushed back"))
+        self.broken(1, sent(0, 1), answer(0.1, 1, "left"), arrived(1.0, 1))
+        self.broken(1, sent(0, 1), answer(0.1, 1, "unreachable"))
+        killed = {"t": 0.05, "who": "day", "e": "head killed", "head": 0}
+        self.kept(sent(0, 1), killed, answer(0.1, 1, "unreachable"))
+
+    def test_no_effect_twice(self) -> None:
+        whole = sent(0, 1, 1), answer(0.9, 1, "given up")
+        self.broken(2, *whole, arrived(0.1, 1), arrived(0.2, 1, 1))
+        self.kept(*whole, arrived(0.1, 1), ended(0.15, 1, "turned away"), arrived(0.2, 1, 1))
+        self.broken(2, sent(0, 1, 1), arrived(0.1, 1), answer(0.9, 1, "pushed back"))
+        verdict = self.judge(*whole, arrived(0.1, 1), ran(0.2, 1), ran(0.3, 1))
+        self.assertEqual(1, verdict.duplicated)
+
+    def test_labelled_stay_in_group_and_window(self) -> None:
+        site = SITE.replace('name: "write" promised: 0.3 cut_off: 1 effect: REDOABLE',
+                            'name: "write" promised: 0.3 cut_off: 9 effect: LABELLED group: SHARD remembered: 1')
+        whole = sent(0, 1, 2), arrived(0.1, 1), answer(5, 1, "given up")
+        self.kept(*whole, arrived(0.9, 1), site=site)
+        self.broken(2, *whole, arrived(0.9, 1, 1), site=site)
+        self.broken(2, *whole, arrived(2.0, 1), site=site)
+        self.broken(2, *whole[:2], answer(0.5, 1, "pushed back"), site=site)
+
+    def test_drains(self) -> None:
+        whole = sent(0, 1), answer(1.2, 1)
+        self.kept(*whole, told(0.1, "draining"), arrived(0.2, 1))
+        self.broken(3, *whole, told(0.1, "draining"), arrived(0.9, 1))
+        self.kept(*whole, told(0.1, "gone"), told(0.7, "ready"), arrived(0.9, 1))
+
+    def test_cold_shelves(self) -> None:
+        self.broken(4, {"t": 2.0, "who": "shelf 0", "e": "fell", "shelf": 0, "start": 1_000_000})
+
+    def test_order(self) -> None:
+        two = sent(0, 1, 1, "k"), sent(0.1, 2, 1, "k"), answer(0.8, 1, "given up"), answer(0.9, 2)
+        self.kept(*two, arrived(0.2, 1), ended(0.3, 1), arrived(0.4, 2), ended(0.5, 2))
+        self.broken(5, *two, arrived(0.2, 1), arrived(0.25, 2), ended(0.3, 1), ended(0.4, 2))
+        self.broken(5, *two, arrived(0.2, 2), ended(0.3, 2), arrived(0.4, 1), ended(0.5, 1))
+        self.broken(5, *two, arrived(0.2, 1), arrived(0.75, 2), ended(0.8, 2))
+
+    def test_budget(self) -> None:
+        site = SITE.replace("key_rest: 0.3", "key_rest: 0.3 budget { free: 2 part: 0.5 span: 5 }")
+        base = [s for n in range(2) for s in (sent(n / 10, n), answer(0.9, n), arrived(n / 10 + 0.01, n))]
+        further = [arrived(0.3 + n / 100, 1) for n in range(4)]
+        self.kept(*base, *further[:3], site=site)
+        self.broken(6, *base, *further, site=site)
+
+    def test_limits(self) -> None:
+        site = SITE.replace('weight: 1 usual', 'weight: 1 limit: 10 limit_burst: 20 limit_slack: 2 usual')
+
+        def many(number: int) -> list[Seen]:
+            return [s for n in range(number) for s in (sent(0, n, units=5), arrived(0.1, n, units=5), answer(0.2, n))]
+
+        self.kept(*many(4), site=site)
+        self.broken(7, *many(6), site=site)
