--- a/gorsethread/cli/main.py
+++ b/gorsethread/cli/main.py
@@ -18,6 +18,7 @@
 from gorsethread.head.program import Head
 from gorsethread.lab import bench as benches
 from gorsethread.lab.day import TROUBLES, Day, DayPlan, DayResult
+from gorsethread.lab.peers import Load, Relay, Sink
 from gorsethread.lab.planted import plant as plant_break
 from gorsethread.logs import log_for, start_logs
 from gorsethread.sitefile import site_pb2 as pb
@@ -27,6 +28,7 @@
 from gorsethread.standins.record import Recorder, read_script
 from gorsethread.standins.shelf import Shelf
 from gorsethread.transport.real import RealTransport, run
+from gorsethread.transport.sampling import Sampler
 
 RULES = ("one answer", "no effect twice", "drains", "cold shelves", "order", "budget", "limits")
 FELL = 3  # exit status of a shelf that was pushed over
@@ -84,6 +86,8 @@
          seed: Seed = 0, remember: Annotated[str, typer.Option(
              help="File that keeps the last list of shelves across restarts.")] = "",
          log: LogOption = LogForm.console, log_level: str = "info",
+         sample: Annotated[str, typer.Option(
+             help="Sample CPU time by package; written here at the end.")] = "",
          plant: Annotated[int, typer.Option(hidden=True)] = 0) -> None:
     """Runs a head: clients in, decisions, shelves out. SIGTERM ends it in order."""
     start_logs(log is LogForm.json, log_level)
@@ -99,7 +103,12 @@
             plant_break(made, plant)
         return made
 
+    sampler = Sampler()
+    if sample:
+        sampler.start()
     _serve(make, seed, logger, lambda made: made.end())
+    if sample:
+        Path(sample).write_text(json.dumps(sampler.shares()))
 
 
 @app.command()
@@ -256,29 +265,58 @@
             typer.echo(f"--folder: {error}", err=True)
             raise typer.Exit(2) from None
     _show(console, result, known)
-    if json_path:
-        text = json.dumps(result.as_json(), indent=1)
-        if json_path == "-":
-            sys.stdout.write(text + "\n")
-        else:
-            Path(json_path).write_text(text + "\n")
+    _write_json(result.as_json(), json_path)
     raise typer.Exit(0 if result.good else 1)
 
 
 @app.command()
-def bench(site: SitePath = Path("deploy/site.txtpb"), seconds: float = 6.0, rounds: int = 3,
-          json_path: Annotated[str, typer.Option("--json")] = "", seed: Seed = 1) -> None:
+def bench(seconds: Annotated[float, typer.Option(help="Of each measurement.")] = 5.0,
+          rounds: Annotated[int, typer.Option(help="Pairs of relay and head.")] = 3,
+          json_path: Annotated[str, typer.Option("--json", help="Write the result here; - for standard output.")]
+          = "", seed: Seed = 1) -> None:
     """Head against a plain relay of ours, paired in one run: transactions a second, latency, CPU."""
-    known = _site(site)
     console = Console(stderr=json_path == "-")
 
     async def main(transport: RealTransport) -> dict[str, Any]:
-        return await benches.run_bench(transport, known, seconds, rounds,
+        return await benches.run_bench(transport, seconds, rounds,
                                        lambda line: console.print(line, markup=False))
 
     result = _run_async(main, seed)
-    text = json.dumps(result, indent=1)
-    if json_path == "-":
-        sys.stdout.write(text + "\n")
-    elif json_path:
-        Path(json_path).write_text(text + "\n")
+    table = Table("ratio of head to relay, in pairs", "least", "median", "most")
+    for name in ("head_to_relay", "cpu_ratio", "calm_median_ratio", "calm_p99_ratio", "idle_shelves_cpu_ratio"):
+        table.add_row(name, *(f"{result[name][k]:.2f}" for k in ("least", "median", "most")))
+    console.print(table)
+    console.print("the head's CPU by place: " + ", ".join(
+        f"{place} {part:.0%}" for place, part in result["head_cpu_shares"].items()))
+    _write_json(result, json_path)
+
+
+class Peer(str, Enum):
+    sink = "sink"
+    relay = "relay"
+    load = "load"
+
+
+@app.command("bench-peer", hidden=True)
+def bench_peer(kind: Peer, site: SitePath, number: Annotated[int, typer.Option()] = 0, seconds: float = 1.0, rate: float = 0.0,
+               out: str = "") -> None:
+    """One process round the head in a bench."""
+    start_logs(False, "warning")
+    known = _site(site)
+    logger = log_for(peer=kind.value)
+    if kind is Peer.relay:
+        _serve(lambda transport: Relay(transport, known, number, logger), 0, logger)
+    elif kind is Peer.sink:
+        _serve(lambda transport: Sink(transport, known, number, Recorder(transport, "sink", ""), "", [], True,
+                                      logger, transport.finish), 0, logger)
+    else:
+        result = _run_async(lambda transport: Load(transport, known, benches.DEPTH, rate, seconds).run(), number)
+        Path(out).write_text(json.dumps(result))
+
+
+def _write_json(result: dict[str, Any], path: str) -> None:
+    text = json.dumps(result, indent=1) + "\n"
+    if path == "-":
+        sys.stdout.write(text)
+    elif path:
+        Path(path).write_text(text)
--- a/gorsethread/lab/bench.py
+++ b/gorsethread/lab/bench.py
@@ -1,11 +1,167 @@
-"""Placeholder for the bench of a head against a plain relay."""
+"""A head against a plain relay of ours: same codec, transport and processes, in turn, in one run."""
+
+import asyncio
+import json
+import statistics
+import tempfile
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
+import msgspec
+import psutil
+
+from gorsethread.lab.processes import Processes, resized
 from gorsethread.sitefile import site_pb2 as pb
-from gorsethread.transport.base import Transport
+from gorsethread.sitefile.reading import parse_site, split_address
+from gorsethread.standins.nodelist import Register
+from gorsethread.transport.base import Stream, Transport, Unreachable
+
+SINKS = 4  # shelves with a process of their own
+SHELVES = 48  # in the list when idle ones are to be there too
+LOADS = 2  # load processes
+DEPTH = 48  # commands out of each, at saturation
+CALM = 0.5  # of the relay's rate at saturation: where latency is compared
+
+BENCH_SITE = """
+name: "bench" subsystem: "nqn.2026-12.org.gorsethread:bench"
+list { address: "127.0.0.1:1" ask_within: 1 }
+head { number: 0 address: "127.0.0.1:2" }
+shelf { number: 0 address: "127.0.0.1:3" shard: 0 }
+profile { name: "read" promised: 5 cut_off: 20 effect: REDOABLE value: 1 match { operation: READ } }
+profile { name: "write" promised: 5 cut_off: 20 effect: REDOABLE value: 1 match { operation: WRITE } }
+plan { name: "plain" weight: 1 usual: 1000 }
+tenant { name: "t" host: "nqn.2026-12.org.gorsethread:host:t" }
+rules { answer_slack: 0.05 drain_grace: 1 most_forwards: 4 longest_return: 1 share_worth: 1
+        cold { units: 40 span: 1 multiple: 3 warm_after: 2 first_part: 0.2 } }
+links { connect_within: 2 queue_size: 128 unit_bytes: 8192 largest_bytes: 131072 connections: 64 }
+machine { cores: 2 unit_time: 0.0001 queue: 1000 }
+"""
+VOLUMES = 8
+
+
+def bench_site(transport: Transport, shelves: int) -> pb.Site:
+    text = BENCH_SITE + "".join(
+        f'volume {{ number: {n + 1} name: "v{n}" tenant: "t" plan: "plain" blocks: 8192 extent_blocks: 16 '
+        'placement: FIXED shard: 0 head: 0 }\n' for n in range(VOLUMES))
+    site = resized(parse_site(text), transport, 1, shelves)
+    for volume in site.volume:
+        volume.shard[:] = range(SINKS)
+    return site
+
+
+class Stand:
+    """One subject (head or relay) with sinks and list round it, for as many measurements as are wanted."""
 
+    def __init__(self, transport: Transport, folder: Path, subject: str, shelves: int) -> None:
+        self.transport, self.subject = transport, subject
+        folder.mkdir()
+        self.site = bench_site(transport, shelves)
+        self.processes = Processes(folder, self.site)
+        self.path = str(self.processes.site_path)
+        self.idle: list[Stream] = []
+        self.profile = folder / "profile.json"
 
-async def run_bench(transport: Transport, site: pb.Site, seconds: float, rounds: int,
+    async def start(self) -> None:
+        await self.processes.start("list", "list", "--site", self.path)
+        for n in range(SINKS):
+            await self.processes.start(f"shelf {n}", "bench-peer", "sink", "--site", self.path, "--number", str(n))
+        await self._until_reached(split_address(self.site.list.address))
+        for shelf in self.site.shelf[SINKS:]:
+            stream = await self.transport.connect(*split_address(self.site.list.address), 5.0)
+            line = Register(shelf.number, shelf.address, shelf.shard, shelf.zone, 1, 0.0)
+            stream.write(msgspec.json.encode(line) + b"\n")
+            self.idle.append(stream)
+        if self.subject == "head":
+            await self.processes.start("subject", "head", "--site", self.path, "--head", "0", "--log-level",
+                                       "warning", "--sample", str(self.profile))
+        else:
+            await self.processes.start("subject", "bench-peer", "relay", "--site", self.path, "--number", "0")
+        await self._until_reached(split_address(self.site.head[0].address))
+        await self.transport.sleep(1.0)
+
+    async def _until_reached(self, address: tuple[str, int]) -> None:
+        for _ in range(100):
+            try:
+                (await self.transport.connect(*address, 1.0)).close()
+                return
+            except Unreachable:
+                await self.transport.sleep(0.1)
+        raise TimeoutError(f"nothing listens at {address[0]}:{address[1]}")
+
+    async def load(self, seconds: float, rate: float = 0.0) -> dict[str, float]:
+        """Both load processes at once; rates and counts added, latencies of the worse one."""
+        outs = [self.processes.folder / f"load-{n}.json" for n in range(LOADS)]
+        process = psutil.Process(self.processes.pid("subject"))
+        before = sum(process.cpu_times()[:2])
+        for n, out in enumerate(outs):
+            out.unlink(missing_ok=True)
+            await self.processes.start(
+                f"load {n}", "bench-peer", "load", "--site", self.path, "--number", str(n), "--seconds",
+                str(seconds), "--rate", str(rate / LOADS), "--out", str(out))
+        for n in range(LOADS):
+            await asyncio.wait_for(self.processes.running[f"load {n}"].wait(), seconds + 60)
+        cpu = sum(process.cpu_times()[:2]) - before
+        got = [json.loads(out.read_text()) for out in outs]
+        honoured = sum(g["honoured"] for g in got)
+        return {
+            "a_second": sum(g["honoured"] / g["seconds"] for g in got), "honoured": honoured,
+            "failed": sum(g["failed"] for g in got), "cpu_us": 1e6 * cpu / max(1, honoured),
+            "median_us": max(g["median_us"] for g in got), "p99_us": max(g["p99_us"] for g in got),
+        }
+
+    async def end(self) -> None:
+        for stream in self.idle:
+            stream.close()
+        await self.processes.end_all()
+
+
+async def run_bench(transport: Transport, seconds: float, rounds: int,
                     say: Callable[[str], None]) -> dict[str, Any]:
-    raise NotImplementedError
+    """Pairs of a relay and a head, the order turned each round; ratios are of one run's pairs."""
+    pairs: list[dict[str, dict[str, float]]] = []
+    idle: list[float] = []
+    shares: dict[str, float] = {}
+    with tempfile.TemporaryDirectory(prefix="gorsethread-bench-") as scratch:
+        for number in range(rounds):
+            pair: dict[str, dict[str, float]] = {}
+            order = ("relay", "head") if number % 2 == 0 else ("head", "relay")
+            for subject in order:
+                stand = Stand(transport, Path(scratch) / f"{number}-{subject}", subject, SINKS)
+                try:
+                    await stand.start()
+                    await stand.load(1.0)  # warm-up
+                    pair[subject] = await stand.load(seconds)
+                    calm = await stand.load(seconds, CALM * pairs[0]["relay"]["a_second"] if pairs else 1000.0)
+                    pair[subject] |= {"calm_median_us": calm["median_us"], "calm_p99_us": calm["p99_us"]}
+                finally:
+                    await stand.end()
+                if stand.profile.exists():
+                    shares = json.loads(stand.profile.read_text())
+            pairs.append(pair)
+            relay, head = pair["relay"], pair["head"]
+            say(f"pair {number + 1}: head at {head['a_second'] / relay['a_second']:.2f} of the relay's "
+                f"transactions a second, CPU a transaction {head['cpu_us'] / relay['cpu_us']:.2f} times")
+            stand = Stand(transport, Path(scratch) / f"{number}-idle", "head", SHELVES)
+            try:
+                await stand.start()
+                await stand.load(1.0)
+                many = await stand.load(seconds)
+            finally:
+                await stand.end()
+            idle.append(many["cpu_us"] / head["cpu_us"])
+            say(f"pair {number + 1}: with {SHELVES - SINKS} idle shelves in the list CPU a transaction is "
+                f"{idle[-1]:.2f} times that without")
+    return {
+        "head_to_relay": _spread([p["head"]["a_second"] / p["relay"]["a_second"] for p in pairs]),
+        "cpu_ratio": _spread([p["head"]["cpu_us"] / p["relay"]["cpu_us"] for p in pairs]),
+        "calm_median_ratio": _spread([p["head"]["calm_median_us"] / p["relay"]["calm_median_us"] for p in pairs]),
+        "calm_p99_ratio": _spread([p["head"]["calm_p99_us"] / p["relay"]["calm_p99_us"] for p in pairs]),
+        "idle_shelves_cpu_ratio": _spread(idle), "head_cpu_shares": shares, "pairs": pairs,
+        "failed": sum(p[s]["failed"] for p in pairs for s in p),
+    }
+
+
+def _spread(values: list[float]) -> dict[str, float]:
+    return {"least": round(min(values), 3), "median": round(statistics.median(values), 3),
+            "most": round(max(values), 3)}
