--- a/gorsethread/cli/main.py
+++ b/gorsethread/cli/main.py
@@ -235,7 +235,8 @@
             help="Times the plans' usual traffic.")] = 1.0,
         troubles: Annotated[str, typer.Option(help="Which, by commas; 'none' for a quiet day.")]
         = ",".join(TROUBLES),
-        json_path: Annotated[str, typer.Option("--json", help="Write the result here; - for standard output.")]
+        json_path: Annotated[str,
+                             typer.Option("--json", help="Write the result here; - for standard output.")]
         = "",
         folder: Annotated[str, typer.Option(help="Keep logs and records here.")] = "",
         plant: Annotated[int, typer.Option(
@@ -272,7 +273,8 @@
 @app.command()
 def bench(seconds: Annotated[float, typer.Option(help="Of each measurement.")] = 5.0,
           rounds: Annotated[int, typer.Option(help="Pairs of relay and head.")] = 3,
-          json_path: Annotated[str, typer.Option("--json", help="Write the result here; - for standard output.")]
+          json_path: Annotated[str,
+                               typer.Option("--json", help="Write the result here; - for standard output.")]
           = "", seed: Seed = 1) -> None:
     """Head against a plain relay of ours, paired in one run: transactions a second, latency, CPU."""
     console = Console(stderr=json_path == "-")
@@ -283,7 +285,8 @@
 
     result = _run_async(main, seed)
     table = Table("ratio of head to relay, in pairs", "least", "median", "most")
-    for name in ("head_to_relay", "cpu_ratio", "calm_median_ratio", "calm_p99_ratio", "idle_shelves_cpu_ratio"):
+    for name in ("head_to_relay", "cpu_ratio", "calm_median_ratio", "calm_p99_ratio",
+                 "idle_shelves_cpu_ratio"):
         table.add_row(name, *(f"{result[name][k]:.2f}" for k in ("least", "median", "most")))
     console.print(table)
     console.print("the head's CPU by place: " + ", ".join(
@@ -298,7 +301,8 @@
 
 
 @app.command("bench-peer", hidden=True)
-def bench_peer(kind: Peer, site: SitePath, number: Annotated[int, typer.Option()] = 0, seconds: float = 1.0, rate: float = 0.0,
+def bench_peer(kind: Peer, site: SitePath, number: Annotated[int, typer.Option()] = 0, seconds: float = 1.0,
+               rate: float = 0.0,
                out: str = "") -> None:
     """One process round the head in a bench."""
     start_logs(False, "warning")
@@ -310,7 +314,8 @@
         _serve(lambda transport: Sink(transport, known, number, Recorder(transport, "sink", ""), "", [], True,
                                       logger, transport.finish), 0, logger)
     else:
-        result = _run_async(lambda transport: Load(transport, known, benches.DEPTH, rate, seconds).run(), number)
+        result = _run_async(lambda transport: Load(transport, known, benches.DEPTH, rate, seconds).run(),
+                            number)
         Path(out).write_text(json.dumps(result))
 
 
--- a/gorsethread/head/clients.py
+++ b/gorsethread/head/clients.py
@@ -80,7 +80,8 @@
         self._in_order = [p.in_order for p in site.profile]
         plans = {p.name: n for n, p in enumerate(site.plan)}
         self._volumes = {
-            v.number: Known(v.number, v.plan, plans[v.plan], v.extent_blocks, len(v.head)) for v in site.volume
+            v.number: Known(v.number, v.plan, plans[v.plan], v.extent_blocks,
+                            len(v.head)) for v in site.volume
         }
         self._shards = {s.shard for s in site.shelf}
         self.draining = False
--- a/gorsethread/head/driver.py
+++ b/gorsethread/head/driver.py
@@ -59,7 +59,9 @@
         self.open: dict[int, Open] = {}  # emptied as transactions end
         self.links: dict[int, ShelfLink] = {}  # emptied as shelves leave the list and their forwards are in
         self.shards: dict[int, int] = {}  # of every shelf in links
-        # First writes out of extents being placed: how many, and whether one may have run; emptied as they end.
+        # First writes out of extents being placed: how many, and if one may have run; emptied as they end.
+
+
         self._placing: dict[tuple[int, int], tuple[int, bool]] = {}
         self.counts: Counter[str] = Counter()
         self._last_id = 0
@@ -88,7 +90,8 @@
         self.open[t.id] = t
         t.timer = self.transport.at(cut_off, lambda: self._cut_off(t))
         self.counts["taken"] += 1
-        self.happened("transaction_taken", t.id, profile, plan, key, cut_off, str(volume), units, shard, heads,
+        self.happened("transaction_taken", t.id, profile, plan, key, cut_off, str(volume), units, shard,
+                      heads,
                    command.repeat)
         return t
 
@@ -148,7 +151,8 @@
             self.counts["honoured"] += 1
             t.client.honoured(self.shards.get(f.shelf, UNPLACED), told.data)
         elapsed = self.transport.now() - f.sent_at
-        self.happened("forward_ended", t.id, f.number, how, f.shelf, elapsed, t.answered, told.elsewhere, told.usage)
+        self.happened("forward_ended", t.id, f.number, how, f.shelf, elapsed, t.answered, told.elsewhere,
+                      told.usage)
         self._close(t)
 
     def _close(self, t: Open) -> None:
@@ -182,7 +186,7 @@
         link.send(f)
 
     def _holds(self, t: Open, f: Forward) -> bool:
-        """Two first writes of one extent must not part it: the second goes where the first went, or nowhere."""
+        """Two first writes of one extent must not part it: the second goes where the first went."""
         shard = self.shards[f.shelf]
         if t.shard != UNPLACED:
             return t.shard == shard
--- a/gorsethread/nvme/command.py
+++ b/gorsethread/nvme/command.py
@@ -187,9 +187,9 @@
     return Completion(cid, status, bool(field & 0x8000), field >> 12 & 3, dw0, dw1, sq_head, queue)
 
 
-# What a shelf tells in the completion of a Read or Write: dw0 holds units served elsewhere (low half) and usage
-# (high half: 0 or 1 + percent), dw1 its own service time in microseconds. A head tells its clients 1 + the shard
-# that holds the extent in dw0, and the return time of a push-back in milliseconds in dw1.
+# What a shelf tells in the completion of a Read or Write: dw0 holds units served elsewhere (low half) and
+# usage (high half: 0 or 1 + percent), dw1 its own service time in microseconds. A head tells its clients
+# 1 + the shard that holds the extent in dw0, and the return time of a push-back in milliseconds in dw1.
 def tell_service(elsewhere: int, usage: int, seconds: float) -> tuple[int, int]:
     return min(elsewhere, 0xFFFF) | min(usage, 0xFFFF) << 16, min(round(seconds * 1e6), 0xFFFFFFFF)
 
--- a/gorsethread/sitefile/reading.py
+++ b/gorsethread/sitefile/reading.py
@@ -132,9 +132,10 @@
         c.number(p, path, "promised", 0, 3600, "seconds", open_below=True)
         c.number(p, path, "cut_off", 0, 3600, "seconds", open_below=True)
         c.need(p.cut_off >= p.promised, f"{path}.cut_off", "is shorter than the promised time")
-        c.need(p.cut_off > site.rules.answer_slack, f"{path}.cut_off", "is not over rules.answer_slack")
+        c.need(p.cut_off > site.rules.answer_slack, f"{path}.cut_off", "is within rules.answer_slack")
         c.number(p, path, "value", 0, 1e6, "value", open_below=True)
-        c.need(p.effect != pb.EFFECT_UNSET, f"{path}.effect", "is missing (REDOABLE, LABELLED or IRREVERSIBLE)")
+        c.need(p.effect != pb.EFFECT_UNSET, f"{path}.effect",
+               "is missing (REDOABLE, LABELLED or IRREVERSIBLE)")
         if p.effect == pb.LABELLED:
             c.need(p.group != pb.GROUP_UNSET, f"{path}.group", "is missing: which shelves drop repeats")
             c.number(p, path, "remembered", 0, 86400, "seconds", open_below=True)
--- a/gorsethread/standins/shelf.py
+++ b/gorsethread/standins/shelf.py
@@ -51,7 +51,8 @@
         self.server = QueueServer(transport, self.subsystem, self, 4096, log)
         self.files: dict[int, Blocks] = {}  # one a volume
         self.silent: list[IoCommand] = []  # came while it stood still; emptied as it moves again
-        self.labels: dict[int, float] = {}  # labelled writes done, emptied as their time to be remembered passes
+        # labelled writes done, emptied as their time to be remembered passes
+        self.labels: dict[int, float] = {}
         self.doing: dict[int, list[IoCommand]] = {}  # repeats of labelled writes that wait for the first
         self.served: dict[int, dict[int, int]] = {}  # units by volume and head
         self.told: dict[tuple[int, int], int] = {}  # of others' units, by volume and head
@@ -68,7 +69,8 @@
             self.transport.at(fault.at, lambda fault=fault: self._fault(fault))  # type: ignore[misc]
         if self.site.machine.put_off:
             self._pay()
-        self.recorder.saw("up", shelf=self.number, shard=self.me.shard, zone=self.me.zone, start=self.start_id,
+        self.recorder.saw("up", shelf=self.number, shard=self.me.shard, zone=self.me.zone,
+                          start=self.start_id,
                           warm=self.warm)
         self.log.info("shelf serves", address=f"{host}:{self.port}", shard=self.me.shard)
 
