The search of the module leaves nothing for the collector

Each search left some forty objects that held each other: the recursive function refers to itself. It is dropped at the end of the search; no decision changes.

--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -257,6 +257,8 @@
             for t in chosen:
                 t.chosen = False
                 self._send(t, self.shelves[id])
+        # It holds itself; each search would wait for the collector, which then stops a head noticeably.
+        del path
 
     def _send(self, t: Transaction, s: Shelf) -> None:
         v = t.volume
