--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -237,7 +237,7 @@
                     return True
                 for i, other in enumerate(given[id]):
                     mark(other, -1)
-                    if other.volume is not v and path(other.volume, seen):
+                    if other.volume is not v and path(other.volume, seen):  # noqa: F821
                         given[id][i] = t
                         return True
                     mark(other, 1)
