--- /dev/null
+++ b/tests/test_idle_shelves.py
@@ -0,0 +1,54 @@
+"""Shelves that stand in the list and get nothing cost nothing an event: counted, not timed."""
+
+import sys
+import unittest
+from typing import Any
+
+from gorsethread.head.driver import Driver
+from gorsethread.head.facts import start_facts
+from gorsethread.head.links import NOTHING
+from gorsethread.head.placement import SitePlacement
+from gorsethread.logs import log_for, start_logs
+from gorsethread.model import Ending
+from gorsethread.nvme.command import Opcode, io_command
+from gorsethread.sitefile.reading import parse_site
+from tests.rig import SITE
+from tests.test_same_decisions import Deaf, Link_
+from tests.virtual import Clockwork
+
+
+class IdleShelves(unittest.TestCase):
+    def test_48_shelves_make_no_more_calls_an_event_than_2(self) -> None:
+        few, many = self.calls(2), self.calls(48)
+        self.assertGreater(few, 2000)
+        self.assertEqual(few, many)
+
+    def calls(self, shelves: int) -> int:
+        """Function calls, of Python and C, over 100 transactions of two shelves."""
+        start_logs(False, "critical")
+        clock, site = Clockwork(), parse_site(SITE)
+        driver = Driver(clock, start_facts(site), 1, SitePlacement(site), lambda: None, log_for())  # type: ignore[arg-type]
+        links = {n: Link_() for n in range(shelves)}
+        driver.links.update(links)  # type: ignore[arg-type]
+        driver.shards.update({n: n for n in range(shelves)})
+        driver.listed([(n, 0, n, True, 0.0) for n in range(shelves)], True, True)
+        clock.move(clock.time + 0.1)
+        count = 0
+
+        def seen(_: Any, event: str, __: Any) -> None:
+            nonlocal count
+            count += event in ("call", "c_call")
+
+        sys.setprofile(seen)
+        try:
+            for n in range(100):
+                driver.take(Deaf(), io_command(Opcode.READ, 1), b"", 0, profile=0, plan=0, key=None,
+                            cut_off=clock.time + 1.0, volume=1, extent=n % 2, units=1.0, shard=n % 2, heads=1)
+                clock.move(clock.time + 0.001)
+                f = links[n % 2].held.pop()
+                f.over = True
+                driver._ended(f, Ending.HONOURED, NOTHING)
+                clock.move(clock.time + 0.001)
+        finally:
+            sys.setprofile(None)
+        return count
