A link goes once its shelf has left the list and its last forward is in

A shelf that left the list while a forward was out kept its link for as long as the head lived. Links outside the list are dropped at the next news of it; a test provokes it.

--- a/gorsethread/head/listing.py
+++ b/gorsethread/head/listing.py
@@ -166,8 +166,8 @@
     def _pass_on(self, entries: list[tuple[Listed, float]], whole: bool, remembered: bool) -> None:
         for s, _ in entries:
             self.links.listed(s.number, s.shard, split_address(s.address), s.state)
-        if whole:
-            self.links.only({s.number for s, _ in entries})
+        # Also links that had forwards out when their shelf left the list go, once these are in.
+        self.links.only(set(self.shelves))
         told = [(s.number, s.zone, s.shard, s.state == "ready", since) for s, since in entries]
         self.driver.listed(told, whole, remembered)
 
--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -303,6 +303,23 @@
         self.assertEqual(1, len(self.arrivals()))
         self.judged()
 
+    async def test_a_link_goes_after_its_shelf_and_its_last_forward(self) -> None:
+        """A shelf that left with a forward out once kept its link for ever."""
+        await self.start_all()
+        client = await self.client()
+        held: list[IoCommand] = []
+        self.shelves[0].takes = lambda io: not held.append(io)
+        sent = self.send(client, Opcode.READ)
+        await self.until(lambda: held)
+        driver, follower = self.heads[0].driver, self.heads[0].follower
+        follower._take(b'{"kind":"changes","version":90,"shelves":[%s]}' % _gone(self.site.shelf[0].address))
+        self.assertIn(0, driver.links)
+        self.shelves[0]._saw_end(held[0], "honoured", False)
+        held[0].answer(Completion(0), bytes(4096))
+        self.assertEqual("honoured", (await sent)[0])
+        follower._take(b'{"kind":"changes","version":91,"shelves":[]}')
+        self.assertEqual([1], list(driver.links))
+
     async def test_r2t_data_comes_a_byte_at_a_time(self) -> None:
         await self.start_all()
         whole = await self.client()
@@ -329,6 +346,11 @@
         self.assertEqual(("honoured", payload), (how, got))
 
 
+def _gone(address: str) -> bytes:
+    return (b'{"number":0,"address":"%s","shard":0,"zone":0,"state":"gone","start":1,"age":0}'
+            % address.encode())
+
+
 class _Deaf:
     def write(self, data: bytes) -> None:
         pass
