Checks that could not fail now can; a list of endings stands once

On reading the change again: one assertion compared a text with itself, one counted any object, one wait was for luck and one condition always true. The driver takes the endings that never ran from the module.

--- a/gorsethread/head/driver.py
+++ b/gorsethread/head/driver.py
@@ -13,11 +13,9 @@
 from gorsethread.head.placement import UNPLACED, Placement
 from gorsethread.model import Ending, StartFacts
 from gorsethread.nvme.command import Command
-from gorsethread.policy import Policy
+from gorsethread.policy import NEVER_RAN, Policy
 from gorsethread.transport.base import Timer, Transport
 
-NEVER_RAN = (Ending.TURNED_AWAY, Ending.UNREACHED, Ending.NOT_SENT)
-
 
 class Client(Protocol):
     """Whoever is owed the answer; each transaction sees exactly one of these calls, or none once it left."""
--- a/gorsethread/transport/real.py
+++ b/gorsethread/transport/real.py
@@ -72,10 +72,6 @@
         self._stream.close()
 
 
-def void(_: object) -> None:
-    pass
-
-
 def _seen(future: "asyncio.Future[None]") -> None:
     if not future.cancelled():
         future.exception()  # a write's failure shows at the next read
@@ -204,7 +200,12 @@
 
     def append(self, path: str) -> Callable[[bytes], None]:
         file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
-        return lambda data: void(os.write(file, data))
+
+
+        def add(data: bytes) -> None:
+            os.write(file, data)
+
+        return add
 
     def on_terminate(self, act: Callable[[], None]) -> None:
         for number in (signal.SIGTERM, signal.SIGINT):
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -69,14 +69,11 @@
 
     def die(self) -> None:
         """As a killed process: its connections end, nothing more comes of what it held."""
-        self._recorder_of_end()
+        self.recorder.saw("shelf killed", shelf=self.number)
         self._listener.close()
         for connection in list(self.server.connections):
             connection.stream.close()
 
-    def _recorder_of_end(self) -> None:
-        self.recorder.saw("shelf killed", shelf=self.number)
-
 
 class Rig(unittest.IsolatedAsyncioTestCase):
     """Each test says what was seen on the wire; the witness then judges all of it."""
--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -122,10 +122,14 @@
         self.shelves[0].die()
         how, done, _ = await sent
         self.assertEqual(("given up", True), (how, done.final))
-        again = self.start_shelf(0)
-        await self.until(lambda: again.server.connections or True)
-        await asyncio.sleep(0.3)
-        self.assertEqual([0], self.arrivals(self.label))
+        self.start_shelf(0)
+        # Another transaction of that shelf gets through again; the write must not have come with it.
+        write = self.label
+        for _ in range(50):
+            if (await self.send(client, Opcode.READ))[0] == "honoured":
+                break
+        self.assertIn(self.label, [r["label"] for r in self.seen if r["e"] == "ended"])
+        self.assertEqual([0], self.arrivals(write))
         self.judged()
 
     async def test_a_shelf_dies_with_a_read_out(self) -> None:
--- a/tests/test_nvme.py
+++ b/tests/test_nvme.py
@@ -218,7 +218,7 @@
             pair.submit(Command(1), b"w" * (1 << 20))
         pair.controller.feed(bytes(pair.to_controller))
         self.assertEqual(4,
-                         sum(isinstance(p, object) for p in Decoder(TO_HOST, MOST).feed(bytes(pair.to_host))))
+                         len(Decoder(TO_HOST, MOST).feed(bytes(pair.to_host))))
         pair.to_controller.clear()
         pair.carry()
         self.assertEqual(20, len(pair.taken), "and all of it comes in the end")
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -56,7 +56,7 @@
 
     def test_what_does_not_parse(self) -> None:
         self.assertIn("s:2: ", self.faults(('name: "test"', "nome: 1"))[0])
-        self.assertIn("promised", self.faults(("promised: 0.3", 'promised: "soon"'))[0] + "promised")
+        self.assertRegex(self.faults(("promised: 0.3", 'promised: "soon"'))[0], "^s:7: .*soon")
 
     @given(st.text(max_size=80))
     def test_no_text_raises_anything_else(self, text: str) -> None:
