--- a/tests/rig.py
+++ b/tests/rig.py
@@ -138,6 +138,12 @@
         self.start_head()
         await self.until(lambda: len(self.heads[0].driver.policy.held_by) == len(self.site.shelf))
 
+    def hold(self, shelf: int) -> list[IoCommand]:
+        """From now on the shelf takes commands and answers none; they gather in the list."""
+        held: list[IoCommand] = []
+        self.shelves[shelf].takes = lambda io: not held.append(io)
+        return held
+
     async def until(self, holds: Callable[[], Any], within: float = 5.0) -> None:
         """Waits for something to be seen; fails where it is not."""
         by = self.transport.now() + within
--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -96,8 +96,7 @@
     async def test_sigterm_answers_what_is_open_and_takes_nothing_new(self) -> None:
         await self.start_all()
         client = await self.client()
-        held: list[IoCommand] = []
-        self.shelves[0].takes = lambda io: not held.append(io)
+        held = self.hold(0)
         first = self.send(client, Opcode.READ)
         await self.until(lambda: held)
         ending = asyncio.get_running_loop().create_task(self.heads[0].end())
@@ -115,8 +114,7 @@
     async def test_a_shelf_dies_after_it_took_an_irreversible_write(self) -> None:
         await self.start_all()
         client = await self.client()
-        took: list[IoCommand] = []
-        self.shelves[0].takes = lambda io: not took.append(io)
+        took = self.hold(0)
         sent = self.send(client, Opcode.WRITE, hints=POST)
         await self.until(lambda: took)
         self.shelves[0].die()
@@ -136,8 +134,7 @@
         """A redoable transaction is tried again when the shelf is back, or answered in time."""
         await self.start_all()
         client = await self.client()
-        took: list[IoCommand] = []
-        self.shelves[0].takes = lambda io: not took.append(io)
+        took = self.hold(0)
         sent = self.send(client, Opcode.READ)
         await self.until(lambda: took)
         self.shelves[0].die()
@@ -148,8 +145,7 @@
     async def test_a_client_closes_with_a_read_out(self) -> None:
         await self.start_all()
         client, other = await self.client(), await self.client()
-        held: list[IoCommand] = []
-        self.shelves[0].takes = lambda io: not held.append(io)
+        held = self.hold(0)
         sent = self.send(client, Opcode.READ)
         await self.until(lambda: held)
         client.close()
@@ -164,8 +160,7 @@
     async def test_an_abort_reaches_the_shelf_and_is_answered(self) -> None:
         await self.start_all()
         client = await self.client()
-        held: list[IoCommand] = []
-        self.shelves[0].takes = lambda io: not held.append(io)
+        held = self.hold(0)
         sent = self.send(client, Opcode.READ)
         await self.until(lambda: held)
         client.abort(1)
@@ -292,8 +287,7 @@
         """What is on its way ends in order; later ones for that shard are not sent there."""
         await self.start_all()
         client = await self.client()
-        held: list[IoCommand] = []
-        self.shelves[0].takes = lambda io: not held.append(io)
+        held = self.hold(0)
         sent = self.send(client, Opcode.WRITE, blocks=32)
         await self.until(lambda: self.heads[0].driver.open)
         self.list._order(Order(0, "draining"), _Deaf())
@@ -311,8 +305,7 @@
         """A shelf that left with a forward out once kept its link for ever."""
         await self.start_all()
         client = await self.client()
-        held: list[IoCommand] = []
-        self.shelves[0].takes = lambda io: not held.append(io)
+        held = self.hold(0)
         sent = self.send(client, Opcode.READ)
         await self.until(lambda: held)
         driver, follower = self.heads[0].driver, self.heads[0].follower
