The policy says why it holds a transaction

Need: latency accounts must name the cause of each wait at the head, and only the module knows it. Change: why_held(id), a query that reads the state of the last search; Held in model.py.

--- a/gorsethread/model.py
+++ b/gorsethread/model.py
@@ -32,6 +32,22 @@
     NOT_SENT = "not sent"
 
 
+class Held(Enum):
+    """What kept a transaction back at the head in the last search."""
+
+    NOT = "not held"
+    SLOTS = "slots taken"
+    RATE = "rate of the shelf"
+    LIMIT = "limit"
+    COLD = "cold ramp"
+    KEY_TURN = "turn of its key"
+    REST = "rest after a miss"
+    SILENT = "shelf is silent"
+    NO_SHELF = "no shelf known"
+    BUDGET = "budget of forwards"
+    UNKNOWN = "unknown"
+
+
 @dataclass(frozen=True, slots=True, eq=False)
 class Profile:
     promised: float
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -13,7 +13,7 @@
 from hashlib import blake2b
 
 from gorsethread.host import Host
-from gorsethread.model import Effect, Ending, Group, Shelf, StartFacts, Transaction, Volume
+from gorsethread.model import Effect, Ending, Group, Held, Shelf, StartFacts, Transaction, Volume
 
 FIRST_BOUND = 4.0  # the design's start and ceiling
 HIGHEST_BOUND = 32.0
@@ -527,6 +527,37 @@
         elif not line[0].waiting and not line[0].out and not line[0].over:
             self._hold(line[0])
 
+    # ---- asked by the accounts
+
+    def why_held(self, id: int) -> tuple[Held, int]:
+        """What kept a transaction back in the last search, and the shelf it is meant for (-1: none). Asking
+        changes no decision."""
+        t = self.transactions.get(id)
+        if t is None or t.over or t.out:
+            return Held.NOT, -1
+        s = next(iter(t.volume.ranking), None) if t.shard == NEW else self.held_by.get(t.shard)
+        at = s.id if s else -1
+        if not t.waiting:
+            first = t.key is not None and self.lines[t.key][0] is t
+            return (Held.REST if first else Held.KEY_TURN), at
+        return (self._held_at(t, s) if s else Held.NO_SHELF), at
+
+    def _held_at(self, t: Transaction, s: Shelf) -> Held:
+        v, oldest = t.volume, next(iter(s.out.values()), self.now)
+        if v.plan.limit and not t.forwards and v.limit_store < t.units:
+            return Held.LIMIT
+        if self.now < s.rest_until:
+            return Held.REST
+        if self.now < s.first_send or self._cold_left(s) < max(1.0, t.units):
+            return Held.COLD
+        if s.out and (s.misses or self.now - oldest > self.quickest):
+            return Held.SILENT
+        if len(s.out) >= max(1, int(s.bound)):
+            return Held.SLOTS
+        if t.forwards:
+            return Held.UNKNOWN if self._within_budget() else Held.BUDGET
+        return Held.RATE if s.rate < FREE_RATE else Held.UNKNOWN
+
     # ---- small helpers
 
     def _note(self, at: float, item: "Transaction | str") -> None:
