--- a/gorsethread/cli/main.py
+++ b/gorsethread/cli/main.py
@@ -15,6 +15,8 @@
 from rich.console import Console
 from rich.table import Table
 
+from gorsethread.cli import accounts, lab
+from gorsethread.cli.options import SitePath, site_at
 from gorsethread.head.program import Head
 from gorsethread.lab import bench as benches
 from gorsethread.lab.day import TROUBLES, Day, DayPlan, DayResult
@@ -22,7 +24,6 @@
 from gorsethread.lab.planted import plant as plant_break
 from gorsethread.logs import log_for, start_logs
 from gorsethread.sitefile import site_pb2 as pb
-from gorsethread.sitefile.reading import BadSite, read_site
 from gorsethread.standins.client import LoadClient, Surge
 from gorsethread.standins.nodelist import NodeList
 from gorsethread.standins.record import Recorder, read_script
@@ -40,27 +41,21 @@
 )
 
 
+app.add_typer(accounts.app)
+app.add_typer(lab.app)
+
+
 class LogForm(str, Enum):
     console = "console"
     json = "json"
 
 
-SitePath = Annotated[Path, typer.Option("--site", help="The site file (protobuf text format).")]
 Seed = Annotated[int, typer.Option(help="All chance in this process comes from it.")]
 LogOption = Annotated[LogForm, typer.Option("--log", help="Form of the log on standard error.")]
 RecordPath = Annotated[str, typer.Option("--record", help="Keep what was seen on the sockets here.")]
 ScriptPath = Annotated[str, typer.Option("--script", help="Faults to play, as JSON.")]
 
 
-def _site(path: Path) -> pb.Site:
-    try:
-        return read_site(path)
-    except BadSite as bad:
-        for fault in bad.faults:
-            typer.echo(fault, err=True)
-        raise typer.Exit(2) from None
-
-
 def _serve(make: Callable[[RealTransport], Any], seed: int, log: Any, end: Any = None) -> None:
     """Runs something with start() until SIGTERM or SIGINT."""
 
@@ -85,20 +80,27 @@
 def head(site: SitePath, head: Annotated[int, typer.Option(help="Its number in the site file.")],
          seed: Seed = 0, remember: Annotated[str, typer.Option(
              help="File that keeps the last list of shelves across restarts.")] = "",
+         accounts: Annotated[str, typer.Option(
+             help="Folder for a snapshot of its latency accounts each window; none: no accounts.")] = "",
+         window: Annotated[float, typer.Option(help="Seconds of a window of the accounts.")] = 10.0,
          log: LogOption = LogForm.console, log_level: str = "info",
          sample: Annotated[str, typer.Option(
              help="Sample CPU time by package; written here at the end.")] = "",
          plant: Annotated[int, typer.Option(hidden=True)] = 0) -> None:
     """Runs a head: clients in, decisions, shelves out. SIGTERM ends it in order."""
     start_logs(log is LogForm.json, log_level)
-    known = _site(site)
+    known = site_at(site)
     if head not in {h.number for h in known.head}:
         typer.echo(f"{site}: head: there is no head {head}", err=True)
         raise typer.Exit(2)
+    if window < 0.1 or accounts and not Path(accounts).is_dir():
+        typer.echo("--window is 0.1 or more" if window < 0.1 else f"--accounts: {accounts} is no folder",
+                   err=True)
+        raise typer.Exit(2)
     logger = log_for(head=head)
 
     def make(transport: RealTransport) -> Head:
-        made = Head(transport, known, head, seed, remember, logger)
+        made = Head(transport, known, head, seed, remember, logger, accounts=accounts, window=window)
         if plant:
             plant_break(made, plant)
         return made
@@ -118,7 +120,7 @@
           record: RecordPath = "", script: ScriptPath = "", log: LogOption = LogForm.console) -> None:
     """Runs a stand-in shelf. Exit status 3: it was pushed over while cold."""
     start_logs(log is LogForm.json)
-    known = _site(site)
+    known = site_at(site)
     if shelf not in {s.number for s in known.shelf}:
         typer.echo(f"{site}: shelf: there is no shelf {shelf}", err=True)
         raise typer.Exit(2)
@@ -141,7 +143,7 @@
               log: LogOption = LogForm.console) -> None:
     """Runs the stand-in node list."""
     start_logs(log is LogForm.json)
-    known = _site(site)
+    known = site_at(site)
     logger = log_for(list=known.name)
 
     def make(transport: RealTransport) -> NodeList:
@@ -160,7 +162,7 @@
            record: RecordPath = "", log: LogOption = LogForm.console) -> None:
     """Plays one tenant's applications, open-loop, for a bounded time."""
     start_logs(log is LogForm.json)
-    known = _site(site)
+    known = site_at(site)
     if tenant not in {t.name for t in known.tenant}:
         typer.echo(f"{site}: tenant: there is no tenant {tenant!r}", err=True)
         raise typer.Exit(2)
@@ -187,7 +189,7 @@
 @app.command("check-site")
 def check_site(site: Annotated[Path, typer.Argument(help="The site file.")]) -> None:
     """Reads a site file and says what is wrong with it, line by line, or what it holds."""
-    s = _site(site)
+    s = site_at(site)
     typer.echo(f"{site}: good: {len(s.head)} heads, {len(s.shelf)} shelves, {len(s.profile)} profiles, "
                f"{len(s.plan)} plans, {len(s.tenant)} tenants, {len(s.volume)} volumes")
 
@@ -240,18 +242,21 @@
         = "",
         folder: Annotated[str, typer.Option(help="Keep logs and records here.")] = "",
         plant: Annotated[int, typer.Option(
-            help="Make every head break this rule, to see the witness catch it.")] = 0) -> None:
+            help="Make every head break this rule, to see the witness catch it.")] = 0,
+        window: Annotated[float, typer.Option(
+            help="Seconds of a window of the heads' accounts, kept under --folder; 0: none.")] = 1.0) -> None:
     """Plays a bad day with every process on its own and judges the seven rules. Status 0: every rule held."""
-    known = _site(site)
+    known = site_at(site)
     kinds = () if troubles == "none" else tuple(t.strip() for t in troubles.split(","))
     if unknown := [t for t in kinds if t not in TROUBLES]:
         typer.echo(f"--troubles: unknown {', '.join(unknown)}; there are {', '.join(TROUBLES)}", err=True)
         raise typer.Exit(2)
-    if heads < 1 or shelves < 1 or seconds < 1 or not 0 <= plant <= 7:
-        typer.echo("--heads, --shelves and --seconds are 1 or more, --plant is 0 to 7", err=True)
+    if heads < 1 or shelves < 1 or seconds < 1 or window < 0 or not 0 <= plant <= 7:
+        typer.echo("--heads, --shelves and --seconds are 1 or more, --plant is 0 to 7, --window 0 or more",
+                   err=True)
         raise typer.Exit(2)
     console = Console(stderr=json_path == "-")
-    plan = DayPlan(seed, heads, shelves, seconds, factor, kinds, plant)
+    plan = DayPlan(seed, heads, shelves, seconds, factor, kinds, plant, window)
     with tempfile.TemporaryDirectory(prefix="gorsethread-day-") as scratch:
         place = Path(folder or scratch)
         place.mkdir(parents=True, exist_ok=True)
@@ -285,10 +290,12 @@
 
     result = _run_async(main, seed)
     table = Table("ratio of head to relay, in pairs", "least", "median", "most")
-    for name in ("head_to_relay", "cpu_ratio", "calm_median_ratio", "calm_p99_ratio",
-                 "idle_shelves_cpu_ratio"):
+    for name in ("head_to_relay", "cpu_ratio", "held_head_to_relay", "held_cpu_ratio", "calm_median_ratio",
+                 "calm_p99_ratio", "idle_shelves_cpu_ratio", "accounts_to_head", "accounts_cpu_ratio"):
         table.add_row(name, *(f"{result[name][k]:.2f}" for k in ("least", "median", "most")))
     console.print(table)
+    console.print(f"accounts take {result['accounts_memory_mib']['median']:.1f} MiB more at "
+                  f"{benches.VOLUMES} volumes")
     console.print("the head's CPU by place: " + ", ".join(
         f"{place} {part:.0%}" for place, part in result["head_cpu_shares"].items()))
     _write_json(result, json_path)
@@ -303,10 +310,10 @@
 @app.command("bench-peer", hidden=True)
 def bench_peer(kind: Peer, site: SitePath, number: Annotated[int, typer.Option()] = 0, seconds: float = 1.0,
                rate: float = 0.0,
-               start_at: float = 0.0, out: str = "") -> None:
+               start_at: float = 0.0, depth: int = benches.DEPTH, out: str = "") -> None:
     """One process round the head in a bench."""
     start_logs(False, "warning")
-    known = _site(site)
+    known = site_at(site)
     logger = log_for(peer=kind.value)
     if kind is Peer.relay:
         _serve(lambda transport: Relay(transport, known, number, logger), 0, logger)
@@ -315,7 +322,7 @@
                                       logger, transport.finish), 0, logger)
     else:
         result = _run_async(
-            lambda transport: Load(transport, known, benches.DEPTH, rate, start_at, seconds).run(), number)
+            lambda transport: Load(transport, known, depth, rate, start_at, seconds).run(), number)
         Path(out).write_text(json.dumps(result))
 
 
--- a/gorsethread/head/driver.py
+++ b/gorsethread/head/driver.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
+from gorsethread.accounts.lives import Accounts
+from gorsethread.accounts.stages import Outcome
 from gorsethread.head.links import NOTHING, Forward, ShelfLink, Told
 from gorsethread.head.placement import UNPLACED, Placement
 from gorsethread.model import Ending, StartFacts
@@ -58,13 +60,13 @@
         self.links: dict[int, ShelfLink] = {}  # emptied as shelves leave the list and their forwards are in
         self.shards: dict[int, int] = {}  # of every shelf in links
         # First writes out of extents being placed: how many, and if one may have run; emptied as they end.
-
-
         self._placing: dict[tuple[int, int], tuple[int, bool]] = {}
         self.counts: Counter[str] = Counter()
         self._last_id = 0
         self.policy = Policy(self, facts, seed)
         self.recorder: Callable[[tuple[Any, ...]], None] | None = None  # sees events and acts, for replays
+        self.accounts: Accounts | None = None
+        self._unsent: list[int] = []  # got something to send in this batch; emptied after each
         # The first batch is empty: the policy asks for the list in it.
         self._due = True
         transport.soon(self._work)
@@ -80,7 +82,7 @@
 
     def take(self, client: Client, command: Command, data: bytes, read: int, *, profile: int, plan: int,
              key: str | None, cut_off: float, volume: int, extent: int, units: float, shard: int,
-             heads: int) -> Open:
+             heads: int, arrived: float) -> Open:
         self._last_id = (self._last_id + 1) % 2**32
         while self._last_id in self.open:
             self._last_id = (self._last_id + 1) % 2**32
@@ -88,9 +90,12 @@
         self.open[t.id] = t
         t.timer = self.transport.at(cut_off, lambda: self._cut_off(t))
         self.counts["taken"] += 1
+        if self.accounts is not None:
+            self.accounts.taken(t.id, volume, profile, shard, key is not None, int(units), arrived,
+                                self.transport.now())
+            self._unsent.append(t.id)
         self.happened("transaction_taken", t.id, profile, plan, key, cut_off, str(volume), units, shard,
-                      heads,
-                   command.repeat)
+                      heads, command.repeat)
         return t
 
     def client_left(self, t: Open) -> None:
@@ -98,6 +103,7 @@
         if t.answered:
             return
         t.answered = True
+        self._account(t, Outcome.LEFT)
         self.counts["left"] += 1
         for f in t.out.values():
             if link := self.links.get(f.shelf):
@@ -126,6 +132,8 @@
         if self.recorder:
             self.recorder(("batch", self._now))
         self.policy.batch_ended()
+        if self._unsent:
+            self._account_held()
 
     def _cut_off(self, t: Open) -> None:
         for f in list(t.out.values()):
@@ -135,10 +143,29 @@
                     link.call_off(f)
                 self._ended(f, Ending.TIMED_OUT, NOTHING)
 
+    def _account(self, t: Open, outcome: Outcome) -> None:
+        if self.accounts is not None:
+            self.accounts.answered(t.id, outcome, self.transport.now())
+
+    def _account_held(self) -> None:
+        """Of what the last search left unsent, the policy says why."""
+        unsent, self._unsent = self._unsent, []
+        if self.accounts is None:
+            return
+        now = 0.0
+        for id in unsent:
+            t = self.open.get(id)
+            if t is not None and not t.out and not t.answered:
+                now = now or self.transport.now()
+                self.accounts.held(id, *self.policy.why_held(id), now)
+
     def _ended(self, f: Forward, how: Ending, told: Told) -> None:
         t = self.open.get(f.transaction)
         if t is None:
             return
+        now = self.transport.now()
+        if self.accounts is not None:
+            self.accounts.ended(t.id, f.number, how, told.service, now)
         t.out.pop(f.number, None)
         self.counts[how.value] += 1
         if f.first_write:
@@ -146,11 +173,14 @@
         if how is Ending.HONOURED and not t.answered:
             # Not held back until the batch: the answer goes to the client at once.
             t.answered = True
+            if self.accounts is not None:
+                self.accounts.answered(t.id, Outcome.HONOURED, now)
             self.counts["honoured"] += 1
             t.client.honoured(self.shards.get(f.shelf, UNPLACED), told.data)
-        elapsed = self.transport.now() - f.sent_at
-        self.happened("forward_ended", t.id, f.number, how, f.shelf, elapsed, t.answered, told.elsewhere,
-                      told.usage)
+        elif self.accounts is not None and not t.answered:
+            self._unsent.append(t.id)
+        self.happened("forward_ended", t.id, f.number, how, f.shelf, now - f.sent_at, t.answered,
+                      told.elsewhere, told.usage)
         self._close(t)
 
     def _close(self, t: Open) -> None:
@@ -181,6 +211,8 @@
         self.counts["forwards"] += 1
         if wait > 0 and self._now + wait < t.cut_off:
             self.transport.at(self._now + wait, lambda: self._time_out(f))
+        if self.accounts is not None:
+            self.accounts.sent(t.id, f.number, shelf, self.transport.now())
         link.send(f)
 
     def _holds(self, t: Open, f: Forward) -> bool:
@@ -233,6 +265,7 @@
         t = self.open.get(transaction)
         if t and not t.answered:
             t.answered = True
+            self._account(t, Outcome.PUSHED_BACK)
             self.counts["pushed back"] += 1
             t.client.pushed_back(return_after)
             self._close(t)
@@ -243,6 +276,7 @@
         t = self.open.get(transaction)
         if t and not t.answered:
             t.answered = True
+            self._account(t, Outcome.GIVEN_UP)
             self.counts["given up"] += 1
             t.client.given_up()
             self._close(t)
--- a/gorsethread/head/program.py
+++ b/gorsethread/head/program.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from gorsethread.head.accounting import AccountBook
 from gorsethread.head.clients import ClientSide, Tenants
 from gorsethread.head.driver import Driver
 from gorsethread.head.facts import start_facts
@@ -56,8 +57,10 @@
 
 
 class Head:
+    """remember: file that keeps the last list; accounts: folder for a snapshot of each window (seconds)."""
+
     def __init__(self, transport: Transport, site: pb.Site, number: int, seed: int, remember: str, log: Any,
-                 most_connections: int = 0) -> None:
+                 most_connections: int = 0, accounts: str = "", window: float = 10.0) -> None:
         self.transport, self.site, self.number, self.log = transport, site, number, log
         placement = SitePlacement(site)
         links = Links(transport, site, number, log)
@@ -71,6 +74,9 @@
         self.clients = ClientSide(transport, site, self.driver, placement, self.subsystem, log)
         self.server = QueueServer(transport, self.subsystem, self.clients,
                                   most_connections or site.links.connections, log)
+        self.book: AccountBook | None = None
+        if accounts:
+            self.book = AccountBook(transport, site, number, self.driver, accounts, window, log)
         self.port = 0
 
     def start(self) -> None:
@@ -94,6 +100,8 @@
             if connection.stream.unsent:
                 await self.transport.sleep(0.1)
                 break
+        if self.book:
+            self.book.end()
         self.follower.stop()
         self.server.stop("the head ends")
         for link in self.driver.links.values():
--- a/gorsethread/lab/bench.py
+++ b/gorsethread/lab/bench.py
@@ -21,7 +21,10 @@
 SHELVES = 48  # in the list when idle ones are to be there too
 LOADS = 4  # load processes
 START_UP = 2.5  # seconds until all load processes have started, so that none disturbs another
-DEPTH = 16  # commands out of each, at saturation
+# Commands out of each, at saturation: few enough that the shelves' slots hold them all, and so many more that
+# volumes wait for slots and the policy searches among them.
+DEPTH = 12
+HELD_DEPTH = 16
 CALM_RATE = 1000.0  # transactions a second at which latency is compared, well under the most of both
 
 BENCH_SITE = """
@@ -55,14 +58,18 @@
     """One subject (head or relay) with sinks and list round it, for as many measurements as are wanted."""
 
     def __init__(self, transport: Transport, folder: Path, subject: str, shelves: int,
-                 sampled: bool = False) -> None:
-        self.transport, self.subject, self.sampled = transport, subject, sampled
+                 sampled: bool = False, accounts: bool = False) -> None:
+        self.transport, self.subject = transport, subject
         folder.mkdir()
         self.site = bench_site(shelves)
         self.processes = Processes(folder, self.site)
         self.path = str(self.processes.site_path)
         self.idle: list[Stream] = []
         self.profile = folder / "profile.json"
+        self.extra: list[str] = ["--sample", str(self.profile)] if sampled else []
+        if accounts:
+            (folder / "accounts").mkdir()
+            self.extra += ["--accounts", str(folder / "accounts"), "--window", "1"]
 
     async def start(self) -> None:
         await self.processes.start("list", "list", "--site", self.path)
@@ -75,9 +82,9 @@
             line = Register(shelf.number, shelf.address, shelf.shard, shelf.zone, 1, 0.0)
             stream.write(msgspec.json.encode(line) + b"\n")
             self.idle.append(stream)
-        if self.subject == "head":
+        if self.subject != "relay":
             await self.processes.start("subject", "head", "--site", self.path, "--head", "0", "--log-level",
-                                       "warning", *(["--sample", str(self.profile)] if self.sampled else []))
+                                       "warning", *self.extra)
         else:
             await self.processes.start("subject", "bench-peer", "relay", "--site", self.path, "--number", "0")
         await self._until_reached(split_address(self.site.head[0].address))
@@ -92,7 +99,7 @@
                 await self.transport.sleep(0.1)
         raise TimeoutError(f"nothing listens at {address[0]}:{address[1]}")
 
-    async def load(self, seconds: float, rate: float = 0.0) -> dict[str, float]:
+    async def load(self, seconds: float, rate: float = 0.0, depth: int = DEPTH) -> dict[str, float]:
         """Both load processes at once; rates and counts added, latencies of the worse one."""
         outs = [self.processes.folder / f"load-{n}.json" for n in range(LOADS)]
         process = psutil.Process(self.processes.pid("subject"))
@@ -102,7 +109,8 @@
             out.unlink(missing_ok=True)
             await self.processes.start(
                 f"load {n}", "bench-peer", "load", "--site", self.path, "--number", str(n), "--seconds",
-                str(seconds), "--start-at", str(start_at), "--rate", str(rate / LOADS), "--out", str(out))
+                str(seconds), "--start-at", str(start_at), "--rate", str(rate / LOADS), "--depth", str(depth),
+                "--out", str(out))
         for n in range(LOADS):
             await asyncio.wait_for(self.processes.running[f"load {n}"].wait(), START_UP + seconds + 60)
         cpu = sum(process.cpu_times()[:2]) - before
@@ -113,7 +121,7 @@
             "busy": cpu / max(g["seconds"] for g in got),
             "failed": sum(g["failed"] for g in got), "cpu_us": 1e6 * cpu / max(1, honoured),
             "median_us": max(g["median_us"] for g in got), "p99_us": max(g["p99_us"] for g in got),
-            "own_p99_us": max(g["own_p99_us"] for g in got),
+            "own_p99_us": max(g["own_p99_us"] for g in got), "memory_mib": process.memory_info().rss / 2**20,
         }
 
     async def end(self) -> None:
@@ -132,12 +140,15 @@
         for number in range(rounds):
             pair: dict[str, dict[str, float]] = {}
             order = ("relay", "head") if number % 2 == 0 else ("head", "relay")
-            for subject in order:
-                stand = Stand(transport, Path(scratch) / f"{number}-{subject}", subject, SINKS)
+            for subject in (*order, "accounts") if number % 2 == 0 else ("accounts", *order):
+                stand = Stand(transport, Path(scratch) / f"{number}-{subject}", subject, SINKS,
+                              accounts=subject == "accounts")
                 try:
                     await stand.start()
                     await stand.load(1.0)  # warm-up
                     pair[subject] = await stand.load(seconds)
+                    held = await stand.load(seconds, depth=HELD_DEPTH)
+                    pair[subject] |= {f"held_{k}": held[k] for k in ("a_second", "cpu_us")}
                     calm = await stand.load(seconds, CALM_RATE)
                     pair[subject] |= {"calm_median_us": calm["median_us"], "calm_p99_us": calm["p99_us"],
                                       "calm_own_p99_us": calm["own_p99_us"]}
@@ -146,7 +157,11 @@
             pairs.append(pair)
             relay, head = pair["relay"], pair["head"]
             say(f"pair {number + 1}: head at {head['a_second'] / relay['a_second']:.2f} of the relay's "
-                f"transactions a second, CPU a transaction {head['cpu_us'] / relay['cpu_us']:.2f} times")
+                f"transactions a second ({head['held_a_second'] / relay['held_a_second']:.2f} with volumes "
+                f"waiting for slots), CPU a transaction {head['cpu_us'] / relay['cpu_us']:.2f} times")
+            counted = pair["accounts"]
+            say(f"pair {number + 1}: with accounts at {counted['a_second'] / head['a_second']:.3f} of the "
+                f"head's without, CPU a transaction {counted['cpu_us'] / head['cpu_us']:.3f} times")
             stand = Stand(transport, Path(scratch) / f"{number}-idle", "head", SHELVES)
             try:
                 await stand.start()
@@ -160,6 +175,11 @@
                 f"{idle[-1]:.2f} times that without")
     return {
         "head_to_relay": _ratio(pairs, "a_second"), "cpu_ratio": _ratio(pairs, "cpu_us"),
+        "held_head_to_relay": _ratio(pairs, "held_a_second"), "held_cpu_ratio": _ratio(pairs, "held_cpu_us"),
+        "accounts_to_head": _ratio(pairs, "a_second", "accounts", "head"),
+        "accounts_cpu_ratio": _ratio(pairs, "cpu_us", "accounts", "head"),
+        "accounts_memory_mib": _spread([p["accounts"]["memory_mib"] - p["head"]["memory_mib"]
+                                        for p in pairs]),
         "calm_median_ratio": _ratio(pairs, "calm_median_us"), "calm_p99_ratio": _ratio(pairs, "calm_p99_us"),
         "idle_shelves_cpu_ratio": _spread(idle), "head_cpu_shares": shares, "pairs": pairs,
         "failed": sum(p[s]["failed"] for p in pairs for s in p),
@@ -178,8 +198,9 @@
     return shares
 
 
-def _ratio(pairs: list[dict[str, dict[str, float]]], figure: str) -> dict[str, float]:
-    return _spread([p["head"][figure] / p["relay"][figure] for p in pairs])
+def _ratio(pairs: list[dict[str, dict[str, float]]], figure: str, of: str = "head",
+           to: str = "relay") -> dict[str, float]:
+    return _spread([p[of][figure] / p[to][figure] for p in pairs])
 
 
 def _spread(values: list[float]) -> dict[str, float]:
--- a/gorsethread/lab/day.py
+++ b/gorsethread/lab/day.py
@@ -37,6 +37,7 @@
     factor: float = 1.0
     troubles: tuple[str, ...] = TROUBLES
     plant: int = 0
+    window: float = 0.0  # seconds of each head's accounts; 0: none are kept
 
 
 @dataclass
@@ -161,6 +162,8 @@
             self.say(f"head {head}: {how}")
         seed = self.plan.seed * 1000 + head
         extra = ["--plant", str(self.plan.plant)] if self.plan.plant else []
+        if self.plan.window:
+            extra += ["--accounts", str(self.folder / "accounts"), "--window", str(self.plan.window)]
         await self.processes.start(
             f"head {head}", "head", "--site", str(self.processes.site_path), "--head", str(head), "--seed",
             str(seed), "--remember", str(self.folder / f"head-{head}.list"), "--log", "json", *extra)
@@ -231,6 +234,8 @@
                  f"{len(self.site.volume)} volumes, seed {self.plan.seed}")
         early: dict[str, tuple[float, int]] = {}
         late: dict[str, tuple[float, int]] = {}
+        if self.plan.window:
+            (self.folder / "accounts").mkdir()
         try:
             await self._start_all()
             self.acts.append((self._at(0.25), lambda: early.update(self._sizes())))
--- a/gorsethread/transport/base.py
+++ b/gorsethread/transport/base.py
@@ -69,6 +69,11 @@
         """Seconds on a clock that never goes back; one for all processes of a machine."""
         ...
 
+    def wall(self) -> float:
+        """Seconds since the epoch, by this machine's clock, which others' may differ from and which may be
+        set; only to name times to people and to other machines."""
+        ...
+
     def at(self, when: float, act: Callable[[], None]) -> Timer: ...
 
     def soon(self, act: Callable[[], None]) -> None:
@@ -99,6 +104,14 @@
         """Whole or not at all; OSError where it can't be written."""
         ...
 
+    def names(self, folder: str) -> list[str]:
+        """The files in it, in order; none where it can't be read."""
+        ...
+
+    def remove(self, path: str) -> None:
+        """Does nothing where it is not there."""
+        ...
+
     def blocks(self, path: str) -> Blocks: ...
 
     def append(self, path: str) -> Callable[[bytes], None]:
--- a/gorsethread/transport/real.py
+++ b/gorsethread/transport/real.py
@@ -144,6 +144,9 @@
     def now(self) -> float:
         return time.monotonic()
 
+    def wall(self) -> float:
+        return time.time()
+
     def at(self, when: float, act: Callable[[], None]) -> Timer:
         return self._loop.call_at(when, act)
 
@@ -195,6 +198,16 @@
         fresh.write_bytes(data)
         fresh.replace(path)
 
+    def names(self, folder: str) -> list[str]:
+        try:
+            return sorted(entry.name for entry in Path(folder).iterdir())
+        except OSError:
+            return []
+
+    def remove(self, path: str) -> None:
+        with contextlib.suppress(OSError):
+            Path(path).unlink()
+
     def blocks(self, path: str) -> FileBlocks:
         return FileBlocks(path)
 
--- /dev/null
+++ b/tests/test_accounts.py
@@ -0,0 +1,314 @@
+"""The accounts: stages sum to lives, windows add up, sketches keep their bound, bad files are refused."""
+
+import contextlib
+import tempfile
+import unittest
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from typer.testing import CliRunner
+
+from gorsethread.accounts import report
+from gorsethread.accounts.causes import find
+from gorsethread.accounts.lives import Accounts, _Life
+from gorsethread.accounts.page import page
+from gorsethread.accounts.sketch import DEPTH, ERROR, SURE, WIDTH, Sketch
+from gorsethread.accounts.snapshots import FRAME, MAGIC, BadSnapshot, decode, encode
+from gorsethread.accounts.stages import OTHERS, STAGES, WORDS, Outcome, Stage, bucket_of, bucket_value
+from gorsethread.accounts.window import BLAMES_MOST, ROWS_MOST, Span, Window
+from gorsethread.cli.main import app
+from gorsethread.model import Ending, Held
+from tests.queues import KNOWN, QueueDay
+
+ENDINGS = [Ending.HONOURED] * 3 + list(Ending)
+EVENTS = st.lists(st.tuples(
+    st.sampled_from(["taken", "held", "sent", "ended", "answered", "look", "close"]), st.integers(1, 4),
+    st.integers(0, 2), st.sampled_from(ENDINGS), st.sampled_from(list(Held)),
+    st.floats(-0.01, 0.3, allow_nan=False)), max_size=80)
+
+
+def played(events: list[Any]) -> tuple[list[Window], int]:
+    """The windows of a made-up order of events, and how many lives were answered."""
+    accounts, now, windows, answered = Accounts([0.1, 0.2], 100.0), 100.0, [], 0
+    for what, id, number, how, why, step in events:
+        now += step
+        if what == "taken" and id not in accounts.lives:
+            accounts.taken(id, 1 + id % 3, number % 2, number, number == 2, 1 + id, now - step / 2, now)
+        elif what == "held":
+            accounts.held(id, why, number if why is not Held.NO_SHELF else -1, now)
+        elif what == "sent":
+            accounts.sent(id, number, 5 + number, now)
+        elif what == "ended":
+            accounts.ended(id, number, how, abs(step) / 3, now)
+        elif what == "answered":
+            answered += id in accounts.lives and accounts.lives[id].state != 3
+            accounts.answered(id, list(Outcome)[number], now)
+        elif what == "look":
+            for each in accounts.looks():
+                accounts.held(each, why, number, now)
+        elif what == "close":
+            windows.append(accounts.close_window(now))
+    for id in list(accounts.lives):
+        answered += accounts.lives[id].state != 3
+        accounts.answered(id, Outcome.LEFT, now)
+        for forward in range(3):
+            accounts.ended(id, forward, Ending.CALLED_OFF, 0.0, now)
+    windows.append(accounts.close_window(now))
+    assert not accounts.lives and not accounts.lanes
+    assert all(not s.forwards and not s.out and not s.lanes for s in accounts.shelves.values())
+    return windows, answered
+
+
+def added(windows: list[Window]) -> Window:
+    whole = Window()
+    for window in windows:
+        whole.merge(window)
+    return whole
+
+
+class Lives(unittest.TestCase):
+    @settings(max_examples=150, deadline=None)
+    @given(EVENTS)
+    def test_stages_sum_to_lives(self, events: list[Any]) -> None:
+        windows, answered = played(events)
+        whole = added(windows)
+        self.assertEqual(0, whole.remainders)
+        self.assertEqual(answered, sum(row.lives for row in whole.all_rows()))
+        for row in whole.all_rows():
+            self.assertEqual(row.life_us, sum(row.stages))
+            self.assertTrue(all(us >= 0 for us in row.stages))
+            self.assertEqual(row.lives, sum(row.outcomes))
+            self.assertEqual(row.lives, sum(n for b, n in row.buckets.items() if b >= STAGES * 4096))
+
+    @settings(max_examples=100, deadline=None)
+    @given(EVENTS)
+    def test_all_waiting_is_blamed_on_somebody(self, events: list[Any]) -> None:
+        """To the microsecond; only what lives that never ended waited is more."""
+        whole = added(played(events)[0])
+        waited = sum(row.waited_us for row in whole.all_rows())
+        self.assertEqual(waited, sum(whole.blame.values()))
+
+    def test_a_planted_remainder_is_told(self) -> None:
+        accounts = Accounts([0.1], 0.0)
+        accounts.taken(1, 1, 0, 0, False, 1, 0.0, 0.01)
+        life: _Life = accounts.lives[1]
+        life.stages[Stage.ARRIVING] -= 7
+        accounts.answered(1, Outcome.HONOURED, 0.02)
+        self.assertEqual(1, accounts.window.remainders)
+
+    def test_one_life(self) -> None:
+        """Held for slots, sent, lost, held while its shelf rests, sent again, honoured."""
+        accounts = Accounts([0.1], 0.0)
+        accounts.taken(9, 3, 0, 0, False, 4, 0.0, 0.0)
+        accounts.sent(9, 0, 5, 0.0)  # what 1 waits for
+        accounts.taken(1, 1, 0, 0, False, 2, 0.001, 0.002)
+        accounts.held(1, Held.SLOTS, 5, 0.003)
+        accounts.sent(1, 0, 6, 0.013)
+        accounts.ended(1, 0, Ending.BROKEN, 0.0, 0.020)
+        accounts.held(1, Held.REST, 6, 0.021)
+        accounts.ended(9, 0, Ending.HONOURED, 0.022, 0.024)  # 2 ms of way: the least there
+        accounts.answered(9, Outcome.HONOURED, 0.024)
+        accounts.sent(1, 1, 5, 0.030)
+        accounts.ended(1, 1, Ending.HONOURED, 0.010, 0.050)
+        accounts.answered(1, Outcome.HONOURED, 0.050)
+        row = accounts.window.rows[1, 0]
+        self.assertEqual({
+            "its data arriving": 1000, "the head's own work": 2000, "slots taken": 10000,
+            "rest after a miss": 9000, "on the way": 1000, "waiting at the shelf": 8000, "in work": 10000,
+            "on the way back": 1000, "lost forwards": 7000,
+        }, {WORDS[s]: row.stages[s] for s in Stage if row.stages[s]})
+        self.assertEqual({(3, 5, "slots taken"): 10000, (-1, 6, "rest after a miss"): 9000,
+                          (-1, 6, "lost forwards"): 7000, (-3, 5, "waiting at the shelf"): 8000},
+                         {(b.holder, b.shelf, WORDS[Stage(b.stage)]): us
+                          for b, us in accounts.window.blame.items()})
+
+    @given(st.integers(0, 3_600_000_000))
+    def test_buckets_are_three_percent_wide(self, us: int) -> None:
+        self.assertLessEqual(abs(bucket_value(bucket_of(us)) - us), max(0, us / 32))
+
+
+def window_of(lives: list[tuple[int, int, int]], head: int = 0) -> Window:
+    window = Window()
+    window.spans.add(Span(head, 1, 100.0, 110.0, False))
+    for volume, profile, us in lives:
+        stages = [0] * STAGES
+        stages[Stage.SLOTS], stages[Stage.WORK] = us // 3, us - us // 3
+        window.took(volume, 1)
+        window.life(volume, profile, 1, Outcome.HONOURED, us > 1000, stages, us)
+        window.blamed(volume, 1 + volume % 5, us % 3, Stage.SLOTS, us // 3)
+        window.shelf(us % 3).worked(volume, 1 + us % 7, us - us // 3)
+        window.shelf(us % 3).endings["honoured"] = 1
+    return window
+
+
+LIVES = st.lists(st.tuples(st.integers(1, 9), st.integers(0, 1), st.integers(0, 10**7)), max_size=30)
+
+
+class Merging(unittest.TestCase):
+    @settings(deadline=None)
+    @given(LIVES, LIVES, LIVES)
+    def test_laws(self, a: Any, b: Any, c: Any) -> None:
+        x, y, z = (window_of(lives, head) for head, lives in enumerate((a, b, c)))
+        self.assertEqual(added([x, y]), added([y, x]))
+        self.assertEqual(added([added([x, y]), z]), added([x, added([y, z])]))
+        self.assertEqual(added([x]), x)
+        self.assertEqual(x, decode(encode("here", x), "here"))
+
+    @settings(deadline=None)
+    @given(LIVES, st.lists(st.integers(0, 2), min_size=30, max_size=30))
+    def test_heads_add_up_to_one_that_saw_all(self, lives: Any, heads: list[int]) -> None:
+        parts = [[life for life, h in zip(lives, heads, strict=False) if h == head] for head in range(3)]
+        merged, whole = added([window_of(part) for part in parts]), window_of(lives)
+        for shelf in (*merged.shelves.values(), *whole.shelves.values()):
+            shelf.endings.clear()  # window_of() sets them, it does not count
+        self.assertEqual(whole, merged)
+
+    def test_a_hundred_thousand_volumes_of_one_transaction_each(self) -> None:
+        window = Window()
+        stages = [0] * STAGES
+        stages[Stage.SLOTS] = 5
+        for volume in range(1, 100_001):
+            window.took(volume, 1)
+            window.life(volume, 0, 1, Outcome.HONOURED, False, stages, 5)
+            window.blamed(volume, volume % 997 + 1, 1, Stage.SLOTS, 5)
+        self.assertLessEqual(len(window.rows), ROWS_MOST)
+        self.assertLessEqual(len(window.asked), ROWS_MOST + 1)
+        self.assertLess(len(window.blame), 2 * BLAMES_MOST)
+        self.assertEqual(100_000, sum(row.lives for row in window.all_rows()))
+        self.assertEqual(500_000, sum(window.blame.values()))
+        self.assertEqual(100_000, sum(window.asked.values()))
+        self.assertIn(OTHERS, {b.holder for b in window.blame})
+        self.assertLess(len(encode("here", window)), 400_000)
+
+    def test_sketch_keeps_its_bound(self) -> None:
+        sketch = Sketch()
+        for volume in range(20_000):
+            sketch.add(Sketch.places(volume), 1 + volume % 10)
+        over = [sketch.estimate(Sketch.places(v)) - (1 + v % 10) for v in range(20_000)]
+        self.assertGreaterEqual(min(over), 0, "never too low")
+        within = sum(o <= ERROR * sketch.total for o in over) / len(over)
+        self.assertGreaterEqual(within, SURE)
+        self.assertEqual(WIDTH * DEPTH, len(sketch.cells))
+
+    def test_a_volume_that_turns_heavy_late_gets_a_row(self) -> None:
+        window = Window()
+        stages = [0] * STAGES
+        for volume in range(1, 2000):
+            window.life(volume, 0, 1, Outcome.HONOURED, False, stages, 0)
+        for _ in range(500):
+            window.life(5000, 0, 1, Outcome.HONOURED, False, stages, 0)
+        self.assertGreater(window.rows[5000, 0].lives, 480)
+        self.assertTrue(window.rows[5000, 0].partly)
+        self.assertEqual(2499, sum(row.lives for row in window.all_rows()))
+        self.assertEqual(2499, window.lives.total + sum(row.lives for row in window.rows.values()))
+
+
+SITE = """name: "queues" subsystem: "nqn.2026-12.org.gorsethread:q"
+list { address: "127.0.0.1:1" ask_within: 1 }
+head { number: 0 address: "127.0.0.1:2" } head { number: 1 address: "127.0.0.1:3" }
+shelf { number: 0 address: "127.0.0.1:4" shard: 0 }
+profile { name: "read" promised: 0.3 cut_off: 1 effect: REDOABLE value: 1 match { operation: READ } }
+profile { name: "write" promised: 0.3 cut_off: 1 effect: REDOABLE value: 1 match { operation: WRITE } }
+plan { name: "plain" weight: 1 usual: 12 } tenant { name: "t" host: "nqn.2026-12.org.gorsethread:host:t" }
+rules { answer_slack: 0.05 drain_grace: 1 most_forwards: 4 longest_return: 1 share_worth: 1
+        cold { units: 40 span: 1 multiple: 3 warm_after: 2 first_part: 0.2 } }
+links { connect_within: 1 queue_size: 16 unit_bytes: 8192 largest_bytes: 131072 connections: 8 }
+machine { cores: 2 unit_time: 0.002 queue: 20 }
+""" + "".join(f'volume {{ number: {n} name: "L{n:02}" tenant: "t" plan: "plain" blocks: 1024 '
+              'extent_blocks: 64 placement: FIXED shard: 0 head: 0 head: 1 }\n' for n in range(1, 9))
+
+
+class Files(unittest.TestCase):
+    """What an operator meets, through the command line."""
+
+    def setUp(self) -> None:
+        self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.site = self.folder / "site.txtpb"
+        self.site.write_text(SITE)
+        self.kept = self.folder / "kept"
+        self.kept.mkdir()
+        day = QueueDay(shelves=1)
+        for volume in range(1, 5):
+            day.traffic(volume)
+        day.traffic(7, 20.0, heads=1)
+        day.run()
+        self.windows = day.windows
+        for n, window in enumerate(day.windows):
+            (self.kept / f"head-{n:03}.acc").write_bytes(encode("queues", window))
+
+    def ask(self, *arguments: str, status: int = 0) -> str:
+        got = CliRunner().invoke(app, ["accounts", *arguments, "--site", str(self.site)],
+                                 env={"COLUMNS": "160"})
+        self.assertEqual(status, got.exit_code, got.output)
+        return got.output
+
+    def test_every_cut_and_garbled_byte_is_refused(self) -> None:
+        raw = encode("here", window_of([(1, 0, 77)]))
+        for n in range(len(raw)):
+            with self.assertRaises(BadSnapshot, msg=f"cut at {n}"):
+                decode(raw[:n], "here")
+            garbled = raw[:n] + bytes([raw[n] ^ 0x20]) + raw[n + 1:]
+            with self.assertRaises(BadSnapshot, msg=f"garbled at {n}"):
+                decode(garbled, "here")
+
+    @given(st.binary(max_size=200))
+    def test_any_bytes_are_refused_or_read(self, raw: bytes) -> None:
+        import google_crc32c
+        for tried in (raw, FRAME.pack(MAGIC, 1, len(raw), google_crc32c.value(raw)) + raw):
+            with contextlib.suppress(BadSnapshot):
+                decode(tried, "")
+
+    def test_bad_files_are_named_and_the_rest_counts(self) -> None:
+        good = self.ask("top", "--snapshots", str(self.kept))
+        names = sorted(self.kept.iterdir())
+        whole = names[0].read_bytes()
+        (self.kept / "x-cut.acc").write_bytes(whole[:-3])
+        (self.kept / "x-old.acc").write_bytes(whole[:5] + b"\x09" + whole[6:])
+        (self.kept / "x-other.acc").write_bytes(encode("elsewhere", self.windows[0]))
+        (self.kept / "x-twice.acc").write_bytes(whole)
+        (self.kept / "x-text.acc").write_text("no snapshot")
+        got = self.ask("top", "--snapshots", str(self.kept))
+        for name, reason in (("x-cut", "is cut short"), ("x-old", "is of version 9"),
+                             ("x-text", "no snapshot"), ("x-twice", "already"),
+                             ("x-other", "is of site 'elsewhere', not 'queues'")):
+            line = next(line for line in got.splitlines() if f"{name}.acc" in line)
+            self.assertIn(reason, line)
+            self.assertTrue(line.startswith("refused: "))
+        self.assertIn(good.splitlines()[0], got)
+
+    def test_answers(self) -> None:
+        kept = ("--snapshots", str(self.kept))
+        self.assertIn("volume L07 asked for", self.ask("top", *kept).splitlines()[0])
+        self.assertIn("behind L07 on shelf 0 (it is as quick as its peers)",
+                      " ".join(self.ask("why", "L01", *kept).split("How sure")[0].split()))
+        self.assertIn("Shelf 0:", self.ask("shelf", "0", *kept))
+        self.assertIn("nothing new", " ".join(self.ask("diff", str(self.kept), str(self.kept)).split()))
+        self.assertIn('"floods": {\n  "L07"', self.ask("top", *kept, "--json"))
+        self.assertIn("had no transaction", self.ask("why", "8", *kept))
+
+    def test_bad_questions(self) -> None:
+        kept = ("--snapshots", str(self.kept))
+        self.assertIn("there is no volume 'L99'", self.ask("why", "L99", *kept, status=2))
+        self.assertIn("'soon' is no time", self.ask("top", *kept, "--from", "soon", status=2))
+        self.assertIn("no snapshot for that time", self.ask("top", *kept, "--from", "-1h", status=2))
+        self.assertIn("is not there", self.ask("top", "--snapshots", str(self.folder / "no"), status=2))
+
+    def test_page_stands_alone_and_draws_the_same_again(self) -> None:
+        found = find(replace(KNOWN, volumes={**KNOWN.volumes, 7: "L<7>$x$"}), self.windows)
+        first, again = (page("t", report.why(found, 1), found, 1) for _ in range(2))
+        self.assertEqual(first, again)
+        self.assertEqual(3, first.count("<svg"))
+        self.assertIn("L&lt;7&gt;$x$", first)
+        self.assertNotIn("<7>", first)
+        for outside in ("<script", "src=", "<link", "@import"):
+            self.assertNotIn(outside, first)
+
+    def test_a_remainder_makes_the_status_one(self) -> None:
+        window = window_of([(1, 0, 50)])
+        window.remainders = 3
+        (self.kept / "x.acc").write_bytes(encode("queues", window))
+        got = self.ask("top", "--snapshots", str(self.kept / "x.acc"), status=1)
+        self.assertIn("the stages of 3 transactions do not sum to their lives", " ".join(got.split()))
--- /dev/null
+++ b/tests/test_accounts_running.py
@@ -0,0 +1,83 @@
+"""The accounts in a running head: what its snapshots say is what clients and shelves saw."""
+
+import asyncio
+import tempfile
+from pathlib import Path
+
+from gorsethread.accounts.snapshots import decode
+from gorsethread.accounts.stages import SHELF, Outcome, Stage
+from gorsethread.accounts.window import Window
+from gorsethread.head.program import Head
+from gorsethread.logs import log_for
+from gorsethread.nvme.command import Opcode
+from tests.rig import Rig
+
+
+class Running(Rig):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.folder = self.enterContext(tempfile.TemporaryDirectory())
+
+    def start_head(self, number: int = 0, remember: str = "") -> Head:
+        head = Head(self.transport, self.site, number, 1, remember, log_for(), accounts=self.folder,
+                    window=0.4)
+        head.start()
+        self.heads[number] = head
+        return head
+
+    def kept(self) -> Window:
+        whole = Window()
+        for path in sorted(Path(self.folder).glob("*.acc")):
+            whole.merge(decode(path.read_bytes(), "test"))
+        return whole
+
+    async def test_every_answer_is_accounted_for(self) -> None:
+        await self.start_all()
+        client = await self.client()
+        for n in range(20):
+            answers = await asyncio.gather(
+                *(self.send(client, Opcode.WRITE, 1, n * 16 + k) for k in range(4)))
+            self.assertEqual({"honoured"}, {how for how, _, _ in answers})
+        await self.heads[0].end()
+        whole = self.kept()
+        rows = whole.all_rows()
+        self.assertEqual(80, sum(row.outcomes[Outcome.HONOURED] for row in rows))
+        self.assertEqual(80, sum(row.lives for row in rows))
+        self.assertEqual(0, whole.remainders)
+        for row in rows:
+            self.assertEqual(row.life_us, sum(row.stages))
+            self.assertGreater(row.stages[Stage.WORK], row.lives * 1500, "2 ms a unit, as the shelf told")
+            self.assertGreater(row.stages[Stage.WAY_THERE], 0)
+        self.assertEqual(1, sum(span.last for span in whole.spans))
+
+    async def test_a_silent_shelf_is_blamed(self) -> None:
+        await self.start_all()
+        self.hold(0)
+        client = await self.client()
+        how, _, _ = await self.send(client, Opcode.WRITE)
+        self.assertNotEqual("honoured", how)
+        await self.heads[0].end()
+        lost = {(b.holder, b.shelf): us for b, us in self.kept().blame.items()
+                if b.stage == Stage.LOST_FORWARD}
+        self.assertEqual([(SHELF, 0)], list(lost))
+        self.assertGreater(lost[SHELF, 0], 800_000)
+
+    async def test_a_folder_that_goes_away_stops_nothing(self) -> None:
+        await self.start_all()
+        self.heads[0].book.folder = f"{self.folder}/gone"  # type: ignore[union-attr]
+        client = await self.client()
+        await asyncio.sleep(0.6)
+        how, _, _ = await self.send(client, Opcode.WRITE)
+        self.assertEqual("honoured", how)
+        await self.heads[0].end()
+
+    async def test_old_files_make_room(self) -> None:
+        old = Path(self.folder) / "head-0-000000000000001.acc"
+        other = Path(self.folder) / "head-1-000000000000001.acc"
+        for path in (old, other):
+            path.write_bytes(b"old")
+        await self.start_all()
+        self.heads[0].book.most = 2  # type: ignore[union-attr]
+        await self.until(lambda: not old.exists())
+        self.assertTrue(other.exists(), "another head's")
+        await self.until(lambda: len(list(Path(self.folder).glob("head-0-*.acc"))) == 2)
--- a/tests/test_idle_shelves.py
+++ b/tests/test_idle_shelves.py
@@ -43,7 +43,8 @@
         try:
             for n in range(100):
                 driver.take(Deaf(), io_command(Opcode.READ, 1), b"", 0, profile=0, plan=0, key=None,
-                            cut_off=clock.time + 1.0, volume=1, extent=n % 2, units=1.0, shard=n % 2, heads=1)
+                            cut_off=clock.time + 1.0, volume=1, extent=n % 2, units=1.0, shard=n % 2, heads=1,
+                            arrived=clock.time)
                 clock.move(clock.time + 0.001)
                 f = links[n % 2].held.pop()
                 f.over = True
--- a/tests/test_same_decisions.py
+++ b/tests/test_same_decisions.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from gorsethread.accounts.lives import Accounts
 from gorsethread.benchlink.__main__ import EFFECTS, ENDINGS, GROUPS, Link
 from gorsethread.head.driver import Driver
 from gorsethread.head.facts import start_facts
@@ -115,7 +116,20 @@
                                  {a[0] for a in decided})
                 self.assertEqual(decided, self.through_bench(told, seed))
 
-    def play(self, seed: int) -> tuple[list[tuple[Any, ...]], list[tuple[Any, ...]]]:
+    def test_with_and_without_accounts(self) -> None:
+        """Asking the policy why it holds something changes nothing it decides."""
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                self.asked = 0
+                self.assertEqual(self.play(seed), self.play(seed, accounts=True))
+                self.assertGreater(self.asked, 300)
+
+    def ask_all(self, driver: Driver) -> None:
+        for id in driver.open:
+            driver.policy.why_held(id)
+            self.asked += 1
+
+    def play(self, seed: int, accounts: bool = False) -> tuple[list[tuple[Any, ...]], list[tuple[Any, ...]]]:
         """A made-up day through the driver alone: what it told the policy, and what that decided."""
         start_logs(False, "critical")
         chance = random.Random(seed)
@@ -127,10 +141,14 @@
         links = {n: Link_() for n in (0, 1)}
         driver.links.update(links)  # type: ignore[arg-type]
         driver.shards.update({0: 0, 1: 1})
+        if accounts:
+            driver.accounts = Accounts([p.promised for p in site.profile], clock.time)
         clock.settle()
         driver.listed([(0, 0, 0, True, 0.0), (1, 0, 1, True, 0.0)], True, True)
         for step in range(600):
             clock.move(clock.time + chance.random() * 0.02)
+            if accounts:
+                self.ask_all(driver)
             draw = chance.random()
             if draw < 0.5:
                 self.take(driver, chance)
@@ -152,6 +170,9 @@
         clock.move(clock.time + 3.0)
         self.assertEqual({}, driver.open, "every transaction has ended")
         self.assertEqual({}, driver._placing)
+        if driver.accounts:
+            self.assertEqual({}, driver.accounts.lives)
+            self.assertEqual(0, driver.accounts.window.remainders)
         return told, [t[1:] for t in told if t[0] == "act"]
 
     def take(self, driver: Driver, chance: random.Random) -> None:
@@ -167,7 +188,8 @@
         key = f"{volume}/{extent}" if profile == 1 else None
         driver.take(Deaf(), command, b"", 0, profile=profile, plan=0, key=key,
                     cut_off=driver.transport.now() + chance.uniform(0.05, 1.0), volume=volume, extent=extent,
-                    units=float(1 + chance.randrange(8)), shard=shard, heads=1)
+                    units=float(1 + chance.randrange(8)), shard=shard, heads=1,
+                    arrived=driver.transport.now())
 
     def through_bench(self, told: list[tuple[Any, ...]], seed: int) -> list[tuple[Any, ...]]:
         link = Link()
