--- a/gorsethread/accounts/causes.py
+++ b/gorsethread/accounts/causes.py
@@ -16,7 +16,7 @@
 
 SLOW_FROM = 1.5  # times the usual work for the same units from which a shelf is called slow
 SHIFT_FROM = 1.2  # from which part of the waiting there is the shelf's
-SAMPLES_LEAST = 8  # transactions without which nothing is said of a shelf's pace in a slot
+SAMPLES_LEAST = 8  # transactions without which nothing is said of a shelf's pace
 FLOODS_FROM = 3.0  # times its usual traffic from which a volume may be said to flood
 HOLDS_FROM = 0.2  # part of all waiting that makes a volume worth naming
 STALLED_FROM = 0.1  # part of the time asked about, in the mean of the heads
@@ -137,11 +137,23 @@
         # Where one head waits and others are answered the shelf is not the one that stands still.
         pace.stalled = row.stalled_us / 1e6 / seconds / len({span.head for span in whole.spans})
         pace.lost = sum(row.endings.get(how, 0) for how in ("timed out", "broken", "unreached"))
-        for at, window in slots.items():
-            if number in window.shelves:
-                n, w, o = _excess(window, number, usual)
-                if n >= SAMPLES_LEAST and o:
-                    pace.slots[at] = w / o
+        pace.slots = _by_slot(slots, number, usual)
+    return paces
+
+
+def _by_slot(slots: dict[int, Window], shelf: int, usual: dict[int, float]) -> dict[int, float]:
+    """Its pace in each slot; one with few transactions is taken together with those after it."""
+    paces: dict[int, float] = {}
+    group: list[int] = []
+    count, work, ought = 0, 0, 0.0
+    for at, window in slots.items():
+        if shelf in window.shelves:
+            n, w, o = _excess(window, shelf, usual)
+            count, work, ought = count + n, work + w, ought + o
+            group.append(at)
+        if count >= SAMPLES_LEAST and ought:
+            paces.update(dict.fromkeys(group, work / ought))
+            group, count, work, ought = [], 0, 0, 0.0
     return paces
 
 
@@ -237,7 +249,7 @@
     for b, us in found.blame.items():
         # Where the head holds a volume back for its limit or rate, that is for what the volume asks.
         by_holder[b.waiter if b.holder == HEAD else b.holder] += us
-    for volume, units in sorted(found.whole.asked.items()):
+    for volume, units in sorted(found.whole.asked().items()):
         usual = found.known.usual.get(volume, 0.0) * found.seconds
         times = units / usual if usual else 0.0
         if times >= FLOODS_FROM and by_holder[volume] >= HOLDS_FROM * total:
--- a/gorsethread/accounts/lives.py
+++ b/gorsethread/accounts/lives.py
@@ -9,37 +9,48 @@
 short.
 """
 
+from gorsethread.accounts.ordinary import Ordinary, count
 from gorsethread.accounts.stages import HEAD, LIST, SHELF, STAGE_OF, STAGES, UNKNOWN, Outcome, Stage
 from gorsethread.accounts.window import ShelfRow, Window, shares
 from gorsethread.model import Ending, Held
 
 LOOK_EVERY = 0.02  # seconds between looks at what holds the lanes
 LOOKS_MOST = 128  # lanes a look; further ones keep what was last seen until their turn
-# A shelf that holds forwards and answers nothing is called stalled after this long (microseconds), and beside
-# it so many times what it usually works on the units out there. Short of it a queue of others' may be all.
-STALL_LEAST = 100_000
+# A shelf that holds forwards and answers nothing is called stalled after this long (seconds), and beside it
+# so many times what it usually works on the units out there. Short of it a queue of others' may be all.
+STALL_LEAST = 0.1
 STALL_TIMES = 2
-SAME_SILENCE = 1_000_000  # after a last forward without an answer, one within this meets the same silence
+SAME_SILENCE = 1.0  # seconds; after a last forward without an answer, one within this meets the same silence
+SHORT = 20_000  # microseconds; a shorter wait at a shelf has one holder, drawn from those ahead in turn
+RECENT = 64  # a shelf's last forwards, of which a later one finds who was ahead of it
+TOGETHER = 4096
 LOST_TO_SHELF = (Ending.TIMED_OUT, Ending.UNREACHED, Ending.BROKEN, Ending.ERROR)
+HELD_STAGES = sorted({int(stage) for stage in STAGE_OF.values()})
 TO_HEAD = (Stage.RATE, Stage.LIMIT, Stage.BUDGET)
 TO_SHELF = (Stage.COLD, Stage.REST, Stage.SILENT)
+SHORT_SECONDS = SHORT / 1e6
 LOOSE, HOLD, OUT, DONE = range(4)
 
 Where = tuple[int, int, int]  # volume, shard, and the transaction itself where its key makes it wait alone
 
 
+def _us(seconds: float) -> int:
+    return int(seconds * 1e6)
+
+
 class _Shelf:
-    """What the head sees of a shelf's queue: the units each volume has there; emptied as forwards end."""
+    """What the head sees of a shelf's queue: the units each volume has there; emptied as forwards end.
+    Moments are seconds, lengths microseconds."""
 
     __slots__ = ("number", "out", "forwards", "busy_since", "idle_since", "answered_at", "stall", "least_way",
-                 "usual", "pending", "lanes", "backlog_until")
+                 "usual", "pending", "lanes", "backlog_until", "honoured", "sent", "turn")
 
     def __init__(self, number: int) -> None:
         self.number = number
         self.out: dict[int, int] = {}
         self.forwards = 0
-        self.busy_since = self.idle_since = self.answered_at = 0
-        self.stall = (0, 0)  # the last one
+        self.busy_since = self.idle_since = self.answered_at = 0.0
+        self.stall = (0.0, 0.0)  # the last one
         self.least_way = -1
         self.usual = 0  # microseconds of work a unit
         # Blame for its slots since it last answered, by waiter and holder: whose it was shows in how long the
@@ -48,22 +59,70 @@
         self.lanes = 0  # that wait for it
         # What piled up in a stall waits on behind its own kind, for the stall's sake: so blame stays with the
         # shelf until no lane waits, though no longer than the stall lasted, lest a flood hides behind it.
-        self.backlog_until = 0
+        self.backlog_until = 0.0
+        self.honoured = 0  # ordinary ones; begins anew with the window
+        self.sent = [(0, 0)] * RECENT  # volume and units of the last forwards, round and round
+        self.turn = 0
 
-    def quiet_from(self, now: int) -> int:
+    def quiet_from(self, now: float) -> float:
         """Since when it has answered nothing though it holds forwards; now where that is not long."""
         if not self.forwards:
             return now
-        since = max(self.busy_since, self.answered_at)
-        usual = self.usual * sum(self.out.values())
+        since = self.answered_at if self.answered_at > self.busy_since else self.busy_since
+        if now - since <= STALL_LEAST:
+            return now
+        usual = self.usual * sum(self.out.values()) / 1e6
         return since if now - since > STALL_LEAST + STALL_TIMES * usual else now
 
 
+    def takes(self, volume: int, units: int, now: float) -> int:
+        """A forward goes there; its turn among all."""
+        if not self.forwards and (
+                self.answered_at >= self.busy_since or now - self.idle_since > SAME_SILENCE):
+            self.busy_since = now
+        self.forwards += 1
+        turn = self.turn = self.turn + 1
+        self.sent[turn % RECENT] = (volume, units)
+        self.out[volume] = self.out.get(volume, 0) + units
+        return turn
+
+    def behind(self, turn: int, out: int) -> int:
+        """Of the out forwards that went before this turn, the volume of one: another at each turn, so that
+        over many each volume comes up as often as it is there."""
+        if not out:
+            return UNKNOWN
+        return self.sent[(turn - 1 - turn * 7 % (out if out < RECENT else RECENT)) % RECENT][0]
+
+    def ahead(self, turn: int, out: int) -> dict[int, int]:
+        """Units by volume of the out forwards before this turn, or of the last that are known."""
+        units: dict[int, int] = {}
+        for n in range(turn - min(out, RECENT - 1), turn):
+            volume, its = self.sent[n % RECENT]
+            units[volume] = units.get(volume, 0) + its
+        return units
+
+    def gives_back(self, volume: int, units: int, now: float) -> None:
+        self.forwards -= 1
+        if not self.forwards:
+            self.idle_since = now
+        if left := self.out[volume] - units:
+            self.out[volume] = left
+        else:
+            del self.out[volume]
+
+    def saw_work(self, a_unit: int) -> None:
+        """a_unit: microseconds of work a unit, of late."""
+        self.usual += (a_unit - self.usual) // 8 if self.usual else a_unit
+
+
 class _Flight:
-    __slots__ = ("shelf", "sent", "ahead")
+    __slots__ = ("shelf", "sent", "turn", "out")
+
+    def __init__(self, shelf: _Shelf, sent: float, turn: int, out: int) -> None:
+        self.shelf, self.sent, self.turn, self.out = shelf, sent, turn, out
 
-    def __init__(self, shelf: _Shelf, sent: int, ahead: dict[int, int]) -> None:
-        self.shelf, self.sent, self.ahead = shelf, sent, ahead
+    def ahead(self) -> dict[int, int]:
+        return self.shelf.ahead(self.turn, self.out)
 
 
 class _Lane:
@@ -93,46 +152,87 @@
         self.mark: list[int] = []
 
 
+# An ordinary life until it shows to be another: volume, profile, units, shard, alone, arrived and taken; once
+# sent the same, the shelf, when, its turn there, and how many forwards were out.
+_Taken = tuple[int, int, int, int, bool, float, float]
+_Sent = tuple[_Taken, _Shelf, float, int, int]
+
+
 class Accounts:
     """promised: seconds, by profile. Times of events are seconds on one clock; one that goes back is counted
-    as a disorder and taken as the latest seen."""
+    as a disorder and taken as the latest seen. together: how many ordinary lives are counted at once; 0: each
+    is counted by itself, as any other."""
 
-    def __init__(self, promised: list[float], now: float) -> None:
+    def __init__(self, promised: list[float], now: float, together: int = TOGETHER) -> None:
         self.promised = [int(p * 1e6) for p in promised]
         self.window = Window()
         self.lives: dict[int, _Life] = {}  # emptied as transactions are answered with their forwards in
+        self._taken: dict[int, _Taken] = {}  # these two emptied as lives end or are moved to lives
+        self._sent: dict[int, _Sent] = {}
+        self._ordinary: list[Ordinary] = []  # emptied as they are counted
+        self._together = together
         self.lanes: dict[Where, _Lane] = {}  # emptied as their last member leaves
         self.shelves: dict[int, _Shelf] = {}  # emptied of idle ones as windows end
         self._asked = 0  # the lane after which the next look begins
-        self._now = int(now * 1e6)
+        self._loose: dict[int, None] = {}  # those of lives that wait for a search; emptied by it and by ends
+        self._now = now
 
-    def _at(self, when: float) -> int:
-        now = int(when * 1e6)
-        if now < self._now:
+    def _at(self, when: float) -> float:
+        if when < self._now:
             self.window.disorders += 1
             return self._now
-        self._now = now
-        return now
+        self._now = when
+        return when
+
+    @property
+    def open(self) -> int:
+        return len(self._taken) + len(self._sent) + len(self.lives)
 
     # ---- what happens
 
     def taken(self, id: int, volume: int, profile: int, shard: int, alone: bool, units: int, arrived: float,
               when: float) -> None:
         """alone: its key makes it wait in a line of its own. arrived: when its capsule came."""
-        now = self._at(when)
-        began = min(now, int(arrived * 1e6))
-        life = _Life(volume, profile, units, (volume, shard, id if alone else -1), began, now)
-        life.stages[Stage.ARRIVING] = now - began
-        self.lives[id] = life
-        self.window.took(volume, units)
+        if when < self._now:
+            when = self._at(when)
+        self._now = when
+        self._taken[id] = (volume, profile, units, shard, alone, arrived if arrived < when else when, when)
+
+    def _life(self, id: int) -> _Life | None:
+        """A life that is not, or no longer, an ordinary one."""
+        if (life := self.lives.get(id)) is not None:
+            return life
+        flight = None
+        if (sent := self._sent.pop(id, None)) is not None:
+            taken, shelf, at, turn, out = sent
+            flight = _Flight(shelf, at, turn, out)
+        elif (known := self._taken.pop(id, None)) is not None:
+            taken = known
+        else:
+            return None
+        volume, profile, units, shard, alone, arrived, when = taken
+        began, since = _us(arrived), _us(when)
+        where = (volume, shard, id if alone else -1)
+        life = self.lives[id] = _Life(volume, profile, units, where, began, since)
+        life.stages[Stage.ARRIVING] = since - began
+        if flight is not None:
+            life.since = _us(flight.sent)
+            life.stages[Stage.HEAD] = life.since - since
+            life.state, life.flights = OUT, {0: flight}
+        return life
+
+    def unsent(self) -> list[int]:
+        """What the last search left unsent, and held() does not know of yet."""
+        return [*self._taken, *self._loose]
 
     def held(self, id: int, why: Held, shelf: int, when: float) -> None:
         """A search has passed and it was not sent; or what holds its lane was asked again."""
-        life = self.lives.get(id)
+        life = self._life(id)
         if life is None or life.state not in (LOOSE, HOLD):
             return
-        now = self._at(when)
+        now = _us(self._at(when))
         if life.state == LOOSE:
+            self._loose.pop(id, None)
             lane = self.lanes.get(life.where)
             fresh = lane is None
             if lane is None:
@@ -163,64 +263,88 @@
         return [next(iter(lane.members)) for lane in lanes]
 
     def sent(self, id: int, forward: int, shelf: int, when: float) -> None:
-        life = self.lives.get(id)
+        s = self.shelves.get(shelf)
+        if s is None:
+            s = self._shelf(shelf)
+        if not forward and (taken := self._taken.pop(id, None)) is not None:
+            if when < self._now:
+                when = self._at(when)
+            self._now = when
+            out = s.forwards
+            self._sent[id] = (taken, s, when, s.takes(taken[0], taken[2], when), out)
+            return
+        life = self._life(id)
         if life is None or forward in life.flights:
             return
-        now = self._at(when)
-        s = self._shelf(shelf)
+        when = self._at(when)
         if life.state != DONE and not life.flights:
+            now = _us(when)
             self._settle(life, id, now)
+            self._loose.pop(id, None)
             life.state, life.since = OUT, now
-        if not s.forwards and (s.answered_at >= s.busy_since or now - s.idle_since > SAME_SILENCE):
-            s.busy_since = now
-        life.flights[forward] = _Flight(s, now, s.out.copy())
-        s.forwards += 1
-        s.out[life.volume] = s.out.get(life.volume, 0) + life.units
-
-    def ended(self, id: int, forward: int, how: Ending, service: float, when: float) -> None:
-        """service: seconds in work as the shelf told; 0: it told none."""
-        life = self.lives.get(id)
+        out = s.forwards
+        life.flights[forward] = _Flight(s, when, s.takes(life.volume, life.units, when), out)
+
+    def ended(self, id: int, forward: int, how: Ending, service: float, when: float,
+              outcome: Outcome | None = None) -> None:
+        """service: seconds in work as the shelf told; 0: it told none. outcome: the answer that this gave."""
+        sent = self._sent.get(id) if self._together and not forward else None
+        if sent is not None and outcome is Outcome.HONOURED:
+            taken, s, at, turn, out = sent
+            if when < self._now:
+                when = self._at(when)
+            self._now = when
+            if when - at - service < SHORT_SECONDS and s.stall[1] <= at and not s.pending and (
+                    s.quiet_from(when) == when):
+                del self._sent[id]
+                s.gives_back(taken[0], taken[2], when)
+                s.honoured += 1
+                s.answered_at = when
+                self._ordinary.append((*taken, s.number, s.behind(turn, out), at, when, service))
+                if len(self._ordinary) >= self._together:
+                    self._count_ordinary()
+                return
+        life = self._life(id)
         if life is None or (flight := life.flights.pop(forward, None)) is None:
             return
-        now = self._at(when)
+        when = self._at(when)
+        now = _us(when)
         s = flight.shelf
-        quiet = s.quiet_from(now)
-        s.forwards -= 1
-        if not s.forwards:
-            s.idle_since = now
-        left = s.out[life.volume] - life.units
-        if left:
-            s.out[life.volume] = left
-        else:
-            del s.out[life.volume]
+        quiet = s.quiet_from(when)
+        s.gives_back(life.volume, life.units, when)
         row = self.window.shelf(s.number)
         row.endings[how.value] = row.endings.get(how.value, 0) + 1
         if how in (Ending.HONOURED, Ending.TURNED_AWAY, Ending.ERROR):
-            if quiet < now:
-                row.stalled_us += now - quiet
-                s.stall = (quiet, now)
-                s.backlog_until = now + now - quiet
-            self._blame_pending(s, quiet < now or now < s.backlog_until)
-            s.answered_at = now
+            if quiet < when:
+                row.stalled_us += now - _us(quiet)
+                s.stall = (quiet, when)
+                s.backlog_until = when + when - quiet
+            self._blame_pending(s, quiet < when or when < s.backlog_until)
+            s.answered_at = when
         if life.state == OUT:
             self._split(life, flight, how, int(service * 1e6), now, row)
             life.since = now
             if not life.flights:
                 life.state = LOOSE
+                self._loose[id] = None
+            if outcome is not None:
+                self._finish(life, id, outcome, now)
         elif not life.flights:
             del self.lives[id]
 
     def answered(self, id: int, outcome: Outcome, when: float) -> None:
         """Its one answer, or its client left."""
-        life = self.lives.get(id)
+        life = self._life(id)
         if life is None or life.state == DONE:
             return
-        now = self._at(when)
+        now = _us(self._at(when))
         self._settle(life, id, now)
+        self._finish(life, id, outcome, now)
+
+    def _finish(self, life: _Life, id: int, outcome: Outcome, now: int) -> None:
         life.state = DONE
+        self._loose.pop(id, None)
         life_us = now - life.arrived
-        if sum(life.stages) != life_us:
-            self.window.remainders += 1
         late = outcome != Outcome.LEFT and (
             outcome != Outcome.HONOURED or life_us > self.promised[life.profile])
         self.window.life(life.volume, life.profile, life.units, outcome, late, life.stages, life_us)
@@ -229,18 +353,35 @@
 
     def close_window(self, when: float) -> Window:
         """What was counted since the last; a life belongs to the window in which it was answered."""
-        now = self._at(when)
+        when = self._at(when)
         for lane in self.lanes.values():
-            self._advance(lane, now)
+            self._advance(lane, _us(when))
+        self._count_ordinary()
         for s in self.shelves.values():
-            self._blame_pending(s, s.quiet_from(now) < now)
+            self._blame_pending(s, s.quiet_from(when) < when)
         for s in [s for s in self.shelves.values() if not s.forwards and not s.lanes]:
             del self.shelves[s.number]
         for s in self.shelves.values():
             s.least_way = -1
+        self.window.settle()
         closed, self.window = self.window, Window()
         return closed
 
+    def _count_ordinary(self) -> None:
+        if not self._ordinary:
+            return
+        ways = {s.number: s.least_way for s in self.shelves.values()}
+        works = count(self._ordinary, self.promised, ways, self.window)
+        self._ordinary.clear()
+        for s in self.shelves.values():
+            s.least_way = ways[s.number]
+            if s.number in works:
+                s.saw_work(works[s.number])
+            if s.honoured:
+                endings = self.window.shelf(s.number).endings
+                endings[Ending.HONOURED.value] = endings.get(Ending.HONOURED.value, 0) + s.honoured
+                s.honoured = 0
+
     # ---- dividing
 
     def _shelf(self, number: int) -> _Shelf:
@@ -253,8 +394,9 @@
             lane = life.lane
             assert lane is not None
             self._advance(lane, now)
-            for stage, run in enumerate(lane.run):
-                life.stages[stage] += run - life.mark[stage]
+            stages, mark, run = life.stages, life.mark, lane.run
+            for stage in HELD_STAGES:
+                stages[stage] += run[stage] - mark[stage]
             life.lane = None
             del lane.members[id]
             if not lane.members:
@@ -272,9 +414,9 @@
         s = self.shelves.get(lane.shelf)
         if s is not None and s.lanes:
             s.lanes -= 1
-            if not s.lanes and now < s.backlog_until:
+            if not s.lanes and now < s.backlog_until * 1e6:
                 self._blame_pending(s, True)
-                s.backlog_until = now
+                s.backlog_until = 0.0
 
     def _advance(self, lane: _Lane, now: int) -> None:
         passed, lane.since = now - lane.since, now
@@ -312,7 +454,7 @@
             if how in LOST_TO_SHELF:
                 self.window.blamed(life.volume, SHELF, s.number, Stage.LOST_FORWARD, passed)
             elif how is Ending.TURNED_AWAY:
-                self.window.shared_out(life.volume, flight.ahead, s.number, Stage.LOST_FORWARD, passed)
+                self.window.shared_out(life.volume, flight.ahead(), s.number, Stage.LOST_FORWARD, passed)
             else:
                 self.window.blamed(life.volume, HEAD, s.number, Stage.LOST_FORWARD, passed)
             return
@@ -328,14 +470,17 @@
         stages[Stage.WORK] += work
         stages[Stage.WAY_THERE] += way // 2
         stages[Stage.WAY_BACK] += way - way // 2
-        row.worked(life.volume, life.units, work)
-        a_unit = work // max(1, life.units)
-        s.usual += (a_unit - s.usual) // 8 if s.usual else a_unit
+        row.worked(life.volume, life.units.bit_length(), 1, life.units, work)
+        s.saw_work(work // max(1, life.units))
         if wait:
             stages[Stage.AT_SHELF] += wait
             row.wait_us += wait
-            stalled = min(wait, max(0, min(now, s.stall[1]) - max(flight.sent, s.stall[0])))
+            stalled = min(wait, max(0, _us(s.stall[1]) - _us(max(flight.sent, s.stall[0]))))
             if stalled:
                 self.window.blamed(life.volume, SHELF, s.number, Stage.AT_SHELF, stalled)
-            if wait > stalled:
-                self.window.shared_out(life.volume, flight.ahead, s.number, Stage.AT_SHELF, wait - stalled)
+                wait -= stalled
+            if 0 < wait < SHORT:
+                behind = s.behind(flight.turn, flight.out)
+                self.window.blamed(life.volume, behind, s.number, Stage.AT_SHELF, wait)
+            elif wait:
+                self.window.shared_out(life.volume, flight.ahead(), s.number, Stage.AT_SHELF, wait)
--- /dev/null
+++ b/gorsethread/accounts/ordinary.py
@@ -0,0 +1,84 @@
+"""Counts ordinary lives many at once: taken, sent in the next search, honoured by their first forward after a
+short wait. Nearly all are so, and one by one each would cost several times as much."""
+
+import numpy
+
+from gorsethread.accounts.stages import UNKNOWN, Outcome, Stage
+from gorsethread.accounts.window import Numbers, Window, sums
+
+# Volume, profile, units, shard, alone, arrived, taken; shelf, whom it waited behind, sent, ended, work as
+# told (0: untold). Moments and work in seconds.
+Ordinary = tuple[int, int, int, int, bool, float, float, int, int, float, float, float]
+MOMENTS = [5, 6, 9, 10, 11]
+SPAN = 1 << 31  # more than any volume's number; what is behind may be a little under 0
+
+
+def count(lives: list[Ordinary], promised: list[int], ways: dict[int, int],
+          window: Window) -> dict[int, int]:
+    """Adds them to the window; the work a unit of each shelf comes back.
+
+    ways: the least way seen of each shelf (-1: none yet), set anew.
+    """
+    table = numpy.array(lives, dtype=numpy.float64)
+    table[:, MOMENTS] *= 1e6
+    # Whole microseconds, cut as the lives counted by themselves are.
+    volume, profile, units, _, _, arrived, taken, shelf, behind, sent, ended, work = table.astype(
+        numpy.int64).T
+    told = work > 0
+    undivided = numpy.where(told, 0, ended - sent)
+    work = numpy.where(told, numpy.minimum(work, ended - sent), 0)
+    rest = numpy.where(told, ended - sent - work, 0)
+    way = numpy.zeros_like(rest)
+    for number in numpy.unique(shelf[told]).tolist():
+        at = told & (shelf == number)
+        least = int(rest[at].min())
+        ways[number] = least if ways[number] < 0 else min(least, ways[number])
+        way[at] = ways[number]
+    parts: dict[int, Numbers] = {
+        Stage.ARRIVING: taken - arrived, Stage.HEAD: sent - taken, Stage.WAY_THERE: way // 2,
+        Stage.AT_SHELF: rest - way, Stage.WORK: work, Stage.WAY_BACK: way - way // 2,
+        Stage.UNDIVIDED: undivided,
+    }
+    life = ended - arrived
+    honoured = numpy.full_like(life, Outcome.HONOURED)
+    late = (life > numpy.array(promised)[profile]).astype(numpy.int64)
+    window.together(volume, profile, units, honoured, late, parts, life)
+    _blame(volume, behind, shelf, parts[Stage.AT_SHELF], Stage.AT_SHELF, window)
+    _blame(volume, numpy.full_like(behind, UNKNOWN), shelf, undivided, Stage.UNDIVIDED, window)
+    return _shelves(volume[told], units[told], shelf[told], work[told], parts[Stage.AT_SHELF][told], window)
+
+
+def _blame(volume: Numbers, behind: Numbers, shelf: Numbers, wait: Numbers, stage: Stage,
+           window: Window) -> None:
+    some = wait > 0
+    if not some.any():
+        return
+    shelves, shelf_at = numpy.unique(shelf[some], return_inverse=True)
+    waiters, waiter_at = numpy.unique(volume[some], return_inverse=True)
+    holders, holder_at = numpy.unique(behind[some], return_inverse=True)
+    keys, group = numpy.unique((waiter_at * len(holders) + holder_at) * len(shelves) + shelf_at,
+                               return_inverse=True)
+    for key, us in zip(keys.tolist(), sums(group, len(keys), wait[some]), strict=True):
+        pair, at = divmod(key, len(shelves))
+        waiter, holder = divmod(pair, len(holders))
+        window.blamed(int(waiters[waiter]), int(holders[holder]), int(shelves[at]), stage, us)
+
+
+def _shelves(volume: Numbers, units: Numbers, shelf: Numbers, work: Numbers, wait: Numbers,
+             window: Window) -> dict[int, int]:
+    if not len(shelf):
+        return {}
+    order = numpy.frexp(units)[1].astype(numpy.int64)
+    keys, group = numpy.unique((shelf * SPAN + volume) * 64 + order, return_inverse=True)
+    counts = numpy.bincount(group).tolist()
+    for n, (key, us, of) in enumerate(zip(keys.tolist(), sums(group, len(keys), work),
+                                          sums(group, len(keys), units), strict=True)):
+        place, its = divmod(key, 64)
+        number, whose = divmod(place, SPAN)
+        window.shelf(number).worked(whose, its, counts[n], of, us)
+    works = {}
+    for number in numpy.unique(shelf).tolist():
+        at = shelf == number
+        window.shelf(number).wait_us += int(wait[at].sum())
+        works[number] = int(work[at].sum()) // max(1, int(units[at].sum()))
+    return works
--- a/gorsethread/accounts/report.py
+++ b/gorsethread/accounts/report.py
@@ -271,10 +271,10 @@
     for b, us in found.blame.items():
         if b.waiter != b.holder:
             held[b.holder] += us
-    rows = []
+    rows, all_asked = [], found.whole.asked()
     for volume, row in sorted(by_volume.items(), key=lambda v: (-v[1].waited_us, v[0]))[:20]:
         usual = found.known.usual.get(volume, 0.0) * found.seconds
-        asked = found.whole.asked.get(volume, 0)
+        asked = all_asked.get(volume, 0)
         rows.append((found.known.volume(volume), str(row.lives), part(row.late, row.lives),
                      ms(quantile(row, STAGES, 0.5)), ms(quantile(row, STAGES, 0.99)), ms(row.waited_us),
                      ms(held[volume]), f"{asked / usual:.1f}" if usual else "-"))
--- a/gorsethread/accounts/sketch.py
+++ b/gorsethread/accounts/sketch.py
@@ -43,6 +43,8 @@
         return min(self.cells[n] for n in places)
 
     def merge(self, other: "Sketch") -> None:
+        if not other.total:
+            return
         self.total += other.total
         for n, amount in enumerate(other.cells):
             if amount:
--- a/gorsethread/accounts/snapshots.py
+++ b/gorsethread/accounts/snapshots.py
@@ -41,8 +41,6 @@
             entry.units.add(volume=volume, units=units)
         for how, count in sorted(known.endings.items()):
             entry.ended.add(how=how, count=count)
-    for volume, units in sorted(window.asked.items()):
-        message.asked.add(volume=volume, units=units)
     payload = message.SerializeToString(deterministic=True)
     return FRAME.pack(MAGIC, VERSION, len(payload), google_crc32c.value(payload)) + payload
 
@@ -87,6 +85,8 @@
 
 
 def _put_sketch(entry: pb.Sketch, sketch: Sketch) -> None:
+    if not sketch.total:
+        return
     entry.total = sketch.total
     for cell, amount in enumerate(sketch.cells):
         if amount:
@@ -113,10 +113,9 @@
     window.lives, window.waited = _sketch(message.lives), _sketch(message.waited)
     window.blame = {Blamed(b.waiter, b.holder, b.shelf, b.stage): b.us for b in message.blame}
     window.shelves = {
-        s.number: ShelfRow({c.order: (c.count, c.units, c.work_us) for c in getattr(s, "class")},
+        s.number: ShelfRow({c.order: [c.count, c.units, c.work_us] for c in getattr(s, "class")},
                            {u.volume: u.units for u in s.units}, {e.how: e.count for e in s.ended}, s.wait_us,
                            s.stalled_us)
         for s in message.shelf
     }
-    window.asked = {a.volume: a.units for a in message.asked}
     return window
--- a/gorsethread/cli/main.py
+++ b/gorsethread/cli/main.py
@@ -19,6 +19,7 @@
 from gorsethread.cli.options import SitePath, site_at
 from gorsethread.head.program import Head
 from gorsethread.lab import bench as benches
+from gorsethread.lab.alternate import Alternating
 from gorsethread.lab.day import TROUBLES, Day, DayPlan, DayResult
 from gorsethread.lab.peers import Load, Relay, Sink
 from gorsethread.lab.planted import plant as plant_break
@@ -86,7 +87,8 @@
          log: LogOption = LogForm.console, log_level: str = "info",
          sample: Annotated[str, typer.Option(
              help="Sample CPU time by package; written here at the end.")] = "",
-         plant: Annotated[int, typer.Option(hidden=True)] = 0) -> None:
+         plant: Annotated[int, typer.Option(hidden=True)] = 0,
+         alternate: Annotated[str, typer.Option(hidden=True)] = "") -> None:
     """Runs a head: clients in, decisions, shelves out. SIGTERM ends it in order."""
     start_logs(log is LogForm.json, log_level)
     known = site_at(site)
@@ -99,10 +101,14 @@
         raise typer.Exit(2)
     logger = log_for(head=head)
 
+    alternating: list[Alternating] = []
+
     def make(transport: RealTransport) -> Head:
         made = Head(transport, known, head, seed, remember, logger, accounts=accounts, window=window)
         if plant:
             plant_break(made, plant)
+        if alternate:
+            alternating.append(Alternating(made))
         return made
 
     sampler = Sampler()
@@ -111,6 +117,8 @@
     _serve(make, seed, logger, lambda made: made.end())
     if sample:
         Path(sample).write_text(json.dumps(sampler.shares()))
+    if alternate:
+        Path(alternate).write_text(json.dumps(alternating[0].figures()))
 
 
 @app.command()
@@ -291,11 +299,11 @@
     result = _run_async(main, seed)
     table = Table("ratio of head to relay, in pairs", "least", "median", "most")
     for name in ("head_to_relay", "cpu_ratio", "held_head_to_relay", "held_cpu_ratio", "calm_median_ratio",
-                 "calm_p99_ratio", "idle_shelves_cpu_ratio", "accounts_to_head", "accounts_cpu_ratio"):
+                 "calm_p99_ratio", "idle_shelves_cpu_ratio", "accounts_to_head"):
         table.add_row(name, *(f"{result[name][k]:.2f}" for k in ("least", "median", "most")))
     console.print(table)
-    console.print(f"accounts take {result['accounts_memory_mib']['median']:.1f} MiB more at "
-                  f"{benches.VOLUMES} volumes")
+    console.print("accounts hold: " + ", ".join(
+        f"{what.replace('_', ' ')} {much:.1f}" for what, much in result["accounts_footprint"].items()))
     console.print("the head's CPU by place: " + ", ".join(
         f"{place} {part:.0%}" for place, part in result["head_cpu_shares"].items()))
     _write_json(result, json_path)
--- a/gorsethread/head/driver.py
+++ b/gorsethread/head/driver.py
@@ -13,7 +13,7 @@
 from gorsethread.accounts.stages import Outcome
 from gorsethread.head.links import NOTHING, Forward, ShelfLink, Told
 from gorsethread.head.placement import UNPLACED, Placement
-from gorsethread.model import Ending, StartFacts
+from gorsethread.model import Ending, Held, StartFacts
 from gorsethread.nvme.command import Command
 from gorsethread.policy import NEVER_RAN, Policy
 from gorsethread.transport.base import Timer, Transport
@@ -66,7 +66,6 @@
         self.policy = Policy(self, facts, seed)
         self.recorder: Callable[[tuple[Any, ...]], None] | None = None  # sees events and acts, for replays
         self.accounts: Accounts | None = None
-        self._unsent: list[int] = []  # got something to send in this batch; emptied after each
         # The first batch is empty: the policy asks for the list in it.
         self._due = True
         transport.soon(self._work)
@@ -93,7 +92,6 @@
         if self.accounts is not None:
             self.accounts.taken(t.id, volume, profile, shard, key is not None, int(units), arrived,
                                 self.transport.now())
-            self._unsent.append(t.id)
         self.happened("transaction_taken", t.id, profile, plan, key, cut_off, str(volume), units, shard,
                       heads, command.repeat)
         return t
@@ -132,8 +130,8 @@
         if self.recorder:
             self.recorder(("batch", self._now))
         self.policy.batch_ended()
-        if self._unsent:
-            self._account_held()
+        if self.accounts is not None and (unsent := self.accounts.unsent()):
+            self._account_held(self.accounts, unsent)
 
     def _cut_off(self, t: Open) -> None:
         for f in list(t.out.values()):
@@ -147,38 +145,32 @@
         if self.accounts is not None:
             self.accounts.answered(t.id, outcome, self.transport.now())
 
-    def _account_held(self) -> None:
-        """Of what the last search left unsent, the policy says why."""
-        unsent, self._unsent = self._unsent, []
-        if self.accounts is None:
-            return
-        now = 0.0
+    def _account_held(self, accounts: Accounts, unsent: list[int]) -> None:
+        """Of what the last search left unsent, the policy says why; what it has not seen it does not hold."""
+        now = self.transport.now()
         for id in unsent:
-            t = self.open.get(id)
-            if t is not None and not t.out and not t.answered:
-                now = now or self.transport.now()
-                self.accounts.held(id, *self.policy.why_held(id), now)
+            why, shelf = self.policy.why_held(id)
+            if why is not Held.NOT:
+                accounts.held(id, why, shelf, now)
 
     def _ended(self, f: Forward, how: Ending, told: Told) -> None:
         t = self.open.get(f.transaction)
         if t is None:
             return
         now = self.transport.now()
+        honoured = how is Ending.HONOURED and not t.answered
         if self.accounts is not None:
-            self.accounts.ended(t.id, f.number, how, told.service, now)
+            self.accounts.ended(t.id, f.number, how, told.service, now,
+                                Outcome.HONOURED if honoured else None)
         t.out.pop(f.number, None)
         self.counts[how.value] += 1
         if f.first_write:
             self._placing_ended(t, how)
-        if how is Ending.HONOURED and not t.answered:
+        if honoured:
             # Not held back until the batch: the answer goes to the client at once.
             t.answered = True
-            if self.accounts is not None:
-                self.accounts.answered(t.id, Outcome.HONOURED, now)
             self.counts["honoured"] += 1
             t.client.honoured(self.shards.get(f.shelf, UNPLACED), told.data)
-        elif self.accounts is not None and not t.answered:
-            self._unsent.append(t.id)
         self.happened("forward_ended", t.id, f.number, how, f.shelf, now - f.sent_at, t.answered,
                       told.elsewhere, told.usage)
         self._close(t)
--- a/gorsethread/lab/accounts.py
+++ b/gorsethread/lab/accounts.py
@@ -2,7 +2,9 @@
 against what the script did, in separate processes on loopback."""
 
 import asyncio
+import random
 import tempfile
+import tracemalloc
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -11,7 +13,10 @@
 
 from gorsethread.accounts import causes, report
 from gorsethread.accounts.known import known_of
+from gorsethread.accounts.lives import Accounts
 from gorsethread.accounts.snapshots import SUFFIX, decode
+from gorsethread.accounts.stages import STAGES, Outcome, Stage
+from gorsethread.accounts.window import Window
 from gorsethread.lab.day import Day, DayPlan
 from gorsethread.sitefile import site_pb2 as pb
 from gorsethread.standins.client import Surge
@@ -68,7 +73,7 @@
         "stalled": [round(p.stalled, 3) for p in found.paces.values()],
         "unknown": round(found.unknown, 3), "lives": lives, "remainders": found.whole.remainders,
         "disorders": found.whole.disorders, "rules": result.verdict.rules, "good": result.good,
-        "defects": result.defects,
+        "defects": result.defects, "breaks": [str(b) for b in result.verdict.breaks],
     }
 
 
@@ -93,7 +98,49 @@
 
         await asyncio.gather(*(one(seed, scenario) for seed in seeds for scenario in SCENARIOS))
     done.sort(key=lambda r: (r["seed"], SCENARIOS.index(r["scenario"])))
-    return {"runs": done, "figures": figures(done)}
+    return {"runs": done, "figures": {**figures(done), "footprint": footprint()}}
+
+
+def footprint() -> dict[str, float]:
+    """Bytes that the accounts hold: for an open transaction, a volume with a row, and 100,000 volumes."""
+    chance = random.Random(1)
+    stages = [0] * STAGES
+
+    def lives(window: Window, volumes: int, each: int) -> None:
+        for volume in range(1, volumes + 1):
+            for _ in range(each):
+                for stage in (Stage.HEAD, Stage.SLOTS, Stage.WAY_THERE, Stage.AT_SHELF, Stage.WORK,
+                              Stage.WAY_BACK):
+                    stages[stage] = int(chance.lognormvariate(8.0, 1.5))
+                window.life(volume, 0, 1, Outcome.HONOURED, False, stages.copy(), sum(stages))
+
+    def held(fill: Callable[[], object]) -> int:
+        tracemalloc.start()
+        kept = fill()
+        size = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        del kept
+        return size
+
+    def filled(volumes: int, each: int) -> Window:
+        window = Window()
+        lives(window, volumes, each)
+        return window
+
+    def opened() -> Accounts:
+        accounts = Accounts([1.0], 0.0)
+        for id in range(1000):
+            accounts.taken(id, 1 + id % 8, 0, id % 3, False, 1, 0.0, 0.001)
+            accounts.sent(id, 0, id % 3, 0.002)
+        return accounts
+
+    empty = held(Window)
+    return {
+        "bytes_an_open_transaction": held(opened) / 1000,
+        "bytes_a_volume_of_1000_transactions": (held(lambda: filled(100, 1000)) - empty) / 100,
+        "mib_at_100000_volumes": held(lambda: filled(100_000, 1)) / 2**20,
+        "mib_of_an_empty_window": empty / 2**20,
+    }
 
 
 def figures(runs: list[dict[str, Any]]) -> dict[str, Any]:
--- /dev/null
+++ b/gorsethread/lab/alternate.py
@@ -0,0 +1,50 @@
+"""A head that keeps accounts and keeps none in turn, under one load: processes of one build differ by a fifth
+in speed on a shared machine, stretches of one process a few tenths of a second apart hardly do."""
+
+import statistics
+from typing import Any
+
+from gorsethread.accounts.lives import Accounts
+from gorsethread.head.program import Head
+
+STRETCH = 0.8  # seconds
+SETTLING = 1  # stretches at the start that don't count
+
+
+class Alternating:
+    """figures(): honoured a second with accounts over that without, of neighbouring stretches."""
+
+    def __init__(self, head: Head) -> None:
+        self.head, self.transport = head, head.transport
+        assert head.book is not None
+        self.book = head.book
+        self.stretches: list[tuple[bool, float]] = []  # bounded by the length of the bench
+        self._begin()
+
+    def _begin(self) -> None:
+        self.started, self.honoured = self.transport.now(), self.head.driver.counts["honoured"]
+        self.transport.at(self.started + STRETCH, self._turn)
+
+    def _turn(self) -> None:
+        honoured = self.head.driver.counts["honoured"] - self.honoured
+        on = self.head.driver.accounts is not None
+        if on:
+            # What was put off is paid for in its own stretch.
+            self.book.accounts.close_window(self.transport.now())
+        if honoured:
+            self.stretches.append((on, honoured / (self.transport.now() - self.started)))
+        # What was open at the turn is in neither.
+        self.book.accounts = Accounts([p.promised for p in self.head.site.profile], self.transport.now())
+        self.head.driver.accounts = None if on else self.book.accounts
+        self._begin()
+
+    def figures(self) -> dict[str, Any]:
+        settled = self.stretches[SETTLING:]
+        pairs = [(a, b) for a, b in zip(settled, settled[1:], strict=False) if a[0] != b[0]]
+        # Of the last pairs one may hold the load's own end.
+        ratios = sorted((a[1] / b[1] if a[0] else b[1] / a[1]) for a, b in pairs[:-2])
+        if len(ratios) < 4:
+            return {}
+        quarter = len(ratios) // 4
+        return {"median": round(statistics.median(ratios), 3), "lower_quartile": round(ratios[quarter], 3),
+                "upper_quartile": round(ratios[-1 - quarter], 3), "pairs": len(ratios)}
