--- a/gorsethread/head/accounting.py
+++ b/gorsethread/head/accounting.py
@@ -23,7 +23,6 @@
         self.accounts = Accounts([p.promised for p in site.profile], transport.now())
         self.start = transport.wall()
         self.life = int(self.start * 1e6)
-        self.defects = 0
         self.most = KEPT_MOST
         self.ended = False
         mine = f"head-{head}-"
@@ -64,7 +63,6 @@
         # A clock set back must not make a span end before it began.
         window.spans.add(Span(self.head, self.life, self.start, max(self.start, end), last))
         if window.remainders:
-            self.defects += window.remainders
             self.log.error("accounts do not add up", transactions=window.remainders)
         name = f"head-{self.head}-{int(self.start * 1000):015d}{SUFFIX}"
         self.start = end
