A test holds the windows' buckets to the one definition of them

Cause: windows compute buckets by the thousand on their own; only the single form was tested, so a shift between the two would have moved every quantile unseen. Measured: a planted shift of two buckets fails the test.

--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -165,6 +165,12 @@
     @given(st.integers(0, 3_600_000_000))
     def test_buckets_are_three_percent_wide(self, us: int) -> None:
         self.assertLessEqual(abs(bucket_value(bucket_of(us)) - us), max(0, us / 32))
+        # What windows count by the thousand lies where this says; stages by pairs of buckets.
+        window = window_of([(1, 0, us)])
+        self.assertEqual(1, window.rows[1, 0].buckets[STAGES * BUCKETS + bucket_of(us)])
+        if work := us - us // 3:
+            pair = bucket_of(work) & (~1 if work >= 64 else ~0)
+            self.assertEqual(1, window.rows[1, 0].buckets[Stage.WORK * BUCKETS + pair])
 
 
 def window_of(lives: list[tuple[int, int, int]], head: int = 0) -> Window:
