--- /dev/null
+++ b/gorsethread/faults/draw.py
@@ -0,0 +1,165 @@
+"""Draws scripts from seeds, swarm style: each seed first draws which kinds of fault there are at all, so that
+some worlds have much of little and others a little of much. No I/O, no clock."""
+
+import random
+from collections.abc import Callable, Sequence
+
+from gorsethread.faults.script import Act, Clock, Script
+
+LAST = 0.55  # part of the time after which nothing new strikes
+CLEAR = 0.72  # part of the time at which every fault has ended
+KIND_PART = 0.4  # of the kinds, how many a seed has on average
+
+
+class Draw:
+    """seed: all of the script. seconds, volumes of the site: how long it is, and who may surge."""
+
+    def __init__(self, seed: int, volumes: Sequence[int], tenants: Sequence[str],
+                 seconds: float = 12.0) -> None:
+        self.chance = random.Random(f"script {seed}")
+        self.seed, self.volumes, self.tenants, self.seconds = seed, volumes, tenants, seconds
+        c = self.chance
+        self.heads, self.shelves = c.choice((1, 2, 3, 3, 4)), c.choice((2, 4, 6, 6, 8))
+        self.acts: list[Act] = []
+        self.away: set[str] = set()  # who is killed or so already: once a world is enough
+
+    def script(self) -> Script:
+        c = self.chance
+        kinds = [k for k in TROUBLES if c.random() < KIND_PART] or [c.choice(list(TROUBLES))]
+        for kind in kinds:
+            for _ in range(c.choice((1, 1, 2, 3))):
+                TROUBLES[kind](self)
+        clocks = {}
+        if c.random() < 0.3:
+            clocks = {f"head {n}": Clock(round(c.uniform(-900.0, 900.0), 3), c.choice((0.0, 2e-5, -2e-5)))
+                      for n in range(self.heads)}
+        factor = c.choice((0.7, 1.0, 1.0, 1.5, 2.5))
+        return Script(self.seed, self.heads, self.shelves, self.seconds, factor, tuple(sorted(self.acts)),
+                      clocks)
+
+    # ---- parts
+
+    def _at(self) -> float:
+        return round(self.chance.uniform(0.03, LAST) * self.seconds, 3)
+
+    def _lasts(self, at: float, least: float, most: float) -> float:
+        longest = CLEAR * self.seconds - at
+        return round(min(longest, self.chance.uniform(least, most)), 3)
+
+    def _head(self) -> str:
+        return f"head {self.chance.randrange(self.heads)}"
+
+    def _shelf(self) -> str:
+        return f"shelf {self.chance.randrange(self.shelves)}"
+
+    def _client(self) -> str:
+        return f"client {self.chance.choice(list(self.tenants))}"
+
+    def _add(self, kind: str, whom: str, least: float, most: float, to: str = "", both: bool = False,
+             by: float = 0.0, at: float | None = None) -> Act:
+        when = self._at() if at is None else at
+        act = Act(when, kind, whom, to, both, round(by, 3), self._lasts(when, least, most))
+        self.acts.append(act)
+        return act
+
+    # ---- troubles
+
+    def half_the_heads(self) -> None:
+        at = self._at()
+        for n in self.chance.sample(range(self.heads), (self.heads + 1) // 2):
+            if f"head {n}" not in self.away:
+                self.away.add(f"head {n}")
+                self._add(self.chance.choice(("kill", "kill", "vanish")), f"head {n}", 0.3, 3.0, at=at)
+
+    def shelf_dies(self) -> None:
+        shelf = self._shelf()
+        if shelf in self.away:
+            return
+        self.away.add(shelf)
+        at = self._at()
+        if self.chance.random() < 0.3:  # first slow, then dead with what it took
+            self._add("slow", shelf, 1.0, 2.0, by=self.chance.uniform(3, 12), at=max(0.1, at - 1.5))
+        act = self._add(self.chance.choice(("kill", "kill", "vanish")), shelf, 0.3, 2.5, at=at)
+        if self.chance.random() < 0.3 and act.end + 0.4 < CLEAR * self.seconds:
+            self._add("kill", shelf, 0.2, 0.8, at=round(act.end + 0.3, 3))  # a second time within its ramp
+
+    def crash(self) -> None:
+        """Just as a message comes: a head with a shelf's answer in hand, a shelf with a command in hand."""
+        struck, other = self.chance.choice((
+            (self._head(), self._shelf()), (self._head(), self._client()), (self._head(), "list"),
+            (self._shelf(), self._head())))
+        if struck not in self.away:
+            self.away.add(struck)
+            self._add("crash", struck, 0.2, 2.0, to=other, by=1 + self.chance.randrange(40))
+
+    def pause(self) -> None:
+        whom = self.chance.choice((self._head(), self._shelf(), "list"))
+        self._add("pause", whom, 0.1, 3.0)
+
+    def cut(self) -> None:
+        one, other = self.chance.choice((
+            (self._head(), self._shelf()), (self._shelf(), self._head()), (self._head(), "list"),
+            ("list", self._head()), (self._client(), self._head()), (self._head(), self._client()),
+            (self._shelf(), "list")))
+        self._add("cut", one, 0.1, 4.0, to=other, both=self.chance.random() < 0.5)
+
+    def room_cut(self) -> None:
+        room = self.chance.randrange(2)
+        at = self._at()
+        for other in (f"room {1 - room}", *(["list"] if self.chance.random() < 0.5 else [])):
+            self._add("cut", f"room {room}", 0.5, 4.0, to=other, both=True, at=at)
+
+    def reset(self) -> None:
+        one, other = self.chance.choice((
+            (self._head(), self._shelf()), (self._head(), "list"), (self._client(), self._head())))
+        self._add("reset", one, 0.001, 0.001, to=other)
+
+    def drain(self) -> None:
+        shelf = self._shelf()
+        if shelf in self.away:
+            return
+        act = self._add("drain", shelf, 1.0, 4.0)
+        if self.chance.random() < 0.5:  # its news lost on the way just then
+            self._add("reset", self._head(), 0.001, 0.001, to="list",
+                      at=round(act.at + self.chance.uniform(0.0, 1.0), 3))
+        if self.chance.random() < 0.4:
+            self.away.add(shelf)
+            self._add("kill", shelf, 0.3, 1.0, at=round(act.at + self.chance.uniform(0.5, act.seconds), 3))
+
+    def still(self) -> None:
+        self._add("still", self._shelf(), 0.08, 3.0)
+
+    def slow(self) -> None:
+        self._add("slow", self._shelf(), 0.5, 5.0, by=self.chance.uniform(1.5, 15.0))
+
+    def errors(self) -> None:
+        self._add("errors", self._shelf(), 0.3, 3.0, by=self.chance.uniform(0.1, 1.0))
+
+    def late_list(self) -> None:
+        self._add("late", "list", 0.5, 4.0, by=self.chance.uniform(0.5, 4.0))
+
+    def refusing_list(self) -> None:
+        self._add("refuse", "list", 0.5, 4.0)
+
+    def surge(self) -> None:
+        self._add("surge", f"volume {self.chance.choice(list(self.volumes))}", 0.5, 4.0,
+                  by=self.chance.uniform(2.0, 12.0))
+
+    def slow_connects(self) -> None:
+        self._add("connects", self.chance.choice((self._head(), self._shelf(), "list")), 0.5, 3.0,
+                  by=self.chance.uniform(0.05, 2.5))
+
+    def disk(self) -> None:
+        self._add("disk", self._head(), 0.5, 3.0)
+
+    def wall(self) -> None:
+        self.acts.append(Act(self._at(), "wall", self._head(), by=round(self.chance.uniform(-50, 50), 3)))
+
+
+TROUBLES: dict[str, Callable[[Draw], None]] = {
+    "half the heads": Draw.half_the_heads, "shelf dies": Draw.shelf_dies, "crash": Draw.crash,
+    "pause": Draw.pause, "cut": Draw.cut, "room cut": Draw.room_cut, "reset": Draw.reset,
+    "drain": Draw.drain, "still": Draw.still, "slow": Draw.slow, "errors": Draw.errors,
+    "late list": Draw.late_list, "refusing list": Draw.refusing_list, "surge": Draw.surge,
+    "slow connects": Draw.slow_connects, "disk": Draw.disk, "wall clock": Draw.wall,
+}
--- /dev/null
+++ b/gorsethread/faults/world.py
@@ -0,0 +1,439 @@
+"""A whole site in one process on a virtual clock: list, shelves, heads and clients as they are, a script of
+faults, and every rule judged from what shelves and clients saw."""
+
+import asyncio
+import contextlib
+import gc
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from gorsethread.faults.script import Act, Clock, Script
+from gorsethread.head.program import Head
+from gorsethread.sitefile import site_pb2 as pb
+from gorsethread.sitefile.reading import split_address
+from gorsethread.sitefile.sizing import sized
+from gorsethread.standins.client import LoadClient, Surge
+from gorsethread.standins.nodelist import NodeList, Order
+from gorsethread.standins.record import Fault, Recorder
+from gorsethread.standins.shelf import Shelf
+from gorsethread.transport.base import StreamClosed, Unreachable
+from gorsethread.transport.virtual import Disk, Network, VirtualLoop, VirtualTransport
+from gorsethread.witness.judge import Verdict, Witness
+
+START_UP = 2.0  # seconds from the first process to the first transaction
+CALM = 2.5  # the last seconds of sending, in which a head that stands must honour something
+AFTERWARDS = 3.0  # seconds after the last answer in which everything must have come to rest
+LOOK_EVERY = 0.1  # seconds between looks at what must be bounded
+UNSENT_MOST = 4 << 20  # bytes one end of a connection may hold back
+COUNTED = ("honoured", "pushed back", "given up", "left")
+ROOM_OF_HEADS = "room"
+
+
+class Silent:
+    """A log that keeps nothing."""
+
+    def __getattr__(self, name: str) -> Callable[..., None]:
+        return lambda *_, **__: None
+
+
+class Remembering(Recorder):
+    """Keeps what a stand-in saw in memory. An arrival also says when its bytes left the head's socket, as a
+    cut may hold them for long: the rules on what a head sends are judged by that."""
+
+    def __init__(self, world: "World", transport: VirtualTransport, who: str) -> None:
+        super().__init__(transport, who, "")
+        self._world, self._process, self._name = world, transport, who
+
+    def saw(self, event: str, **facts: Any) -> None:
+        if not self._process.alive:
+            return
+        if event == "told":
+            self._world.telling(facts)
+            return
+        if event == "arrived":
+            facts["left"] = self._world.network.left_at
+        self._world.saw(self._name, event, facts)
+
+
+@dataclass
+class Outcome:
+    """What came of a world."""
+
+    script: Script
+    verdict: Verdict
+    defects: list[str]
+    digest: str
+    turns: int
+    seconds: float  # virtual
+    records: list[dict[str, Any]] = field(default_factory=list)
+    states: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def good(self) -> bool:
+        v = self.verdict
+        return not (v.breaks or v.lost or v.duplicated or v.wrong_reads or self.defects)
+
+    @property
+    def reasons(self) -> list[str]:
+        """What is wrong, a short line each, the same for the same fault: what shrinking holds on to."""
+        v = self.verdict
+        found = [f"rule {n}" for n, breaks in enumerate(v.rules, 1) if breaks]
+        found += ["wrong reads"] if v.wrong_reads else []
+        return found + sorted({d.split(":")[0] for d in self.defects})
+
+
+class World:
+    """change: what is done to each head before it starts, to plant a defect. Play it once."""
+
+    def __init__(self, site: pb.Site, script: Script, change: Callable[[Head], None] | None = None) -> None:
+        self.script, self.change = script, change
+        addresses = ["list:4400", *(f"head-{n}:4420" for n in range(script.heads)),
+                     *(f"shelf-{n}:4430" for n in range(script.shelves))]
+        self.site = sized(site, script.heads, script.shelves, addresses)
+        self.loop = VirtualLoop()
+        self.network = Network(self.loop, script.seed)
+        self.network.on_arrival = self._arrived
+        self.network.on_lost = lambda one, other: self._apart(one, other, 0.0)
+        self.disk = Disk()
+        self.records: list[dict[str, Any]] = []
+        self.defects: list[str] = []
+        self.zero = self.loop.time() + START_UP
+        self.day = self._process("day")
+        self.processes: dict[str, VirtualTransport] = {}
+        self.list: NodeList
+        self.shelves: dict[int, Shelf] = {}
+        self.heads: dict[int, Head] = {}
+        self.clients: dict[str, LoadClient] = {}
+        self._lives: dict[str, int] = {}
+        self._news: dict[int, list[tuple[float, dict[str, Any]]]] = {}  # on its way to each head
+        self._crashes: list[tuple[str, str, int, Act]] = []
+        self._draining: dict[int, int] = {}
+        self.counted: dict[int, dict[str, int]] = {}
+        self.most: dict[str, int] = {}  # the largest seen of what must be bounded
+
+    # ---- records
+
+    def saw(self, who: str, event: str, facts: dict[str, Any]) -> None:
+        record = {"t": self.loop.time(), "who": who, "e": event, **facts}
+        self.records.append(record)
+        self.network.saw(who, event, *facts.values())
+
+    def telling(self, facts: dict[str, Any]) -> None:
+        """News left the list; a head is told when it has come."""
+        self._news.setdefault(facts["head"], []).append((self.loop.time(), facts))
+
+    def _arrived(self, one: str, other: str, count: int, left: float) -> None:
+        if one == "list" and other.startswith("head "):
+            head = int(other.split(" ")[1])
+            news = self._news.get(head, [])
+            come = [facts for at, facts in news if at <= left]
+            self._news[head] = [entry for entry in news if entry[0] > left]
+            if come and other in self.processes:
+                self.processes[other].gate(lambda: self._told(come))
+        for crash in [c for c in self._crashes if c[:2] == (other, one) and c[2] <= count]:
+            self._crashes.remove(crash)
+            # The message is there, and what the process makes of it at once; then it is gone.
+            self.loop.call_soon(self.loop.call_soon, self._down, crash[3], crash[0], "crash")
+
+    def _told(self, come: list[dict[str, Any]]) -> None:
+        for facts in come:
+            self.saw("list", "told", facts)
+
+    # ---- processes
+
+    def _process(self, name: str) -> VirtualTransport:
+        clock = self.script.clocks.get(name, Clock(0.0, 0.0))
+        return VirtualTransport(self.network, self.disk, name, clock.offset, clock.drift)
+
+    def _start(self, name: str) -> VirtualTransport:
+        process = self.processes[name] = self._process(name)
+        self._lives[name] = self._lives.get(name, 0) + 1
+        return process
+
+    def _start_list(self) -> None:
+        process = self._start("list")
+        script = [Fault(self.zero + a.at, a.kind, a.seconds, a.by) for a in self.script.acts
+                  if a.kind in ("late", "refuse")]
+        self.list = NodeList(process, self.site, Remembering(self, process, "list"), script, Silent())
+        self.list.start()
+
+    def _start_shelf(self, number: int, warm: bool) -> None:
+        name = f"shelf {number}"
+        process = self._start(name)
+        script = [Fault(self.zero + a.at, a.kind, a.seconds, a.by) for a in self.script.acts
+                  if a.whom == name and a.kind in ("still", "slow", "errors")
+                  and self.zero + a.at > self.loop.time()]
+        shelf = Shelf(process, self.site, number, Remembering(self, process, name), "disk", script, warm,
+                      Silent(), lambda: self._fell(number))
+        self.shelves[number] = shelf
+        shelf.start()
+
+    def _fell(self, number: int) -> None:
+        self.loop.call_soon(self._down, None, f"shelf {number}", "fall")
+
+    def _start_head(self, number: int) -> None:
+        name = f"head {number}"
+        process = self._start(name)
+        head = Head(process, self.site, number, self.script.seed * 1000 + number, f"remember/{number}",
+                    Silent())
+        self.heads[number] = head
+        if self.change:
+            self.change(head)
+        head.start()
+
+    def _start_client(self, tenant: str) -> None:
+        name = f"client {tenant}"
+        process = self._start(name)
+        surges = [Surge(int(a.whom.split(" ")[1]), self.zero + a.at, a.seconds, a.by)
+                  for a in self.script.acts if a.kind == "surge"]
+        client = LoadClient(process, self.site, tenant, Remembering(self, process, name), self.script.factor,
+                            self.zero, self.zero + self.script.seconds, surges, Silent())
+        if self.script.volumes:
+            client.volumes = [v for v in client.volumes if v.number in self.script.volumes]
+        self.clients[tenant] = client
+
+        async def whole() -> None:
+            await client.run()
+            process.finish()
+
+        process.spawn(whole())
+
+    # ---- acts
+
+    def _down(self, act: Act | None, name: str, how: str) -> None:
+        process = self.processes[name]
+        if not process.alive:
+            return
+        kind, number = name.split(" ")
+        if kind == "head":
+            self._check_counts(int(number))
+        if how == "vanish":
+            process.vanish()
+        else:
+            process.kill()
+        self.saw("day", f"{kind} killed", {kind: int(number)})
+        if act is not None:
+            self.loop.call_later(act.seconds, self._up, name)
+
+    def _up(self, name: str) -> None:
+        if self.processes[name].alive:
+            return
+        kind, number = name.split(" ")
+        self.saw("day", f"{kind} back", {kind: int(number)})
+        if kind == "head":
+            self._news.pop(int(number), None)
+            self._start_head(int(number))
+        else:
+            self._start_shelf(int(number), False)
+
+    def _members(self, name: str) -> list[str]:
+        """The processes of a room: its shelves, and its heads in turn; or the one process itself."""
+        kind, _, which = name.partition(" ")
+        if kind != "room":
+            return [name]
+        rooms = max((s.zone for s in self.site.shelf), default=0) + 1
+        return ([f"shelf {s.number}" for s in self.site.shelf if s.zone == int(which)]
+                + [f"head {n}" for n in range(self.script.heads) if n % rooms == int(which)])
+
+    def _pairs(self, act: Act) -> list[tuple[str, str]]:
+        pairs = [(one, other) for one in self._members(act.whom) for other in self._members(act.to)
+                 if one != other]
+        return pairs + [(other, one) for one, other in pairs] if act.both else pairs
+
+    def _apart(self, one: str, other: str, seconds: float) -> None:
+        """The witness can't ask a head for answers to a client that it does not reach."""
+        client, head = (one, other) if one.startswith("client") else (other, one)
+        if client.startswith("client") and head.startswith("head"):
+            self.saw("day", "apart", {"client": client, "head": int(head.split(" ")[1]),
+                                      "until": self.loop.time() + seconds})
+
+    def _do(self, act: Act) -> None:
+        self.saw("day", "fault", {"act": str(act)})
+        kind, name = act.kind, act.whom
+        if kind in ("kill", "vanish"):
+            self._down(act, name, kind)
+        elif kind == "pause":
+            process = self.processes[name]
+            if not process.alive:
+                return
+            if name.startswith("head"):
+                for tenant in self.clients:
+                    self._apart(f"client {tenant}", name, act.seconds)
+            process.pause()
+            self.loop.call_later(act.seconds, process.go_on)
+        elif kind == "cut":
+            for one, other in self._pairs(act):
+                self.network.cut(one, other)
+                self._apart(one, other, act.seconds)
+                self.loop.call_later(act.seconds, self.network.heal, one, other)
+        elif kind == "reset":
+            for one, other in self._pairs(act):
+                self._apart(one, other, 0.0)
+                self.network.reset(one, other)
+        elif kind == "crash":
+            came = self.network.arrivals.get((act.to, name), 0)
+            crash = (name, act.to, came + int(act.by), act)
+            self._crashes.append(crash)
+            self.loop.call_later(act.seconds, self._spare, crash)
+        elif kind == "drain":
+            self.day.spawn(self._order(int(name.split(" ")[1]), "draining"))
+            self.loop.call_later(act.seconds, self._undrain, int(name.split(" ")[1]))
+        elif kind == "connects":
+            self.network.slow_connects[name] = act.by
+            self.loop.call_later(act.seconds, self.network.slow_connects.pop, name, None)
+        elif kind == "disk":
+            self.disk.broken.add(name)
+            self.loop.call_later(act.seconds, self.disk.broken.discard, name)
+        elif kind == "wall":
+            self.processes[name].wall_offset += act.by
+
+    def _spare(self, crash: tuple[str, str, int, Act]) -> None:
+        if crash in self._crashes:
+            self._crashes.remove(crash)
+
+    def _undrain(self, shelf: int) -> None:
+        self.day.spawn(self._order(shelf, "ready"))
+
+    async def _order(self, shelf: int, state: str) -> None:
+        for _ in range(20):
+            try:
+                stream = await self.day.connect(*split_address(self.site.list.address), 2.0)
+                stream.write(msgspec.json.encode(Order(shelf, state)) + b"\n")
+                await stream.read()
+                stream.close()
+                return
+            except (Unreachable, StreamClosed):
+                await self.day.sleep(0.2)
+
+    # ---- the whole
+
+    def play(self) -> Outcome:
+        # Coroutines that the collector ends run code; when it runs must not depend on what else there is.
+        was_on = gc.isenabled()
+        gc.disable()
+        try:
+            self.loop.run_until_complete(self._play())
+        finally:
+            self._end()
+            if was_on:
+                gc.enable()
+        for name, process in self.processes.items():
+            if process.failed is not None:
+                self.defects.append(f"{name.split(' ')[0]} raised: {process.failed!r}")
+        verdict = Witness(self.site, self.records).judge()
+        if not verdict.counts["honoured"]:
+            self.defects.append("nothing was honoured: this world shows nothing")
+        return Outcome(self.script, verdict, self.defects, self.network.digest.hexdigest(), self.loop.turns,
+                       self.loop.time() - self.zero + START_UP, self.records)
+
+    async def _play(self) -> None:
+        self._start_list()
+        for shelf in self.site.shelf:
+            self._start_shelf(shelf.number, True)
+        await self.day.sleep(0.5)
+        for head in self.site.head:
+            self._start_head(head.number)
+        for tenant in self.site.tenant:
+            self._start_client(tenant.name)
+        for act in sorted(self.script.acts):
+            if act.kind not in ("still", "slow", "errors", "late", "refuse", "surge"):
+                self.loop.call_at(self.zero + act.at, self._do, act)
+            else:
+                self.loop.call_at(self.zero + act.at, self.saw, "day", "fault", {"act": str(act)})
+        self.loop.call_later(LOOK_EVERY, self._look)
+        for name in list(self.clients):
+            await self.processes[f"client {name}"].until_finished()
+        await self.day.sleep(AFTERWARDS)
+        self._check_rest()
+
+    def _end(self) -> None:
+        for process in (*self.processes.values(), self.day):
+            process._die()
+        with contextlib.suppress(RuntimeError):
+            self.loop.run_until_complete(_turns(5))
+        self.loop.close()
+
+    # ---- what must hold beside the rules
+
+    def _look(self) -> None:
+        """What must be bounded at every moment."""
+        for number, head in self.heads.items():
+            if self.processes[f"head {number}"].alive:
+                self._grew("open transactions", len(head.driver.open))
+                self._grew("transactions of the policy", len(head.driver.policy.transactions))
+                self._check_owners(number, head)
+        for process in self.processes.values():
+            for stream in process.streams.values():
+                self._grew("bytes unsent at one end", stream.unsent)
+                if stream.unsent > UNSENT_MOST:
+                    self._defect(f"unbounded: {process.name} holds {stream.unsent} bytes back")
+        self.loop.call_later(LOOK_EVERY, self._look)
+
+    def _grew(self, what: str, size: int) -> None:
+        self.most[what] = max(self.most.get(what, 0), size)
+
+    def _defect(self, text: str) -> None:
+        if text not in self.defects and len(self.defects) < 20:
+            self.defects.append(text)
+
+    def _check_owners(self, number: int, head: Head) -> None:
+        """No forward out without a transaction that owns it."""
+        driver = head.driver
+        for link in driver.links.values():
+            for f in (*link.out.values(), *link.waiting):
+                t = driver.open.get(f.transaction)
+                if not f.over and f.number >= 0 and (t is None or t.out.get(f.number) is not f):
+                    self._defect(f"forward without an owner: head {number}, shelf {link.shelf}, transaction "
+                                 f"{f.transaction}")
+
+    def _check_counts(self, number: int) -> None:
+        """taken is the sum of what was answered, who left, and what is open."""
+        driver = self.heads[number].driver
+        counts = driver.counts
+        waiting = sum(not t.answered for t in driver.open.values())
+        answered = sum(counts[how] for how in COUNTED)
+        if counts["taken"] != answered + waiting:
+            self._defect(f"counts do not add up: head {number}: taken {counts['taken']}, answered or left "
+                         f"{answered}, open {waiting}")
+
+    def _check_rest(self) -> None:
+        """The faults are over and nobody asks for anything: all is answered, nothing is left behind."""
+        honoured_by: dict[int, int] = {}
+        sent_to: dict[int, int] = {}
+        sent: dict[tuple[int, int], int] = {}
+        begin = self.zero + self.script.seconds - CALM
+        for r in self.records:
+            if r["e"] == "sent" and r["t"] >= begin:
+                sent[r["label"], r["attempt"]] = r["head"]
+                sent_to[r["head"]] = sent_to.get(r["head"], 0) + 1
+            elif r["e"] == "answer" and r["how"] == "honoured" and (r["label"], r["attempt"]) in sent:
+                by = sent[r["label"], r["attempt"]]
+                honoured_by[by] = honoured_by.get(by, 0) + 1
+        for number, head in self.heads.items():
+            if not self.processes[f"head {number}"].alive:
+                self._defect(f"a head did not come back: head {number}")
+                continue
+            self._check_counts(number)
+            driver, policy = head.driver, head.driver.policy
+            left = {"open transactions": driver.open, "transactions of the policy": policy.transactions,
+                    "busy volumes": policy.busy, "lines of keys": policy.lines,
+                    "forwards at the policy's shelves": [o for s in policy.shelves.values() for o in s.out]}
+            for what, things in left.items():
+                if things:
+                    self._defect(f"left behind: head {number}: {len(things)} {what}")
+            if sent_to.get(number, 0) >= 5 and not honoured_by.get(number):
+                self._defect(f"does not serve again: head {number} honoured none of the last "
+                             f"{sent_to[number]}")
+
+
+async def _turns(number: int) -> None:
+    for _ in range(number):
+        await asyncio.sleep(0)
+
+
+def play(site: pb.Site, script: Script, change: Callable[[Head], None] | None = None) -> Outcome:
+    """Plays a script once, in a world of its own."""
+    return World(site, script, change).play()
--- a/gorsethread/queues/dial.py
+++ b/gorsethread/queues/dial.py
@@ -42,7 +42,7 @@
         self.stream = stream
         self.ended: Callable[[str], None] | None = None
         self._opened: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._calls: set[asyncio.Future[tuple[Completion, bytes]]] = set()
+        self._calls: dict[asyncio.Future[tuple[Completion, bytes]], None] = {}  # emptied by answers
         self.queue = HostQueue(stream.write, self._ready, self._ended, size, digests)
         transport.spawn(self._pump())
 
@@ -79,7 +79,7 @@
         if self.queue.over:
             raise StreamClosed("the queue has ended")
         answer: asyncio.Future[tuple[Completion, bytes]] = asyncio.get_running_loop().create_future()
-        self._calls.add(answer)
+        self._calls[answer] = None
 
         def done(completion: Completion, got: bytes) -> None:
             if not answer.done():
@@ -89,7 +89,7 @@
         try:
             return await answer
         finally:
-            self._calls.discard(answer)
+            self._calls.pop(answer, None)
 
     async def must(self, command: Command, data: bytes = b"", read: int = 0) -> tuple[Completion, bytes]:
         completion, got = await self.call(command, data, read)
--- a/gorsethread/queues/serve.py
+++ b/gorsethread/queues/serve.py
@@ -168,7 +168,7 @@
                  log: Any) -> None:
         self.transport, self.subsystem, self.owner, self.log = transport, subsystem, owner, log
         self.most_connections = most_connections
-        self.connections: set[Connection] = set()  # emptied as connections end
+        self.connections: dict[Connection, None] = {}  # emptied as connections end
         self.by_controller: dict[int, dict[int, Connection]] = {}  # emptied with the controllers
         self.closing = False
 
@@ -178,7 +178,7 @@
             stream.close()
             return
         connection = Connection(self, stream)
-        self.connections.add(connection)
+        self.connections[connection] = None
         await connection.serve()
 
     def joined(self, connection: Connection, controller: Controller) -> None:
@@ -191,7 +191,7 @@
             self._watch(controller)
 
     def left(self, connection: Connection, reason: str) -> None:
-        self.connections.discard(connection)
+        self.connections.pop(connection, None)
         controller = connection.controller
         if controller is None:
             self.log.info("connection ended before its queue", peer=connection.stream.peer, reason=reason)
--- /dev/null
+++ b/gorsethread/sitefile/sizing.py
@@ -0,0 +1,26 @@
+"""A site of another size, for days, benches and virtual worlds."""
+
+from collections.abc import Sequence
+
+from gorsethread.sitefile import site_pb2 as pb
+
+
+def sized(site: pb.Site, heads: int, shelves: int, addresses: Sequence[str]) -> pb.Site:
+    """The same site with another number of heads and shelves, at these addresses: the list, heads, shelves.
+    Volumes spread over them as before, as far as there are as many."""
+    new = pb.Site()
+    new.CopyFrom(site)
+    del new.head[:], new.shelf[:]
+    given = iter(addresses)
+    new.list.address = next(given)
+    for n in range(heads):
+        new.head.add(number=n, address=next(given))
+    zones = max((s.zone for s in site.shelf), default=0) + 1
+    for n in range(shelves):
+        new.shelf.add(number=n, address=next(given), shard=n, zone=n % zones)
+    for v in new.volume:
+        if heads != len(site.head):
+            v.head[:] = sorted({(h + v.number) % heads for h in v.head})
+        if shelves != len(site.shelf):
+            v.shard[:] = sorted({(s + v.number) % shelves for s in v.shard})
+    return new
--- a/gorsethread/standins/nodelist.py
+++ b/gorsethread/standins/nodelist.py
@@ -16,6 +16,7 @@
 
 LINE_MOST = 65536
 CHANGES_KEPT = 256
+IN_ORDER = 1e-6  # seconds between two tellings
 
 
 class Register(msgspec.Struct, frozen=True, tag="register", tag_field="say"):
@@ -53,7 +54,7 @@
         self.version = 1
         self.entries: dict[int, tuple[Register, str, float]] = {}  # shelf: what it said, its state, since
         self.changes: deque[tuple[int, int]] = deque(maxlen=CHANGES_KEPT)  # version, shelf
-        self.followers: set[Follower] = set()  # emptied as heads' streams end
+        self.followers: dict[Follower, None] = {}  # emptied as heads' streams end
         self.late_until = self.refuse_until = self.extra = 0.0
 
     def start(self) -> None:
@@ -132,14 +133,14 @@
             await stream.drained()
             return
         follower = Follower(said.head, stream)
-        self.followers.add(follower)
+        self.followers[follower] = None
         try:
             # A head whose version is not from this life of the list, or too old, gets the whole of it.
             self._tell_later(follower, sorted(self.entries), "all")
             while True:
                 await stream.read()
         finally:
-            self.followers.discard(follower)
+            self.followers.pop(follower, None)
 
     def _tell_later(self, follower: Follower, shelves: list[int], kind: str) -> None:
         now = self.transport.now()
@@ -147,7 +148,8 @@
         wait = self.chance.uniform(least, most) + (self.extra if now < self.late_until else 0.0)
         if kind == "all":
             wait = min(wait, least)
-        follower.last = max(follower.last, now + wait)
+        # Later than the news before it, if by little: timers due at one moment keep no order.
+        follower.last = max(follower.last + IN_ORDER, now + wait)
         version = self.version
         entries = [self.entries[n] for n in shelves]
         self.transport.at(follower.last, lambda: self._tell(follower, entries, kind, version))
