Many seeds, replay, shrinking, planted defects; heads tell each other of drains

A failing world has to be found, played again and cut down by one command each: gorsethread faults run, replay, shrink, mutants. 36 defects can be planted in driver, links, codec, list and module.

A head cut off from the list went on sending to a shelf that drained. Heads now tell each other (membership/, head/peers.py): news names the list's life and version, may stop a head sending and never lets it send.

--- a/gorsethread/cli/main.py
+++ b/gorsethread/cli/main.py
@@ -15,7 +15,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from gorsethread.cli import accounts, lab
+from gorsethread.cli import accounts, faults, lab
 from gorsethread.cli.options import SitePath, site_at
 from gorsethread.head.program import Head
 from gorsethread.lab import bench as benches
@@ -23,6 +23,7 @@
 from gorsethread.lab.day import TROUBLES, Day, DayPlan, DayResult
 from gorsethread.lab.peers import Load, Relay, Sink
 from gorsethread.lab.planted import plant as plant_break
+from gorsethread.lab.turns import TurnLoad
 from gorsethread.logs import log_for, start_logs
 from gorsethread.sitefile import site_pb2 as pb
 from gorsethread.standins.client import LoadClient, Surge
@@ -44,6 +45,7 @@
 
 app.add_typer(accounts.app)
 app.add_typer(lab.app)
+app.add_typer(faults.app)
 
 
 class LogForm(str, Enum):
@@ -315,12 +317,14 @@
     sink = "sink"
     relay = "relay"
     load = "load"
+    turns = "turns"
 
 
 @app.command("bench-peer", hidden=True)
 def bench_peer(kind: Peer, site: SitePath, number: Annotated[int, typer.Option()] = 0, seconds: float = 1.0,
                rate: float = 0.0,
-               start_at: float = 0.0, depth: int = benches.DEPTH, out: str = "") -> None:
+               start_at: float = 0.0, depth: int = benches.DEPTH, out: str = "",
+               other: Annotated[Path, typer.Option()] = Path(), stretches: int = 0) -> None:
     """One process round the head in a bench."""
     start_logs(False, "warning")
     known = site_at(site)
@@ -330,6 +334,11 @@
     elif kind is Peer.sink:
         _serve(lambda transport: Sink(transport, known, number, Recorder(transport, "sink", ""), "", [], True,
                                       logger, transport.finish), 0, logger)
+    elif kind is Peer.turns:
+        sites = [known, site_at(other)]
+        result = _run_async(
+            lambda transport: TurnLoad(transport, sites, depth, start_at, stretches).run(), number)
+        Path(out).write_text(json.dumps(result))
     else:
         result = _run_async(
             lambda transport: Load(transport, known, depth, rate, start_at, seconds).run(), number)
--- a/gorsethread/faults/draw.py
+++ b/gorsethread/faults/draw.py
@@ -1,10 +1,10 @@
 """Draws scripts from seeds, swarm style: each seed first draws which kinds of fault there are at all, so that
 some worlds have much of little and others a little of much. No I/O, no clock."""
 
-import random
 from collections.abc import Callable, Sequence
 
 from gorsethread.faults.script import Act, Clock, Script
+from gorsethread.transport.virtual import Draws
 
 LAST = 0.55  # part of the time after which nothing new strikes
 CLEAR = 0.72  # part of the time at which every fault has ended
@@ -16,7 +16,7 @@
 
     def __init__(self, seed: int, volumes: Sequence[int], tenants: Sequence[str],
                  seconds: float = 12.0) -> None:
-        self.chance = random.Random(f"script {seed}")
+        self.chance = Draws(f"script {seed}")
         self.seed, self.volumes, self.tenants, self.seconds = seed, volumes, tenants, seconds
         c = self.chance
         self.heads, self.shelves = c.choice((1, 2, 3, 3, 4)), c.choice((2, 4, 6, 6, 8))
--- /dev/null
+++ b/gorsethread/faults/mutants.py
@@ -0,0 +1,452 @@
+"""Defects planted in heads, to learn how many seeds it takes until the worlds show each. Never part of a head
+that serves. Each changes one head that has not started."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from gorsethread.head.driver import Open
+from gorsethread.head.links import Forward, ShelfLink
+from gorsethread.head.program import Head
+from gorsethread.lab.planted import plant
+from gorsethread.model import Ending
+from gorsethread.nvme.command import Completion, Status
+
+Change = Callable[[Head], None]
+MUTANTS: dict[str, Change] = {}
+
+
+def mutant(name: str) -> Callable[[Change], Change]:
+    def keep(change: Change) -> Change:
+        MUTANTS[name] = change
+        return change
+
+    return keep
+
+
+def _told_as(head: Head, wrong: dict[Ending, Ending]) -> None:
+    """The policy hears another ending than the one there was."""
+    honest = head.driver.happened
+
+    def happened(method: str, *facts: Any) -> None:
+        if method == "forward_ended":
+            facts = (*facts[:2], wrong.get(facts[2], facts[2]), *facts[3:])
+        honest(method, *facts)
+
+    head.driver.happened = happened  # type: ignore[method-assign]
+
+
+def _some(every: int) -> Callable[[], bool]:
+    """True once in so many calls."""
+    count = [0]
+
+    def now() -> bool:
+        count[0] += 1
+        return count[0] % every == 0
+
+    return now
+
+
+def _facts(head: Head, **changed: Any) -> None:
+    policy = head.driver.policy
+    policy.facts = replace(policy.facts, **changed)
+
+
+def _on_links(head: Head, change: Callable[[ShelfLink], None]) -> None:
+    """Changes each link as it is made."""
+    follower: Any = head.follower
+    links = follower.links
+    honest = links.listed
+
+    def listed(shelf: int, shard: int, address: tuple[str, int], state: str) -> None:
+        before = links.driver.links.get(shelf)
+        honest(shelf, shard, address, state)
+        after = links.driver.links.get(shelf)
+        if after is not None and after is not before:
+            change(after)
+
+    links.listed = listed
+
+
+
+# ---- the driver
+
+
+@mutant("driver: a time-out at the cut-off is lost")
+def _no_cut_off(head: Head) -> None:
+    head.driver._cut_off = lambda t: None  # type: ignore[method-assign]
+
+
+@mutant("driver: the cut-off comes a second late")
+def _late_cut_off(head: Head) -> None:
+    honest = head.driver.take
+    head.driver.take = lambda *a, cut_off, **n: honest(*a, cut_off=cut_off + 1.0, **n)  # type: ignore
+
+
+@mutant("driver: a client that left is not noticed")
+def _deaf_to_leaving(head: Head) -> None:
+    head.driver.client_left = lambda t: None  # type: ignore[method-assign]
+
+
+@mutant("driver: one forward's end in fifty is not told")
+def _loses_ends(head: Head) -> None:
+    honest, now = head.driver.happened, _some(50)
+
+    def happened(method: str, *facts: Any) -> None:
+        if method != "forward_ended" or not now():
+            honest(method, *facts)
+
+    head.driver.happened = happened  # type: ignore[method-assign]
+
+
+@mutant("driver: a transaction given up stays open")
+def _stays_open(head: Head) -> None:
+    honest = head.driver.give_up
+
+    def give_up(transaction: int) -> None:
+        t = head.driver.open.get(transaction)
+        honest(transaction)
+        if t is not None:
+            head.driver.open[transaction] = t
+
+    head.driver.give_up = give_up  # type: ignore[method-assign]
+
+
+@mutant("driver: what was honoured is not told as finished")
+def _never_finished(head: Head) -> None:
+    honest = head.driver.happened
+
+    def happened(method: str, *facts: Any) -> None:
+        if method == "forward_ended":
+            facts = (*facts[:5], False, *facts[6:])
+        honest(method, *facts)
+
+    head.driver.happened = happened  # type: ignore[method-assign]
+
+
+@mutant("driver: gives up by pushing back")
+def _pushes_back_all(head: Head) -> None:
+    head.driver.give_up = lambda transaction: head.driver.push_back(  # type: ignore[method-assign]
+        transaction, 0.1)
+
+
+@mutant("driver: a time-out is told as never sent")
+def _timed_out_never_ran(head: Head) -> None:
+    _told_as(head, {Ending.TIMED_OUT: Ending.NOT_SENT})
+
+
+@mutant("driver: one wake in five is lost")
+def _loses_wakes(head: Head) -> None:
+    honest, now = head.driver.wake, _some(5)
+    head.driver.wake = lambda delay, name: (  # type: ignore[method-assign]
+        None if now() else honest(delay, name))
+
+
+@mutant("driver: a push-back is not answered, one in five")
+def _loses_push_backs(head: Head) -> None:
+    honest, now = head.driver.push_back, _some(5)
+
+    def push_back(transaction: int, return_after: float) -> None:
+        t = head.driver.open.get(transaction)
+        if t is not None and now():
+            t.answered = True
+            head.driver._close(t)
+        else:
+            honest(transaction, return_after)
+
+    head.driver.push_back = push_back  # type: ignore[method-assign]
+
+
+@mutant("driver: takes are counted twice, one in a hundred")
+def _miscounts(head: Head) -> None:
+    honest, now = head.driver.take, _some(100)
+
+    def take(*arguments: Any, **named: Any) -> Open:
+        if now():
+            head.driver.counts["taken"] += 1
+        return honest(*arguments, **named)
+
+    head.driver.take = take  # type: ignore[method-assign]
+
+
+@mutant("driver: first writes of an extent may part it")
+def _parts_extents(head: Head) -> None:
+    honest = head.driver._holds
+
+    def holds(t: Open, f: Forward) -> bool:
+        honest(t, f)
+        return True
+
+    head.driver._holds = holds  # type: ignore[method-assign]
+
+
+# ---- the links
+
+
+@mutant("links: a broken connection is told as not reached")
+def _broken_never_ran(head: Head) -> None:
+    _told_as(head, {Ending.BROKEN: Ending.UNREACHED})
+
+
+@mutant("links: a failure is told as turned away")
+def _error_never_ran(head: Head) -> None:
+    _told_as(head, {Ending.ERROR: Ending.TURNED_AWAY})
+
+
+@mutant("links: what is over is sent all the same once connected")
+def _sends_what_is_over(head: Head) -> None:
+    def change(link: ShelfLink) -> None:
+        honest = link._connect
+
+        async def connect() -> None:
+            over = [f for f in link.waiting if f.over]
+            await honest()
+            for f in over:
+                if link.association is not None:
+                    link._submit(f)
+
+        link._connect = connect  # type: ignore[method-assign]
+
+    _on_links(head, change)
+
+
+@mutant("links: sends again what was out as the connection broke")
+def _replays(head: Head) -> None:
+    def change(link: ShelfLink) -> None:
+        honest = link._broke
+
+        def broke(reason: str) -> None:
+            out = list(link.out.values())
+            honest(reason)
+            for f in out:
+                link.send(Forward(f.transaction, -1, f.shelf, f.sent_at, f.command, f.data, f.read,
+                                  lambda *_: None))
+
+        link._broke = broke  # type: ignore[method-assign]
+
+    _on_links(head, change)
+
+
+@mutant("links: an answer's data goes to the read before it, one in twenty")
+def _mixes_answers(head: Head) -> None:
+    kept, now = [b""], _some(20)
+
+    def change(link: ShelfLink) -> None:
+        honest = link._done
+
+        def done(f: Forward, completion: Completion, data: bytes) -> None:
+            mine = data
+            if len(kept[0]) == len(data) and now():
+                mine = kept[0]
+            kept[0] = data
+            honest(f, completion, mine)
+
+        link._done = done  # type: ignore[method-assign]
+
+    _on_links(head, change)
+
+
+@mutant("links: a failure is taken for a success")
+def _failure_is_success(head: Head) -> None:
+    def change(link: ShelfLink) -> None:
+        honest = link._done
+
+        def done(f: Forward, completion: Completion, data: bytes) -> None:
+            if completion.status == Status.INTERNAL_ERROR:
+                completion = completion._replace(status=Status.SUCCESS, final=False)
+            honest(f, completion, data)
+
+        link._done = done  # type: ignore[method-assign]
+
+    _on_links(head, change)
+
+
+@mutant("links: one answer in a hundred is dropped")
+def _drops_answers(head: Head) -> None:
+    now = _some(100)
+
+    def change(link: ShelfLink) -> None:
+        honest = link._done
+
+        def done(f: Forward, completion: Completion, data: bytes) -> None:
+            if now():
+                link.out.pop(f.cid, None)
+            else:
+                honest(f, completion, data)
+
+        link._done = done  # type: ignore[method-assign]
+
+    _on_links(head, change)
+
+
+@mutant("links: nothing is told of what was out as a link broke")
+def _silent_break(head: Head) -> None:
+    def change(link: ShelfLink) -> None:
+        def broke(reason: str) -> None:
+            link.association = None
+            link.out = {}
+
+        link._broke = broke  # type: ignore[method-assign]
+
+    _on_links(head, change)
+
+
+# ---- the codec and the client side
+
+
+@mutant("codec: a completion is sent twice, one in a hundred")
+def _answers_twice(head: Head) -> None:
+    now = _some(100)
+    honest = head.server.on_stream
+
+    async def on_stream(stream: Any) -> None:
+        write = stream.write
+
+        def twice(data: bytes) -> None:
+            write(data)
+            if len(data) == 24 and data[0] == 5 and now():
+                write(data)
+
+        stream.write = twice
+        await honest(stream)
+
+    head.server.on_stream = on_stream  # type: ignore[method-assign]
+
+
+@mutant("codec: a completion is lost, one in a hundred")
+def _loses_completions(head: Head) -> None:
+    now = _some(100)
+    honest = head.server.on_stream
+
+    async def on_stream(stream: Any) -> None:
+        write = stream.write
+        stream.write = lambda data: None if len(data) == 24 and data[0] == 5 and now() else write(data)
+        await honest(stream)
+
+    head.server.on_stream = on_stream  # type: ignore[method-assign]
+
+
+@mutant("codec: a write's first block is off by one, one in twenty")
+def _shifts_writes(head: Head) -> None:
+    honest, now = head.driver.take, _some(20)
+
+    def take(client: Any, command: Any, data: bytes, *rest: Any, **named: Any) -> Open:
+        if data and now() and command.cdw10 % 64 > 1:
+            command = command._replace(cdw10=command.cdw10 - 1)
+        return honest(client, command, data, *rest, **named)
+
+    head.driver.take = take  # type: ignore[method-assign]
+
+
+@mutant("clients: a client's own patience is not heeded")
+def _ignores_patience(head: Head) -> None:
+    side = head.clients
+    honest = side.announced
+
+    def announced(io: Any) -> None:
+        io.command = io.command._replace(cdw2=0)
+        honest(io)
+
+    side.announced = announced  # type: ignore[method-assign]
+
+
+# ---- the list
+
+
+@mutant("list: followed once, never again")
+def _follows_once(head: Head) -> None:
+    honest, asked = head.follower.follow, [0]
+
+    def follow() -> None:
+        asked[0] += 1
+        if asked[0] == 1:
+            honest()
+
+    head.driver._follow_list = follow
+
+
+@mutant("list: drains are not heard")
+def _deaf_to_drains(head: Head) -> None:
+    plant(head, 3)
+
+
+@mutant("list: a shelf's restart is not noticed")
+def _deaf_to_restarts(head: Head) -> None:
+    honest = head.driver.listed
+    head.driver.listed = lambda entries, whole, remembered: honest(  # type: ignore[method-assign]
+        [(*e[:4], 0.0) for e in entries], whole, remembered)
+
+
+# ---- the module
+
+
+@mutant("module: a key does not rest after what may still run")
+def _no_key_rest(head: Head) -> None:
+    _facts(head, key_rest=0.0)
+
+
+@mutant("module: keys have no turns")
+def _no_turns(head: Head) -> None:
+    plant(head, 5)
+
+
+@mutant("module: no limit")
+def _no_limit(head: Head) -> None:
+    plant(head, 7)
+
+
+@mutant("module: each head takes the whole limit for its own")
+def _whole_limit(head: Head) -> None:
+    honest = head.driver.take
+    head.driver.take = lambda *a, heads, **n: honest(*a, heads=1, **n)  # type: ignore
+
+
+@mutant("module: each head takes all that a cold shelf bears for its own")
+def _whole_cold_part(head: Head) -> None:
+    _facts(head, heads=1, cold=replace(head.driver.policy.facts.cold,
+                                       units=3 * head.driver.policy.facts.cold.units))
+
+
+@mutant("module: no budget of further forwards")
+def _no_budget(head: Head) -> None:
+    _facts(head, budget=None, most_forwards=50)
+    policy = head.driver.policy
+    honest = policy._may_go_again
+
+    def may_go_again(t: Any, how: Ending) -> bool:
+        t.forwards, kept = min(t.forwards, 1), t.forwards
+        may = honest(t, how)
+        t.forwards = kept
+        return may
+
+    policy._may_go_again = may_go_again  # type: ignore[method-assign]
+
+
+@mutant("module: a waiting transaction is not looked at again")
+def _no_looks(head: Head) -> None:
+    head.driver.policy._look_at = lambda t: None  # type: ignore[method-assign]
+
+
+@mutant("module: an irreversible transaction may go again")
+def _goes_again(head: Head) -> None:
+    policy = head.driver.policy
+    honest = policy._may_go_again
+
+    def may_go_again(t: Any, how: Ending) -> bool:
+        ran, t.ran_at = t.ran_at, None
+        may = honest(t, how)
+        t.ran_at = ran
+        return may
+
+    policy._may_go_again = may_go_again  # type: ignore[method-assign]
+    policy._may_go_to = lambda t, s: True  # type: ignore[method-assign]
+
+
+@mutant("module: what is over keeps its key's line")
+def _line_stays(head: Head) -> None:
+    policy = head.driver.policy
+    honest = policy._next_in_line
+    now = _some(40)
+    policy._next_in_line = lambda key: None if now() else honest(key)  # type: ignore[method-assign]
+
+
--- a/gorsethread/faults/world.py
+++ b/gorsethread/faults/world.py
@@ -4,13 +4,14 @@
 import asyncio
 import contextlib
 import gc
-from collections.abc import Callable
+from collections.abc import Callable, Sized
 from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
 
 from gorsethread.faults.script import Act, Clock, Script
+from gorsethread.faults.states import met
 from gorsethread.head.program import Head
 from gorsethread.sitefile import site_pb2 as pb
 from gorsethread.sitefile.reading import split_address
@@ -29,7 +30,6 @@
 LOOK_EVERY = 0.1  # seconds between looks at what must be bounded
 UNSENT_MOST = 4 << 20  # bytes one end of a connection may hold back
 COUNTED = ("honoured", "pushed back", "given up", "left")
-ROOM_OF_HEADS = "room"
 
 
 class Silent:
@@ -91,7 +91,8 @@
     def __init__(self, site: pb.Site, script: Script, change: Callable[[Head], None] | None = None) -> None:
         self.script, self.change = script, change
         addresses = ["list:4400", *(f"head-{n}:4420" for n in range(script.heads)),
-                     *(f"shelf-{n}:4430" for n in range(script.shelves))]
+                     *(f"shelf-{n}:4430" for n in range(script.shelves)),
+                     *(f"head-{n}:4520" for n in range(script.heads))]
         self.site = sized(site, script.heads, script.shelves, addresses)
         self.loop = VirtualLoop()
         self.network = Network(self.loop, script.seed)
@@ -107,11 +108,9 @@
         self.shelves: dict[int, Shelf] = {}
         self.heads: dict[int, Head] = {}
         self.clients: dict[str, LoadClient] = {}
-        self._lives: dict[str, int] = {}
         self._news: dict[int, list[tuple[float, dict[str, Any]]]] = {}  # on its way to each head
         self._crashes: list[tuple[str, str, int, Act]] = []
-        self._draining: dict[int, int] = {}
-        self.counted: dict[int, dict[str, int]] = {}
+        self.states: dict[str, int] = {}  # how often a kind of fault met heads in a state; no more than pairs
         self.most: dict[str, int] = {}  # the largest seen of what must be bounded
 
     # ---- records
@@ -150,7 +149,6 @@
 
     def _start(self, name: str) -> VirtualTransport:
         process = self.processes[name] = self._process(name)
-        self._lives[name] = self._lives.get(name, 0) + 1
         return process
 
     def _start_list(self) -> None:
@@ -250,8 +248,14 @@
             self.saw("day", "apart", {"client": client, "head": int(head.split(" ")[1]),
                                       "until": self.loop.time() + seconds})
 
-    def _do(self, act: Act) -> None:
+    def _begins(self, act: Act) -> None:
         self.saw("day", "fault", {"act": str(act)})
+        alive = [h for n, h in self.heads.items() if self.processes[f"head {n}"].alive]
+        for state in met(alive):
+            self.states[f"{act.kind} | {state}"] = self.states.get(f"{act.kind} | {state}", 0) + 1
+
+    def _do(self, act: Act) -> None:
+        self._begins(act)
         kind, name = act.kind, act.whom
         if kind in ("kill", "vanish"):
             self._down(act, name, kind)
@@ -327,7 +331,7 @@
         if not verdict.counts["honoured"]:
             self.defects.append("nothing was honoured: this world shows nothing")
         return Outcome(self.script, verdict, self.defects, self.network.digest.hexdigest(), self.loop.turns,
-                       self.loop.time() - self.zero + START_UP, self.records)
+                       self.loop.time() - self.zero + START_UP, self.records, self.states)
 
     async def _play(self) -> None:
         self._start_list()
@@ -342,7 +346,7 @@
             if act.kind not in ("still", "slow", "errors", "late", "refuse", "surge"):
                 self.loop.call_at(self.zero + act.at, self._do, act)
             else:
-                self.loop.call_at(self.zero + act.at, self.saw, "day", "fault", {"act": str(act)})
+                self.loop.call_at(self.zero + act.at, self._begins, act)
         self.loop.call_later(LOOK_EVERY, self._look)
         for name in list(self.clients):
             await self.processes[f"client {name}"].until_finished()
@@ -418,12 +422,19 @@
                 continue
             self._check_counts(number)
             driver, policy = head.driver, head.driver.policy
-            left = {"open transactions": driver.open, "transactions of the policy": policy.transactions,
-                    "busy volumes": policy.busy, "lines of keys": policy.lines,
-                    "forwards at the policy's shelves": [o for s in policy.shelves.values() for o in s.out]}
+            left: dict[str, Sized] = {
+                "open transactions": driver.open, "transactions of the policy": policy.transactions,
+                "busy volumes": policy.busy, "lines of keys": policy.lines,
+                "forwards at the policy's shelves": [o for s in policy.shelves.values() for o in s.out],
+            }
             for what, things in left.items():
                 if things:
                     self._defect(f"left behind: head {number}: {len(things)} {what}")
+            listed = {n for n, (_, state, _) in self.list.entries.items() if state == "ready"}
+            used = {s.id for s in policy.shelves.values() if s.ready}
+            if listed != used:
+                self._defect(f"not what the list says: head {number} uses {sorted(used)}, ready are "
+                             f"{sorted(listed)}")
             if sent_to.get(number, 0) >= 5 and not honoured_by.get(number):
                 self._defect(f"does not serve again: head {number} honoured none of the last "
                              f"{sent_to[number]}")
--- a/gorsethread/head/listing.py
+++ b/gorsethread/head/listing.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from gorsethread.head.driver import Driver
+from gorsethread.head.peers import PeerSide
 from gorsethread.sitefile.reading import split_address
 from gorsethread.transport.base import Stream, StreamClosed, Transport, Unreachable
 
@@ -31,11 +32,12 @@
 
 
 class Told(msgspec.Struct, frozen=True):
-    """kind: all, changes, refused, or alive (nothing new)."""
+    """kind: all, changes, refused, or alive (nothing new). life: which run of the list counts versions."""
 
     kind: str
     version: int = 0
     shelves: list[Listed] = []
+    life: int = 0
 
 
 class Ask(msgspec.Struct, frozen=True, tag="follow", tag_field="say"):
@@ -66,6 +68,7 @@
         self._asking = False
         self._heard = 0.0
         self.stopped = False
+        self.peers: PeerSide | None = None  # set before start() where heads tell each other news
 
     def start(self) -> None:
         """Tells what is remembered, if anything is."""
@@ -120,6 +123,8 @@
                 self._stream.close()
                 self._stream = None
         if not self.stopped:
+            if self.peers is not None:
+                self.peers.core.list_lost()
             self.log.info("the list is not followed", reason=reason)
             self.driver.list_refused()
 
@@ -160,7 +165,12 @@
                 self.shelves[s.number] = (s, since)
         self.log.info("list", kind=told.kind, version=told.version,
                       shelves={s.number: s.state for s in told.shelves})
+        freed: list[int] = []
+        if self.peers is not None:
+            freed = self.peers.list_said(told.life, told.version,
+                                         [(s.number, s.start, s.state) for s in told.shelves], whole)
         self._pass_on(entries, whole, False)
+        self.again(freed)
         self._save()
 
     def _pass_on(self, entries: list[tuple[Listed, float]], whole: bool, remembered: bool) -> None:
@@ -168,9 +178,19 @@
             self.links.listed(s.number, s.shard, split_address(s.address), s.state)
         # Also links that had forwards out when their shelf left the list go, once these are in.
         self.links.only(set(self.shelves))
-        told = [(s.number, s.zone, s.shard, s.state == "ready", since) for s, since in entries]
+        told = [(s.number, s.zone, s.shard, self._usable(s), since) for s, since in entries]
         self.driver.listed(told, whole, remembered)
 
+    def _usable(self, s: Listed) -> bool:
+        return s.state == "ready" and (self.peers is None or not self.peers.core.stopped(s.number))
+
+    def again(self, shelves: list[int]) -> None:
+        """Tells the module anew of these, as the own list and peers' news together have it."""
+        known = [self.shelves[n] for n in shelves if n in self.shelves]
+        if known:
+            told = [(s.number, s.zone, s.shard, self._usable(s), since) for s, since in known]
+            self.driver.listed(told, False, False)
+
     def _save(self) -> None:
         if not self.path:
             return
--- a/gorsethread/head/program.py
+++ b/gorsethread/head/program.py
@@ -8,6 +8,7 @@
 from gorsethread.head.facts import start_facts
 from gorsethread.head.links import ShelfLink
 from gorsethread.head.listing import ListFollower
+from gorsethread.head.peers import PeerSide
 from gorsethread.head.placement import SitePlacement
 from gorsethread.nvme.subsystem import Subsystem
 from gorsethread.queues.dial import Names
@@ -67,6 +68,8 @@
         self.follower = ListFollower(transport, site.list.address, number, remember, links, log)
         self.driver = Driver(transport, start_facts(site), seed, placement, self.follower.follow, log)
         self.follower.driver = links.driver = self.driver
+        self.peers = PeerSide(transport, site, number, self.follower, log)
+        self.follower.peers = self.peers
         delays = tuple(sorted({*RETRY_DELAYS, max(RETRY_DELAYS[-1], site.rules.longest_return)}))
         admits = Tenants(site, number).admits
         self.subsystem = Subsystem(site.subsystem, admits, f"head-{number}", "gorsethread",
@@ -84,6 +87,7 @@
         address = next(h.address for h in self.site.head if h.number == self.number)
         host, port = split_address(address)
         self.follower.start()
+        self.peers.start()
         self._listener = self.transport.listen(host, port, self.server.on_stream)
         self.port = self._listener.port
         self.log.info("head serves", address=f"{host}:{self.port}")
@@ -103,6 +107,7 @@
         if self.book:
             self.book.end()
         self.follower.stop()
+        self.peers.stop()
         self.server.stop("the head ends")
         for link in self.driver.links.values():
             link.close()
--- a/gorsethread/lab/bench.py
+++ b/gorsethread/lab/bench.py
@@ -13,6 +13,7 @@
 
 from gorsethread.lab.accounts import footprint
 from gorsethread.lab.processes import Processes, resized
+from gorsethread.lab.turns import in_turn
 from gorsethread.sitefile import site_pb2 as pb
 from gorsethread.sitefile.reading import parse_site, split_address
 from gorsethread.standins.nodelist import Register
@@ -139,6 +140,7 @@
     pairs: list[dict[str, dict[str, float]]] = []
     idle: list[float] = []
     accounts: list[dict[str, float]] = []
+    turns: list[dict[int, dict[str, Any]]] = []
     shares: dict[str, float] = {}
     with tempfile.TemporaryDirectory(prefix="gorsethread-bench-") as scratch:
         for number in range(rounds):
@@ -150,18 +152,21 @@
                     await stand.start()
                     await stand.load(1.0)  # warm-up
                     pair[subject] = await stand.load(seconds)
-                    held = await stand.load(seconds, depth=HELD_DEPTH)
-                    pair[subject] |= {f"held_{k}": held[k] for k in ("a_second", "cpu_us")}
                     calm = await stand.load(seconds, CALM_RATE)
                     pair[subject] |= {"calm_median_us": calm["median_us"], "calm_p99_us": calm["p99_us"],
                                       "calm_own_p99_us": calm["own_p99_us"]}
                 finally:
                     await stand.end()
             pairs.append(pair)
-            relay, head = pair["relay"], pair["head"]
-            say(f"pair {number + 1}: head at {head['a_second'] / relay['a_second']:.2f} of the relay's "
-                f"transactions a second ({head['held_a_second'] / relay['held_a_second']:.2f} with volumes "
-                f"waiting for slots), CPU a transaction {head['cpu_us'] / relay['cpu_us']:.2f} times")
+            head = pair["head"]
+            turn = await _in_turn(transport, Path(scratch) / f"{number}-turns", 3 * seconds)
+            turns.append(turn)
+            for depth, what in ((DEPTH, "nothing waits"), (HELD_DEPTH, "volumes wait for slots")):
+                found = turn[depth]
+                say(f"pair {number + 1}, {what}: head at {found['rate']['median']:.2f} of the relay's "
+                    f"transactions a second (middle half of {found['pairs']} stretches: "
+                    f"{found['rate']['lower_quartile']:.2f} to {found['rate']['upper_quartile']:.2f}), CPU a "
+                    f"transaction {found['cpu']['median']:.2f} times")
             counted = await _alternated(transport, Path(scratch) / f"{number}-accounts", 3 * seconds)
             accounts.append(counted)
             say(f"pair {number + 1}: with accounts the head is at {counted['whole']:.3f} of itself without "
@@ -179,8 +184,10 @@
             say(f"pair {number + 1}: with {SHELVES - SINKS} idle shelves in the list CPU a transaction is "
                 f"{idle[-1]:.2f} times that without")
     return {
-        "head_to_relay": _ratio(pairs, "a_second"), "cpu_ratio": _ratio(pairs, "cpu_us"),
-        "held_head_to_relay": _ratio(pairs, "held_a_second"), "held_cpu_ratio": _ratio(pairs, "held_cpu_us"),
+        "head_to_relay": _median(turns, DEPTH, "rate"), "cpu_ratio": _median(turns, DEPTH, "cpu"),
+        "held_head_to_relay": _median(turns, HELD_DEPTH, "rate"),
+        "held_cpu_ratio": _median(turns, HELD_DEPTH, "cpu"), "turns": turns,
+        "one_after_the_other": _ratio(pairs, "a_second"),
         "accounts_to_head": _spread([a["whole"] for a in accounts]), "accounts": accounts,
         "accounts_footprint": footprint(),
         "calm_median_ratio": _ratio(pairs, "calm_median_us"), "calm_p99_ratio": _ratio(pairs, "calm_p99_us"),
@@ -189,6 +196,24 @@
     }
 
 
+async def _in_turn(transport: Transport, folder: Path, seconds: float) -> dict[int, dict[str, Any]]:
+    """Relay and head both stand, and one load goes to them in turn; by its depth."""
+    folder.mkdir()
+    stands = [Stand(transport, folder / subject, subject, SINKS) for subject in ("relay", "head")]
+    try:
+        for stand in stands:
+            await stand.start()
+        return {depth: await in_turn(transport, stands, LOADS, depth, seconds, folder)
+                for depth in (DEPTH, HELD_DEPTH)}
+    finally:
+        for stand in stands:
+            await stand.end()
+
+
+def _median(turns: list[dict[int, dict[str, Any]]], depth: int, figure: str) -> dict[str, float]:
+    return _spread([turn[depth][figure]["median"] for turn in turns])
+
+
 async def _alternated(transport: Transport, folder: Path, seconds: float) -> dict[str, float]:
     """One head that keeps accounts in turn, under one load."""
     stand = Stand(transport, folder, "head", SINKS, accounts=True)
--- a/gorsethread/lab/processes.py
+++ b/gorsethread/lab/processes.py
@@ -10,13 +10,14 @@
 from google.protobuf import text_format
 
 from gorsethread.sitefile import site_pb2 as pb
-from gorsethread.sitefile.sizing import sized
+from gorsethread.sitefile.sizing import needed, sized
 from gorsethread.transport.real import free_ports
 
 
 def resized(site: pb.Site, heads: int, shelves: int) -> pb.Site:
     """The same site on free loopback ports, with another number of heads and shelves."""
-    return sized(site, heads, shelves, [f"127.0.0.1:{port}" for port in free_ports(1 + heads + shelves)])
+    ports = free_ports(needed(site, heads, shelves))
+    return sized(site, heads, shelves, [f"127.0.0.1:{port}" for port in ports])
 
 
 class Processes:
--- /dev/null
+++ b/gorsethread/membership/__init__.py
@@ -0,0 +1,1 @@
+"""What heads tell each other of shelves that drain or are gone."""
--- /dev/null
+++ b/gorsethread/membership/news.py
@@ -0,0 +1,147 @@
+"""The pure core of membership: what this head's own list says, and what peers told that goes beyond it. No
+I/O, no clock of its own; chance is handed in.
+
+A peer's news may stop this head sending to a shelf; it never lets it send. Each piece of news names the
+version of the list that said it, so late, doubled and reordered news does no harm: where the own list has
+come as far, it is not listened to. A list that began anew counts from the start again and has another life;
+news of another life stops sending too, as either side may be behind, but only for a while.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import NamedTuple
+
+BELIEVED_FOR = 10.0  # seconds that a peer's news stops sending while the own list does not bear it out
+KEPT_FOR = 30.0  # seconds that a shelf which is gone is told of to others
+NEWS_MOST = 4096  # pieces of news held; a site has far fewer shelves
+
+
+class State(IntEnum):
+    READY = 0
+    DRAINING = 1
+    GONE = 2
+
+
+NAMES = {"ready": State.READY, "draining": State.DRAINING, "gone": State.GONE}
+
+
+class News(NamedTuple):
+    """shelf and which start of it; life and version of the list that said so."""
+
+    shelf: int
+    start: int
+    state: int
+    life: int
+    version: int
+
+
+class Own(NamedTuple):
+    """The own list's last word on a shelf, and when it was heard."""
+
+    start: int
+    state: State
+    at: float
+
+
+@dataclass(frozen=True)
+class Believed:
+    news: News
+    until: float
+
+
+class Membership:
+    """me: this head's number; peers: the others'. pick(n): a draw from 0..n-1."""
+
+    def __init__(self, me: int, peers: Iterable[int], pick: Callable[[int], int]) -> None:
+        self.me, self.peers, self.pick = me, sorted(set(peers) - {me}), pick
+        self.life = self.version = 0
+        self.followed = False  # whether the own list is being heard
+        self.own: dict[int, Own] = {}  # emptied of shelves that are gone for KEPT_FOR
+        self.beyond: dict[int, Believed] = {}  # by shelf; emptied as the own list catches up, or by time
+        self.ignored = 0  # pieces of news that said nothing new
+
+    # ---- what is heard
+
+    def list_said(self, life: int, version: int, shelves: Iterable[tuple[int, int, str]], whole: bool,
+                  now: float) -> list[int]:
+        """(shelf, start, state) of each; a whole list names all there are. The shelves that peers' news
+        stopped and that may be used again by the own list's word come back."""
+        self.life, self.version, self.followed = life, version, True
+        named = set()
+        for shelf, start, state in shelves:
+            named.add(shelf)
+            self.own[shelf] = Own(start, NAMES[state], now)
+        if whole:
+            for shelf in [s for s in self.own if s not in named]:
+                self.own[shelf] = self.own[shelf]._replace(state=State.GONE, at=now)
+        for shelf in [s for s, o in self.own.items() if o.state is State.GONE and now - o.at > KEPT_FOR]:
+            del self.own[shelf]
+        return self._freed([s for s, b in self.beyond.items() if self._known(b.news)])
+
+    def list_lost(self) -> None:
+        self.followed = False
+
+    def peer_said(self, news: Iterable[News], now: float) -> list[News]:
+        """What of it was new and is believed: its shelves get nothing more, and others are to be told."""
+        fresh = []
+        for n in news:
+            held = self.beyond.get(n.shelf)
+            own = self.own.get(n.shelf)
+            if (n.state == State.READY or self._known(n) or own is None
+                    or held is not None and not self._newer(n, held.news)
+                    or own.state >= n.state and own.start == n.start):
+                self.ignored += 1
+                continue
+            if held is None and len(self.beyond) >= NEWS_MOST:
+                self.ignored += 1
+                continue
+            self.beyond[n.shelf] = Believed(n, now + BELIEVED_FOR)
+            fresh.append(n)
+        return fresh
+
+    def expired(self, now: float) -> list[int]:
+        """Shelves whose stop by peers' news ends as the own list, which is heard, never bore it out. A head
+        that hears no list goes on believing: it would know nothing better."""
+        if not self.followed:
+            return []
+        return self._freed([s for s, b in self.beyond.items() if b.until <= now])
+
+    # ---- what holds
+
+    def stopped(self, shelf: int) -> bool:
+        """Whether peers' news stops a shelf that the own list calls ready."""
+        return shelf in self.beyond
+
+    # ---- what is told
+
+    def to_tell(self, now: float) -> list[News]:
+        """All that this head knows of shelves that are not ready, its own list's words and its peers'."""
+        mine = [News(s, o.start, o.state, self.life, self.version) for s, o in sorted(self.own.items())
+                if o.state is not State.READY and s not in self.beyond and now - o.at <= KEPT_FOR]
+        return mine + [b.news for _, b in sorted(self.beyond.items())]
+
+    def some_peers(self, number: int) -> list[int]:
+        """So many different ones, drawn."""
+        left = list(self.peers)
+        chosen: list[int] = []
+        while left and len(chosen) < number:
+            chosen.append(left.pop(self.pick(len(left))))
+        return chosen
+
+    # ---- parts
+
+    def _known(self, n: News) -> bool:
+        """The own list, whose news comes in order, has said all that there was up to this."""
+        return self.followed and n.life == self.life and n.version <= self.version
+
+    @staticmethod
+    def _newer(n: News, than: News) -> bool:
+        if n.life == than.life:
+            return n.version > than.version and (n.start, n.state) != (than.start, than.state)
+        return n.life > than.life
+
+    def _freed(self, shelves: list[int]) -> list[int]:
+        for shelf in shelves:
+            del self.beyond[shelf]
+        return [s for s in shelves if (own := self.own.get(s)) is not None and own.state is State.READY]
--- a/gorsethread/sitefile/reading.py
+++ b/gorsethread/sitefile/reading.py
@@ -112,6 +112,11 @@
         c.one_each(machines, kind, "address")
         for n, address in enumerate([m.address for m in machines]):
             c.address(address, f"{kind}[{n}].address")
+    c.one_each([h for h in site.head if h.peers], "head", "peers")
+    for n, h in enumerate(site.head):
+        if h.peers:
+            c.address(h.peers, f"head[{n}].peers")
+            c.need(h.peers != h.address, f"head[{n}].peers", "is the address for clients too")
     c.one_each(site.shelf, "shelf", "shard")
     m = site.machine
     c.number(m, "machine", "cores", 1, 1024, "cores")
--- a/gorsethread/sitefile/sizing.py
+++ b/gorsethread/sitefile/sizing.py
@@ -5,9 +5,14 @@
 from gorsethread.sitefile import site_pb2 as pb
 
 
+def needed(site: pb.Site, heads: int, shelves: int) -> int:
+    """How many addresses sized() takes."""
+    return 1 + shelves + heads * (2 if any(h.peers for h in site.head) else 1)
+
+
 def sized(site: pb.Site, heads: int, shelves: int, addresses: Sequence[str]) -> pb.Site:
-    """The same site with another number of heads and shelves, at these addresses: the list, heads, shelves.
-    Volumes spread over them as before, as far as there are as many."""
+    """The same site with another number of heads and shelves, at these addresses: the list, heads, shelves,
+    and those for peers where the site has any. Volumes stay spread as before, if there are as many."""
     new = pb.Site()
     new.CopyFrom(site)
     del new.head[:], new.shelf[:]
@@ -18,6 +23,9 @@
     zones = max((s.zone for s in site.shelf), default=0) + 1
     for n in range(shelves):
         new.shelf.add(number=n, address=next(given), shard=n, zone=n % zones)
+    if any(h.peers for h in site.head):
+        for head in new.head:
+            head.peers = next(given)
     for v in new.volume:
         if heads != len(site.head):
             v.head[:] = sorted({(h + v.number) % heads for h in v.head})
--- a/gorsethread/standins/nodelist.py
+++ b/gorsethread/standins/nodelist.py
@@ -52,6 +52,7 @@
         self.script = script
         self.chance = transport.chance("list")
         self.version = 1
+        self.life = int(transport.now() * 1e6)  # versions of another life of the list don't compare
         self.entries: dict[int, tuple[Register, str, float]] = {}  # shelf: what it said, its state, since
         self.changes: deque[tuple[int, int]] = deque(maxlen=CHANGES_KEPT)  # version, shelf
         self.followers: dict[Follower, None] = {}  # emptied as heads' streams end
@@ -164,7 +165,7 @@
                    max(0.001, now - since) if since else 0.0)
             for s, state, since in entries
         ]
-        follower.stream.write(msgspec.json.encode(Told(kind, version, listed)) + b"\n")
+        follower.stream.write(msgspec.json.encode(Told(kind, version, listed, self.life)) + b"\n")
         for s in listed:
             self.recorder.saw("told", head=follower.head, shelf=s.number, state=s.state, start=s.start)
 
--- a/gorsethread/transport/sampling.py
+++ b/gorsethread/transport/sampling.py
@@ -1,6 +1,7 @@
 """Where a process spends its CPU time: a sample each few milliseconds of it, counted by package."""
 
 import signal
+import time
 from collections import Counter
 from types import FrameType
 
@@ -14,6 +15,16 @@
 )
 
 
+def cpu_seconds() -> float:
+    """Of this process, so far."""
+    return time.process_time()
+
+
+def wall_seconds() -> float:
+    """For how long something took, on a clock that never goes back."""
+    return time.monotonic()
+
+
 class Sampler:
     """One a process; it takes the process's SIGPROF."""
 
--- a/gorsethread/transport/virtual.py
+++ b/gorsethread/transport/virtual.py
@@ -201,10 +201,11 @@
         self.network.saw(one, other, len(data), xxhash.xxh3_64_intdigest(data))
         pair = (one, other)
         self.network.arrivals[pair] = self.network.arrivals.get(pair, 0) + 1
+        taken = not self.taker.closed
         self.taker.arrived(data, left)
         if not data:
             self.network.pipes.pop(self.number, None)
-        if self.network.on_arrival:
+        if taken and self.network.on_arrival:
             self.network.on_arrival(one, other, self.network.arrivals[pair], left)
         self._await()
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -97,6 +97,7 @@
     async def asyncTearDown(self) -> None:
         for head in self.heads.values():
             head.follower.stop()
+            head.peers.stop()
             head.server.stop("end of the test")
             head._listener.close()
             for link in head.driver.links.values():
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from gorsethread.faults.draw import Draw
+from gorsethread.faults.runs import play_many, shrink
 from gorsethread.faults.script import BadScript, read_script
 from gorsethread.faults.world import Outcome, World, play
 from gorsethread.lab.planted import plant
@@ -60,6 +61,32 @@
                             play(SITE, read_script("seed 2\nseconds 3\n")).digest)
 
 
+class Many(unittest.TestCase):
+    def test_drawn_worlds_keep_every_rule(self) -> None:
+        failed = [(p.seed, p.reasons, p.first) for p in play_many(SITE, range(200)) if p.reasons]
+        self.assertEqual([], failed)
+
+    def test_what_was_found_once_stays_mended(self) -> None:
+        corpus = sorted((Path(__file__).parent / "corpus").glob("*.txt"))
+        self.assertGreater(len(corpus), 3)
+        for path in corpus:
+            with self.subTest(world=path.name):
+                self.assertEqual([], play(SITE, read_script(path.read_text())).reasons)
+
+
+class Shrinking(unittest.TestCase):
+    def test_a_failing_world_is_cut_down_to_what_matters(self) -> None:
+        """A head deaf to drains, among faults that have nothing to do with it: the drain is what is left."""
+        text = "seed 5\nseconds 9\n1 still shelf-0 for 1\n2 drain shelf-1 for 4\n3 slow shelf-4 by 3 for 2\n"
+        small = shrink(SITE, read_script(text), "list: drains are not heard", lambda line: None)
+        self.assertEqual(["drain"], [act.kind for act in small.acts])
+        self.assertEqual(1, len(small.volumes))
+
+    def test_a_world_without_a_fault_can_not_be_cut_down(self) -> None:
+        with self.assertRaises(ValueError):
+            shrink(SITE, read_script("seed 5\nseconds 3\n"), "", lambda line: None)
+
+
 class Language(unittest.TestCase):
     def test_what_is_written_is_read_again(self) -> None:
         for seed in range(50):
--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -16,7 +16,7 @@
 from tests.rig import Rig
 
 POST = 16
-ENDINGS = {how.value for how in Ending}
+ENDINGS = {f"forwards {how.value}" for how in Ending}
 
 
 class Ordinary(Rig):
@@ -189,7 +189,8 @@
         listener.close()
         self.assertIn(how, ("pushed back", "given up"))
         self.assertTrue(silent)
-        self.assertEqual({Ending.UNREACHED.value}, {k for k in self.heads[0].driver.counts if k in ENDINGS})
+        ended = {k for k in self.heads[0].driver.counts if k in ENDINGS}
+        self.assertEqual({f"forwards {Ending.UNREACHED.value}"}, ended)
         self.judged()
 
     async def test_half_a_pdu_and_silence(self) -> None:
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,104 @@
+"""What peers tell: never lets a head send, does no harm late, doubled or out of order, stops a deaf head."""
+
+import unittest
+from pathlib import Path
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gorsethread.faults.script import read_script
+from gorsethread.faults.world import World
+from gorsethread.membership.news import BELIEVED_FOR, KEPT_FOR, NAMES, Membership, News, State
+from gorsethread.sitefile.reading import read_site
+
+SITE = read_site(Path(__file__).parent.parent / "deploy" / "site.txtpb")
+LIFE = 7
+STATES = st.sampled_from(["ready", "draining", "gone"])
+HISTORY = st.lists(st.tuples(st.integers(0, 3), STATES), max_size=12)
+
+
+def fresh() -> Membership:
+    m = Membership(0, [0, 1, 2], lambda n: 0)
+    m.list_said(LIFE, 1, [(s, 1, "ready") for s in range(4)], True, 0.0)
+    return m
+
+
+def news(shelf: int, state: State, version: int, life: int = LIFE, start: int = 1) -> News:
+    return News(shelf, start, state, life, version)
+
+
+class Core(unittest.TestCase):
+    def test_newer_news_stops_until_the_own_list_has_come_as_far(self) -> None:
+        m = fresh()
+        self.assertEqual([news(2, State.DRAINING, 5)], m.peer_said([news(2, State.DRAINING, 5)], 1.0))
+        self.assertTrue(m.stopped(2))
+        self.assertEqual([], m.list_said(LIFE, 4, [(1, 1, "draining")], False, 1.5))
+        self.assertTrue(m.stopped(2))
+        self.assertEqual([2], m.list_said(LIFE, 6, [(3, 1, "gone")], False, 2.0))
+        self.assertFalse(m.stopped(2))
+
+    def test_old_news_stops_nothing(self) -> None:
+        m = fresh()
+        m.list_said(LIFE, 9, [(2, 1, "ready")], False, 1.0)
+        self.assertEqual([], m.peer_said([news(2, State.DRAINING, 9), news(2, State.GONE, 3)], 1.1))
+        self.assertEqual(2, m.ignored)
+
+    def test_ready_is_not_news(self) -> None:
+        m = fresh()
+        m.list_said(LIFE, 4, [(2, 1, "draining")], False, 1.0)
+        self.assertEqual([], m.peer_said([news(2, State.READY, 8)], 2.0))
+
+    def test_what_is_not_borne_out_ends_and_a_deaf_head_goes_on_believing(self) -> None:
+        m = fresh()
+        m.peer_said([news(1, State.GONE, 2, life=99)], 1.0)
+        self.assertEqual([], m.expired(1.0 + BELIEVED_FOR - 0.1))
+        m.list_lost()
+        self.assertEqual([], m.expired(100.0))
+        m.list_said(LIFE, 2, [], False, 101.0)
+        self.assertEqual([1], m.expired(102.0))
+
+    def test_what_is_gone_is_told_for_a_while_and_then_forgotten(self) -> None:
+        m = fresh()
+        m.list_said(LIFE, 2, [(1, 1, "gone")], False, 1.0)
+        self.assertEqual([news(1, State.GONE, 2)], m.to_tell(2.0))
+        m.list_said(LIFE, 3, [], False, 2.0 + KEPT_FOR)
+        self.assertEqual(([], 3), (m.to_tell(2.0 + KEPT_FOR), len(m.own)))
+
+    @given(HISTORY, st.data())
+    def test_any_order_of_news_ends_where_the_list_does(self, history: list[tuple[int, str]],
+                                                        data: st.DataObject) -> None:
+        told = [news(s, NAMES[state], version) for version, (s, state) in enumerate(history, 2)]
+        heard = data.draw(st.permutations(told * 2))
+        m, cut = fresh(), data.draw(st.integers(0, len(heard)))
+        m.peer_said(heard[:cut], 1.0)
+        last = dict(history)
+        # Before its own list has come as far, a head holds back at least what drains or is gone, if it heard.
+        for shelf, state in last.items():
+            final = max((n for n in told if n.shelf == shelf), key=lambda n: n.version)
+            if state != "ready" and final in heard[:cut]:
+                self.assertTrue(m.stopped(shelf))
+        for version, (shelf, state) in enumerate(history, 2):
+            m.list_said(LIFE, version, [(shelf, 1, state)], False, 1.0 + version / 100)
+        m.peer_said(heard[cut:], 2.0)
+        self.assertEqual({}, m.beyond)
+
+
+class Running(unittest.TestCase):
+    def test_a_head_that_hears_no_list_stops_by_its_peers_word(self) -> None:
+        """Head 1 is cut off from the list before shelf 2 drains; told by peers, it sends there no more."""
+        text = "seed 5\nseconds 12\n1 cut list -> head-1 for 7\n2 drain shelf-2 for 4\n"
+        outcomes = {}
+        for peers in (True, False):
+            site = type(SITE)()
+            site.CopyFrom(SITE)
+            if not peers:
+                for head in site.head:
+                    head.peers = ""
+            world = World(site, read_script(text))
+            outcome = world.play()
+            self.assertTrue(outcome.good, outcome.reasons)
+            late = [r for r in world.records if r["e"] == "arrived" and r["shelf"] == 2 and r["head"] == 1
+                    and world.zero + 4.5 < r["t"] < world.zero + 6.0]
+            outcomes[peers] = len(late)
+        self.assertEqual(0, outcomes[True])
+        self.assertGreater(outcomes[False], 0)
