--- a/gorsethread/cli/faults.py
+++ b/gorsethread/cli/faults.py
@@ -1,5 +1,6 @@
 """gorsethread faults: worlds on the virtual clock, drawn from seeds or written by hand."""
 
+import asyncio
 import json
 import sys
 from pathlib import Path
@@ -23,6 +24,7 @@
 from gorsethread.faults.script import KINDS, BadScript, Script, read_script
 from gorsethread.faults.states import STATES
 from gorsethread.faults.world import play
+from gorsethread.lab.scripted import beside, unplayable
 from gorsethread.sitefile import site_pb2 as pb
 from gorsethread.transport.sampling import wall_seconds
 
@@ -154,6 +156,27 @@
         console.print(line, markup=False, highlight=False, soft_wrap=True)
 
 
+@app.command()
+def compare(what: What, site: SitePath = DEFAULT_SITE, json_path: JsonPath = "") -> None:
+    """Plays one script on real sockets, every process on its own, and on the virtual clock, side by side."""
+    known = site_at(site)
+    script = _script(known, what)
+    if no := unplayable(script):
+        typer.echo(f"{what}: real processes are not put through: {'; '.join(no)}", err=True)
+        raise typer.Exit(2)
+    found = asyncio.run(beside(known, script))
+    console = Console(stderr=json_path == "-")
+    table = Table("figure", "real sockets", "virtual clock")
+    for figure in ("taken", "rules"):
+        table.add_row(figure, str(found["real"][figure]), str(found["virtual"][figure]))
+    for group in ("parts", "volumes"):
+        for name, value in found["real"][group].items():
+            told = f"volume {name} in time" if group == "volumes" else name
+            table.add_row(told, str(value), str(found["virtual"][group].get(name)))
+    console.print(table)
+    _write(found, json_path)
+
+
 @app.command()
 def mutants(site: SitePath = DEFAULT_SITE,
             most: Annotated[int, typer.Option(help="Seeds to try for each.")] = 0, at_once: AtOnce = 0,
--- a/gorsethread/faults/draw.py
+++ b/gorsethread/faults/draw.py
@@ -34,8 +34,9 @@
             clocks = {f"head {n}": Clock(round(c.uniform(-900.0, 900.0), 3), c.choice((0.0, 2e-5, -2e-5)))
                       for n in range(self.heads)}
         factor = c.choice((0.7, 1.0, 1.0, 1.5, 2.5))
-        return Script(self.seed, self.heads, self.shelves, self.seconds, factor, tuple(sorted(self.acts)),
-                      clocks)
+        leaves = c.choice((0.01, 0.01, 0.05, 0.2))
+        return Script(self.seed, self.heads, self.shelves, self.seconds, factor, leaves,
+                      tuple(sorted(self.acts)), clocks)
 
     # ---- parts
 
@@ -146,8 +147,11 @@
                   by=self.chance.uniform(2.0, 12.0))
 
     def slow_connects(self) -> None:
-        self._add("connects", self.chance.choice((self._head(), self._shelf(), "list")), 0.5, 3.0,
-                  by=self.chance.uniform(0.05, 2.5))
+        whom = self.chance.choice((self._head(), self._shelf(), self._shelf(), "list"))
+        act = self._add("connects", whom, 0.5, 3.0, by=self.chance.uniform(0.05, 2.5))
+        if whom.startswith("shelf"):  # and every link to it has to be made anew in that time
+            for n in range(self.heads):
+                self._add("reset", f"head {n}", 0.001, 0.001, to=whom, at=round(act.at + 0.05, 3))
 
     def disk(self) -> None:
         self._add("disk", self._head(), 0.5, 3.0)
--- a/gorsethread/faults/mutants.py
+++ b/gorsethread/faults/mutants.py
@@ -69,6 +69,12 @@
 
 
 
+def _override(link: ShelfLink, name: str, method: Callable[..., Any]) -> None:
+    """Links have slots: another class of the same layout takes the method."""
+    link.__class__ = type("PlantedLink", (type(link),), {
+        "__slots__": (), name: lambda self, *arguments: method(*arguments)})
+
+
 # ---- the driver
 
 
@@ -205,7 +211,7 @@
                 if link.association is not None:
                     link._submit(f)
 
-        link._connect = connect  # type: ignore[method-assign]
+        _override(link, "_connect", connect)
 
     _on_links(head, change)
 
@@ -222,7 +228,7 @@
                 link.send(Forward(f.transaction, -1, f.shelf, f.sent_at, f.command, f.data, f.read,
                                   lambda *_: None))
 
-        link._broke = broke  # type: ignore[method-assign]
+        _override(link, "_broke", broke)
 
     _on_links(head, change)
 
@@ -241,7 +247,7 @@
             kept[0] = data
             honest(f, completion, mine)
 
-        link._done = done  # type: ignore[method-assign]
+        _override(link, "_done", done)
 
     _on_links(head, change)
 
@@ -256,7 +262,7 @@
                 completion = completion._replace(status=Status.SUCCESS, final=False)
             honest(f, completion, data)
 
-        link._done = done  # type: ignore[method-assign]
+        _override(link, "_done", done)
 
     _on_links(head, change)
 
@@ -274,7 +280,7 @@
             else:
                 honest(f, completion, data)
 
-        link._done = done  # type: ignore[method-assign]
+        _override(link, "_done", done)
 
     _on_links(head, change)
 
@@ -286,7 +292,7 @@
             link.association = None
             link.out = {}
 
-        link._broke = broke  # type: ignore[method-assign]
+        _override(link, "_broke", broke)
 
     _on_links(head, change)
 
--- a/gorsethread/faults/script.py
+++ b/gorsethread/faults/script.py
@@ -5,6 +5,7 @@
     shelves 6
     seconds 14
     factor 1.5
+    leaves 0.02
     clock head-1 +2.5 drift 0.0001
     2.350 kill head-0 for 1.2
     3.1 cut head-1 -> shelf-2 for 2
@@ -101,20 +102,22 @@
 
 @dataclass(frozen=True)
 class Script:
-    """A world to play. volumes: only these ask for anything (empty: all of them)."""
+    """A world to play. factor: times the plans' usual traffic; leaves: part of the reads whose client does
+    not wait for the answer; volumes: only these ask for anything (empty: all of them)."""
 
     seed: int = 1
     heads: int = 3
     shelves: int = 6
     seconds: float = 12.0
     factor: float = 1.0
+    leaves: float = 0.01
     acts: tuple[Act, ...] = ()
     clocks: dict[str, Clock] = field(default_factory=dict)
     volumes: tuple[int, ...] = ()
 
     def __str__(self) -> str:
         lines = [f"seed {self.seed}", f"heads {self.heads}", f"shelves {self.shelves}",
-                 f"seconds {self.seconds:g}", f"factor {self.factor:g}"]
+                 f"seconds {self.seconds:g}", f"factor {self.factor:g}", f"leaves {self.leaves:g}"]
         if self.volumes:
             lines.append("volumes " + " ".join(map(str, self.volumes)))
         lines += [f"clock {whom.replace(' ', '-')} {c.offset:+g} drift {c.drift:g}"
@@ -148,7 +151,7 @@
                 if len(words) != 5 or words[3] != "drift":
                     raise ValueError("a clock is: clock head-0 +SECONDS drift PART")
                 clocks[_name(words[1], PROCESSES)] = Clock(float(words[2]), float(words[4]))
-            elif first in ("seed", "heads", "shelves", "seconds", "factor"):
+            elif first in ("seed", "heads", "shelves", "seconds", "factor", "leaves"):
                 known[first] = _setting(first, words[1:])
             else:
                 acts.append(_act(words))
@@ -160,7 +163,7 @@
     script = Script(
         int(known.get("seed", plain.seed)), int(known.get("heads", plain.heads)),
         int(known.get("shelves", plain.shelves)), known.get("seconds", plain.seconds),
-        known.get("factor", plain.factor), tuple(acts), clocks, volumes)
+        known.get("factor", plain.factor), known.get("leaves", plain.leaves), tuple(acts), clocks, volumes)
     if faults := _beyond(script):
         raise BadScript(faults)
     return script
@@ -172,7 +175,7 @@
     value = float(words[0])
     if name in WHOLE and (value != int(value) or value < WHOLE[name]):
         raise ValueError(f"{name} is a whole number, {WHOLE[name]} or more")
-    if value < 0 or name == "seconds" and not 1 <= value <= 3600:
+    if value < 0 or name == "leaves" and value > 1 or name == "seconds" and not 1 <= value <= 3600:
         raise ValueError(f"{name} {words[0]} is out of bounds")
     return value
 
--- a/gorsethread/faults/world.py
+++ b/gorsethread/faults/world.py
@@ -191,6 +191,7 @@
                             self.zero, self.zero + self.script.seconds, surges, Silent())
         if self.script.volumes:
             client.volumes = [v for v in client.volumes if v.number in self.script.volumes]
+        client.leaves = self.script.leaves
         self.clients[tenant] = client
 
         async def whole() -> None:
@@ -384,8 +385,14 @@
             self.defects.append(text)
 
     def _check_owners(self, number: int, head: Head) -> None:
-        """No forward out without a transaction that owns it."""
+        """No forward out without a transaction that owns it, and none awaited that no link holds."""
         driver = head.driver
+        for owner in driver.open.values():
+            for f in owner.out.values():
+                held = driver.links.get(f.shelf)
+                if not f.over and (held is None or held.out.get(f.cid) is not f and f not in held.waiting):
+                    self._defect(f"forward that no link holds: head {number}, shelf {f.shelf}, transaction "
+                                 f"{owner.id}")
         for link in driver.links.values():
             for f in (*link.out.values(), *link.waiting):
                 t = driver.open.get(f.transaction)
--- a/gorsethread/lab/day.py
+++ b/gorsethread/lab/day.py
@@ -199,13 +199,16 @@
         self.recorder.saw("shelf killed", shelf=shelf)
 
     async def _drain(self, shelf: int) -> None:
-        self.say(f"shelf {shelf}: drains")
+        await self._order(shelf, "draining")
+
+    async def _order(self, shelf: int, state: str) -> None:
+        self.say(f"shelf {shelf}: {'drains' if state == 'draining' else 'is ready again'}")
         try:
             stream = await self.transport.connect(*split_address(self.site.list.address), 2.0)
         except Unreachable as error:
             self.defects.append(f"the list took no order: {error}")
             return
-        stream.write(msgspec.json.encode(Order(shelf, "draining")) + b"\n")
+        stream.write(msgspec.json.encode(Order(shelf, state)) + b"\n")
         await stream.read()
         stream.close()
 
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -201,6 +201,7 @@
         free: dict[int, int] = {}  # worked out for shelves that are asked for, and no others
         given: dict[int, list[Transaction]] = {}
         spent: dict[str, float] = {}  # units chosen so far of each volume
+        moves: dict[str, int] = {}  # how often its choices changed: an edge seen before holds if they did not
 
         def room(s: Shelf) -> bool:
             if s.id not in free:
@@ -210,6 +211,7 @@
         def mark(t: Transaction, sign: int) -> None:
             t.chosen = sign > 0
             spent[t.volume.id] = spent.get(t.volume.id, 0.0) + sign * t.units
+            moves[t.volume.id] = moves.get(t.volume.id, 0) + 1
 
         def edges(v: Volume) -> Iterator[tuple[int, Transaction]]:
             used = spent.get(v.id, 0.0)
@@ -245,13 +247,20 @@
                 mark(t, -1)
             return False
 
-        unsaturated = {v.id: (v, edge[1]) for v in asking if v.lanes and (edge := next(edges(v), None))}
+        unsaturated = {v.id: (v, edge, 0) for v in asking if v.lanes and (edge := next(edges(v), None))}
         while unsaturated:
-            v = min(unsaturated.values(), key=lambda entry: (
-                entry[0].total + spent.get(entry[0].id, 0.0) + entry[1].units) / entry[0].plan.weight)[0]
-            edge = next(edges(v), None) if path(v, set()) else None
+            entries = unsaturated.values()
+            v, (id, t), at = next(iter(entries)) if len(entries) == 1 else min(entries, key=lambda entry: (
+                entry[0].total + spent.get(entry[0].id, 0.0) + entry[1][1].units) / entry[0].plan.weight)
+            if moves.get(v.id, 0) == at and t.shard != NEW and len(given[id]) < free[id]:
+                mark(t, 1)  # as path() would, whose first edge it is
+                given[id].append(t)
+                more = len(v.lanes) > 1 or len(v.lanes[t.shard]) > 1
+            else:
+                more = path(v, set())
+            edge = next(edges(v), None) if more else None
             if edge:
-                unsaturated[v.id] = (v, edge[1])
+                unsaturated[v.id] = (v, edge, moves.get(v.id, 0))
             else:
                 del unsaturated[v.id]
         for id, chosen in given.items():
--- a/gorsethread/standins/client.py
+++ b/gorsethread/standins/client.py
@@ -199,6 +199,7 @@
         self.lead: dict[int, tuple[int, float]] = {}
         self.labels = self.chance.randrange(2**40) << 20
         self.unfinished = 0
+        self.leaves = LEAVES
 
     async def run(self) -> None:
         for link in self.links.values():
@@ -278,7 +279,7 @@
                               volume=t.volume.number, profile=t.profile, due=t.due)
             return
         self.unfinished += 1
-        if t.operation == Opcode.READ and self.chance.random() < LEAVES:
+        if t.operation == Opcode.READ and self.chance.random() < self.leaves:
             one.leave_after(self.chance.uniform(0.0, 0.3))
 
     def answered(self, one: Try, how: str, completion: Completion | None, data: bytes) -> None:
