--- a/gorsethread/faults/mutants.py
+++ b/gorsethread/faults/mutants.py
@@ -456,3 +456,27 @@
     policy._next_in_line = lambda key: None if now() else honest(key)  # type: ignore[method-assign]
 
 
+
+
+# ---- membership
+
+
+@mutant("membership: old news is believed")
+def _believes_old_news(head: Head) -> None:
+    head.peers.core._known = lambda n: False  # type: ignore[method-assign]
+
+
+@mutant("membership: what peers stopped is not used again")
+def _never_freed(head: Head) -> None:
+    honest = head.peers.core._freed
+
+    def freed(shelves: list[int]) -> list[int]:
+        honest(shelves)
+        return []
+
+    head.peers.core._freed = freed  # type: ignore[method-assign]
+
+
+@mutant("membership: a peer's word lets a head send")
+def _peers_let_it_send(head: Head) -> None:
+    head.follower._usable = lambda s: True  # type: ignore[method-assign]
--- a/gorsethread/faults/runs.py
+++ b/gorsethread/faults/runs.py
@@ -47,6 +47,8 @@
         return Played(seed, [f"raised {type(error).__name__}"], "", 0, 0.0, cpu_seconds() - began,
                       repr(error))
     first = str(outcome.verdict.breaks[0]) if outcome.verdict.breaks else ""
+    if not first and outcome.as_it_came:
+        first = str(outcome.as_it_came[0][1])
     return Played(seed, outcome.reasons, outcome.digest, outcome.verdict.counts["taken"], outcome.seconds,
                   cpu_seconds() - began, first or "; ".join(outcome.defects[:1]), outcome.states)
 
@@ -181,6 +183,7 @@
         for step in each.history:
             at, rest = step[:9], step[9:]
             lines.add((float(at), f"{float(at) - offset:9.3f}{rest}"))
+    lines |= {(at - begin, f"{at - site_zero:9.3f}  !! {b}") for at, b in outcome.as_it_came[:breaks_most]}
     found = [line for _, line in sorted(lines)]
     return found + [f"rule {b.rule}: {b.reason}" for b in chosen] + outcome.defects[:5]
 
--- a/gorsethread/faults/world.py
+++ b/gorsethread/faults/world.py
@@ -22,7 +22,8 @@
 from gorsethread.standins.shelf import Shelf
 from gorsethread.transport.base import StreamClosed, Unreachable
 from gorsethread.transport.virtual import Disk, Network, VirtualLoop, VirtualTransport
-from gorsethread.witness.judge import Verdict, Witness
+from gorsethread.witness.judge import Break, Verdict, Witness
+from gorsethread.witness.online import OnlineWitness
 
 START_UP = 2.0  # seconds from the first process to the first transaction
 CALM = 2.5  # the last seconds of sending, in which a head that stands must honour something
@@ -70,17 +71,19 @@
     seconds: float  # virtual
     records: list[dict[str, Any]] = field(default_factory=list)
     states: dict[str, int] = field(default_factory=dict)
+    as_it_came: list[tuple[float, Break]] = field(default_factory=list)  # breaks at the moment of each
 
     @property
     def good(self) -> bool:
         v = self.verdict
-        return not (v.breaks or v.lost or v.duplicated or v.wrong_reads or self.defects)
+        return not (v.breaks or self.as_it_came or v.lost or v.duplicated or v.wrong_reads or self.defects)
 
     @property
     def reasons(self) -> list[str]:
         """What is wrong, a short line each, the same for the same fault: what shrinking holds on to."""
         v = self.verdict
-        found = [f"rule {n}" for n, breaks in enumerate(v.rules, 1) if breaks]
+        rules = {b.rule for b in v.breaks} | {b.rule for _, b in self.as_it_came}
+        found = [f"rule {n}" for n in sorted(rules)]
         found += ["wrong reads"] if v.wrong_reads else []
         return found + sorted({d.split(":")[0] for d in self.defects})
 
@@ -96,10 +99,12 @@
         self.site = sized(site, script.heads, script.shelves, addresses)
         self.loop = VirtualLoop()
         self.network = Network(self.loop, script.seed)
+        self.loop.set_exception_handler(self._raised)
         self.network.on_arrival = self._arrived
         self.network.on_lost = lambda one, other: self._apart(one, other, 0.0)
         self.disk = Disk()
         self.records: list[dict[str, Any]] = []
+        self.online = OnlineWitness(self.site)
         self.defects: list[str] = []
         self.zero = self.loop.time() + START_UP
         self.day = self._process("day")
@@ -108,7 +113,7 @@
         self.shelves: dict[int, Shelf] = {}
         self.heads: dict[int, Head] = {}
         self.clients: dict[str, LoadClient] = {}
-        self._news: dict[int, list[tuple[float, dict[str, Any]]]] = {}  # on its way to each head
+        self._news: dict[int, list[tuple[float, dict[str, Any]]]] = {}  # on its way, by the network's ways
         self._crashes: list[tuple[str, str, int, Act]] = []
         self.states: dict[str, int] = {}  # how often a kind of fault met heads in a state; no more than pairs
         self.most: dict[str, int] = {}  # the largest seen of what must be bounded
@@ -118,19 +123,21 @@
     def saw(self, who: str, event: str, facts: dict[str, Any]) -> None:
         record = {"t": self.loop.time(), "who": who, "e": event, **facts}
         self.records.append(record)
+        self.online.take(record)
         self.network.saw(who, event, *facts.values())
 
     def telling(self, facts: dict[str, Any]) -> None:
         """News left the list; a head is told when it has come."""
-        self._news.setdefault(facts["head"], []).append((self.loop.time(), facts))
+        if self.network.wrote:
+            self._news.setdefault(self.network.wrote, []).append((self.loop.time(), facts))
 
-    def _arrived(self, one: str, other: str, count: int, left: float) -> None:
-        if one == "list" and other.startswith("head "):
-            head = int(other.split(" ")[1])
-            news = self._news.get(head, [])
+    def _arrived(self, one: str, other: str, count: int, left: float, way: int) -> None:
+        if one == "list" and way in self._news:
+            news = self._news.pop(way)
             come = [facts for at, facts in news if at <= left]
-            self._news[head] = [entry for entry in news if entry[0] > left]
-            if come and other in self.processes:
+            if later := [entry for entry in news if entry[0] > left]:
+                self._news[way] = later
+            if come:
                 self.processes[other].gate(lambda: self._told(come))
         for crash in [c for c in self._crashes if c[:2] == (other, one) and c[2] <= count]:
             self._crashes.remove(crash)
@@ -223,7 +230,6 @@
         kind, number = name.split(" ")
         self.saw("day", f"{kind} back", {kind: int(number)})
         if kind == "head":
-            self._news.pop(int(number), None)
             self._start_head(int(number))
         else:
             self._start_shelf(int(number), False)
@@ -328,11 +334,13 @@
         for name, process in self.processes.items():
             if process.failed is not None:
                 self.defects.append(f"{name.split(' ')[0]} raised: {process.failed!r}")
+        self.online.end(self.loop.time())
         verdict = Witness(self.site, self.records).judge()
         if not verdict.counts["honoured"]:
             self.defects.append("nothing was honoured: this world shows nothing")
         return Outcome(self.script, verdict, self.defects, self.network.digest.hexdigest(), self.loop.turns,
-                       self.loop.time() - self.zero + START_UP, self.records, self.states)
+                       self.loop.time() - self.zero + START_UP, self.records, self.states,
+                       self.online.breaks)
 
     async def _play(self) -> None:
         self._start_list()
@@ -377,6 +385,10 @@
                     self._defect(f"unbounded: {process.name} holds {stream.unsent} bytes back")
         self.loop.call_later(LOOK_EVERY, self._look)
 
+    def _raised(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """An exception in a timer or another callback, which a loop would only log."""
+        self._defect(f"raised: {context.get('exception') or context.get('message')!r}")
+
     def _grew(self, what: str, size: int) -> None:
         self.most[what] = max(self.most.get(what, 0), size)
 
--- a/gorsethread/transport/virtual.py
+++ b/gorsethread/transport/virtual.py
@@ -102,12 +102,13 @@
         self.digest = xxhash.xxh3_64(seed=0)
         self.delivered = 0
         # Told of each arrival before its reader is: from, to, how many of that way so far, when it
-        # left. For faults that strike between two messages.
-        self.on_arrival: Callable[[str, str, int, float], None] | None = None
+        # left, which way it went. For faults that strike between two messages.
+        self.on_arrival: Callable[[str, str, int, float, int], None] | None = None
         # Told of data that came for a connection whose taker had ended it, or an earlier life of it had.
         self.on_lost: Callable[[str, str], None] | None = None
         self.arrivals: dict[tuple[str, str], int] = {}  # by pair of processes
         self.left_at = 0.0  # when what was read last left its sender
+        self.wrote = 0  # the way that what was written last will go; 0: nowhere
 
     def chance(self, name: str) -> Draws:
         if name not in self._draws:
@@ -151,7 +152,7 @@
         found = [p for p in self.pipes.values() if (p.sender.owner.name, p.taker.owner.name) in pairs]
         for pipe in found:
             pipe.lose()
-            pipe.taker.broke("connection reset")
+            pipe.taker.broke("connection reset", sure=True)
         return len(found) // 2
 
 
@@ -206,7 +207,8 @@
         if not data:
             self.network.pipes.pop(self.number, None)
         if taken and self.network.on_arrival:
-            self.network.on_arrival(one, other, self.network.arrivals[pair], left)
+            self.network.on_arrival(one, other, self.network.arrivals[pair], left,
+                                    self.number)
         self._await()
 
     def resume(self) -> None:
@@ -268,8 +270,10 @@
         return data[:size]
 
     def write(self, data: bytes) -> None:
+        self.network.wrote = 0
         if self.closed or self._ended or not self.owner.alive:
             return
+        self.network.wrote = self.out.number
         self._unsent += data
         if not self._corked:
             self._corked = True
@@ -347,10 +351,11 @@
             self._ended = self._ended or "closed by peer"
         self._wake()
 
-    def broke(self, reason: str) -> None:
+    def broke(self, reason: str, sure: bool = False) -> None:
+        """sure: by something on the way that reaches this end whatever is cut."""
         if self.closed or self._ended:
             return
-        if not self.network.reaches(self.other.owner.name, self.owner.name) and reason != "timed out":
+        if not sure and not self.network.reaches(self.other.owner.name, self.owner.name):
             return  # a reset is a packet too
         self._got.clear()
         self.unread = 0
--- a/gorsethread/witness/judge.py
+++ b/gorsethread/witness/judge.py
@@ -19,7 +19,7 @@
 NEVER_RAN = ("turned away", "dropped", "repeat")
 
 
-def _left(arrival: Record) -> float:
+def left_at(arrival: Record) -> float:
     """When it left the head, as far as that was seen."""
     left: float = arrival.get("left", arrival["t"])
     return left
@@ -175,7 +175,7 @@
             elif sum(how in (*FINAL, "late") for how in hows) > 1:
                 self._broken(1, f"more than one answer: {', '.join(hows)}", label)
             for arrival in self.arrivals.get(identity, ()):
-                if _left(arrival) > end + SLACK and not away:
+                if left_at(arrival) > end + SLACK and not away:
                     self._broken(1, f"sent to shelf {arrival['shelf']} after it was over", label)
 
     def _out_of_reach(self, sent: Record, end: float) -> bool:
@@ -233,7 +233,8 @@
             elif r["e"] == "head killed":
                 # A new life of the head knows only the list it remembers, until it is told again.
                 told = {pair: at for pair, at in told.items() if pair[0] != r["head"]}
-            elif r["e"] == "arrived" and _left(r) > told.get((r["head"], r["shelf"]), r["t"]) + grace + SLACK:
+            elif r["e"] == "arrived" and left_at(r) > grace + SLACK + told.get((r["head"], r["shelf"]),
+                                                                               left_at(r)):
                 self._broken(3, f"head {r['head']} sent to shelf {r['shelf']} after it was told of its end",
                              r["label"])
 
@@ -252,10 +253,10 @@
                 for a in arrivals:
                     lines[sent["head"], sent["key"]].append(a)
         for (head, _), line in lines.items():
-            line.sort(key=_left)
+            line.sort(key=left_at)
             for earlier, later in zip(line, line[1:], strict=False):
                 one, two = (earlier["label"], earlier["attempt"]), (later["label"], later["attempt"])
-                if any(_left(earlier) < at <= _left(later) for at in self.head_deaths[head]):
+                if any(left_at(earlier) < at <= left_at(later) for at in self.head_deaths[head]):
                     continue  # another life of the head, which knows nothing of what this one had out
                 if one == two:
                     continue
@@ -266,13 +267,13 @@
 
     def _over_before(self, earlier: Record, later: Record) -> bool:
         end = self._end_of(earlier)
-        if end is not None and end["t"] <= _left(later):
+        if end is not None and end["t"] <= left_at(later):
             return True
         # The shelf had not ended it: the head may go on only after a time-out or a broken link, and a rest.
         rest = self.site.rules.key_rest - SLACK
         known_over = [at for at in self.shelf_deaths[earlier["shelf"]] if earlier["t"] <= at]
         known_over += [a["t"] for a in self.answers.get((earlier["label"], earlier["attempt"]), ())]
-        return any(at + rest <= _left(later) for at in known_over)
+        return any(at + rest <= left_at(later) for at in known_over)
 
     def _budget(self) -> None:
         if not self.site.rules.HasField("budget"):
@@ -283,8 +284,8 @@
         for sent in self.sent.values():
             taken[sent["head"]].append(sent["t"])
         for arrivals in self.arrivals.values():
-            for a in sorted(arrivals, key=_left)[1:]:
-                further[a["head"]].append(_left(a))
+            for a in sorted(arrivals, key=left_at)[1:]:
+                further[a["head"]].append(left_at(a))
         for head, times in further.items():
             window: deque[float] = deque()
             for at in sorted(times):
@@ -301,8 +302,8 @@
         plans = {p.name: p for p in self.site.plan}
         firsts: dict[int, list[tuple[float, float]]] = defaultdict(list)
         for arrivals in self.arrivals.values():
-            first = min(arrivals, key=_left)
-            firsts[first["volume"]].append((_left(first), first["units"]))
+            first = min(arrivals, key=left_at)
+            firsts[first["volume"]].append((left_at(first), first["units"]))
         for volume in self.site.volume:
             plan = plans[volume.plan]
             if not plan.limit:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -11,6 +11,7 @@
 from gorsethread.faults.runs import play_many, shrink
 from gorsethread.faults.script import BadScript, read_script
 from gorsethread.faults.world import Outcome, World, play
+from gorsethread.head.program import Head
 from gorsethread.lab.planted import plant
 from gorsethread.sitefile.reading import read_site
 
@@ -33,6 +34,9 @@
             with self.subTest(rule=rule):
                 outcome = play(SITE, read_script(script(text)), lambda head, rule=rule: plant(head, rule))
                 self.assertGreater(outcome.verdict.rules[rule - 1], 0)
+                moments = [at for at, broken in outcome.as_it_came if broken.rule == rule]
+                self.assertTrue(moments, "the judge of each step saw it too")
+                self.assertLess(moments[0], outcome.records[-1]["t"])
 
     def test_the_honest_head_keeps_every_rule_on_the_same_days(self) -> None:
         for rule, text in SHOWING.items():
@@ -40,7 +44,8 @@
                 self.good(play(SITE, read_script(script(text))))
 
     def good(self, outcome: Outcome) -> None:
-        self.assertEqual(([], []), ([str(b) for b in outcome.verdict.breaks], outcome.defects))
+        self.assertEqual(([], [], []), ([str(b) for b in outcome.verdict.breaks], outcome.as_it_came,
+                                        outcome.defects))
         self.assertGreater(outcome.verdict.counts["honoured"], 300)
 
 
@@ -134,3 +139,11 @@
 
     def test_a_room_cut_off(self) -> None:
         self.kept("2 cut room-0 <-> room-1 for 3\n2 cut room-0 <-> list for 3")
+
+
+class Blind(unittest.TestCase):
+    def test_an_exception_in_a_callback_is_a_defect(self) -> None:
+        def change(head: Head) -> None:
+            head.transport.at(head.transport.now() + 3.0, lambda: [].pop())
+
+        self.assertIn("raised", play(SITE, read_script("seed 1\nseconds 3\n"), change).reasons)
--- a/tests/test_witness.py
+++ b/tests/test_witness.py
@@ -5,6 +5,7 @@
 
 from gorsethread.sitefile.reading import parse_site
 from gorsethread.witness.judge import Verdict, Witness
+from gorsethread.witness.online import OnlineWitness
 from tests.rig import SITE
 
 Seen = dict[str, Any]
@@ -47,9 +48,19 @@
     def broken(self, rule: int, *seen: Seen, site: str = SITE) -> None:
         verdict = self.judge(*seen, site=site)
         self.assertEqual([rule], sorted({b.rule for b in verdict.breaks}), [str(b) for b in verdict.breaks])
+        self.assertEqual({rule}, self.as_it_came(seen, site))
 
     def kept(self, *seen: Seen, site: str = SITE) -> None:
         self.assertEqual([], [str(b) for b in self.judge(*seen, site=site).breaks])
+        self.assertEqual(set(), self.as_it_came(seen, site))
+
+    def as_it_came(self, seen: tuple[Seen, ...], site: str) -> set[int]:
+        """What the judge of each step says of the same."""
+        online = OnlineWitness(parse_site(site))
+        for record in sorted(seen, key=lambda r: r["t"]):
+            online.take(record)
+        online.end(max((r["t"] for r in seen), default=0.0))
+        return {b.rule for _, b in online.breaks}
 
     def test_one_answer(self) -> None:
         self.kept(sent(0, 1), arrived(0.1, 1), ended(0.2, 1), answer(0.3, 1))
