--- a/gorsethread/faults/draw.py
+++ b/gorsethread/faults/draw.py
@@ -3,7 +3,7 @@
 
 from collections.abc import Callable, Sequence
 
-from gorsethread.faults.script import Act, Clock, Script
+from gorsethread.faults.script import POINTS, Act, Clock, Script
 from gorsethread.transport.virtual import Draws
 
 LAST = 0.55  # part of the time after which nothing new strikes
@@ -84,6 +84,14 @@
         if self.chance.random() < 0.3 and act.end + 0.4 < CLEAR * self.seconds:
             self._add("kill", shelf, 0.2, 0.8, at=round(act.end + 0.3, 3))  # a second time within its ramp
 
+    def stab(self) -> None:
+        """In the middle of its own code."""
+        head = self._head()
+        if head not in self.away:
+            self.away.add(head)
+            self._add("stab", head, 0.2, 2.0, to=f"point {self.chance.choice(POINTS)}",
+                      by=1 + self.chance.randrange(60))
+
     def crash(self) -> None:
         """Just as a message comes: a head with a shelf's answer in hand, a shelf with a command in hand."""
         struck, other = self.chance.choice((
@@ -162,6 +170,7 @@
 
 TROUBLES: dict[str, Callable[[Draw], None]] = {
     "half the heads": Draw.half_the_heads, "shelf dies": Draw.shelf_dies, "crash": Draw.crash,
+    "stab": Draw.stab,
     "pause": Draw.pause, "cut": Draw.cut, "room cut": Draw.room_cut, "reset": Draw.reset,
     "drain": Draw.drain, "still": Draw.still, "slow": Draw.slow, "errors": Draw.errors,
     "late list": Draw.late_list, "refusing list": Draw.refusing_list, "surge": Draw.surge,
--- a/gorsethread/faults/script.py
+++ b/gorsethread/faults/script.py
@@ -18,6 +18,9 @@
 from dataclasses import dataclass, field, replace
 
 PROCESSES = ("head", "shelf", "list", "client")
+# Points of a head's code: a transaction is taken, sent to a shelf, pushed back, given up, a forward ended,
+# the list's or peers' word handed on, a batch done.
+POINTS = ("take", "forward", "push_back", "give_up", "ended", "listed", "work")
 
 
 @dataclass(frozen=True)
@@ -42,6 +45,8 @@
     "crash": Kind(("head", "shelf"), to=True, by=True, lasts=True,
                   says="ends just as the by-th message of the other arrives, if that is within the time; "
                   "comes back after as long"),
+    "stab": Kind(("head",), to=True, by=True, lasts=True,
+                 says="ends inside its own code, as it comes to a point for the by-th time; comes back"),
     "drain": Kind(("shelf",), lasts=True,
                   says="the list says that it drains, and after that time that it is back"),
     "still": Kind(("shelf",), lasts=True, says="takes commands and works on none"),
@@ -186,9 +191,15 @@
         raise ValueError(f"{word!r} is none of: {', '.join(permitted)}")
     if kind in ("head", "shelf", "room", "volume") and not which.isdigit():
         raise ValueError(f"{word!r} has no number")
+    if kind == "point" and which not in POINTS:
+        raise ValueError(f"{which!r} is no point; there are {', '.join(POINTS)}")
     return f"{kind} {which}" if dash else kind
 
 
+def _others(kind: str) -> tuple[str, ...]:
+    return ("point",) if kind == "stab" else (*PROCESSES, "room") if kind == "cut" else PROCESSES
+
+
 def _act(words: list[str]) -> Act:
     at = float(words[0])
     if len(words) < 3 or words[1] not in KINDS:
@@ -201,7 +212,7 @@
     if kind.to:
         if len(rest) < 2 or rest[0] not in ("->", "<->"):
             raise ValueError(f"{name} needs -> or <-> and whom")
-        to, both, rest = _name(rest[1], (*PROCESSES, "room")), rest[0] == "<->", rest[2:]
+        to, both, rest = _name(rest[1], _others(name)), rest[0] == "<->", rest[2:]
     if kind.by:
         if len(rest) < 2 or rest[0] != "by":
             raise ValueError(f"{name} needs 'by' and an amount")
--- a/gorsethread/faults/world.py
+++ b/gorsethread/faults/world.py
@@ -30,6 +30,8 @@
 AFTERWARDS = 3.0  # seconds after the last answer in which everything must have come to rest
 LOOK_EVERY = 0.1  # seconds between looks at what must be bounded
 UNSENT_MOST = 4 << 20  # bytes one end of a connection may hold back
+POINTS = {"take": "take", "forward": "forward", "push_back": "push_back", "give_up": "give_up",
+          "ended": "_ended", "listed": "listed", "work": "_work"}
 COUNTED = ("honoured", "pushed back", "given up", "left")
 
 
@@ -289,6 +291,8 @@
             crash = (name, act.to, came + int(act.by), act)
             self._crashes.append(crash)
             self.loop.call_later(act.seconds, self._spare, crash)
+        elif kind == "stab":
+            self._stab(act)
         elif kind == "drain":
             self.day.spawn(self._order(int(name.split(" ")[1]), "draining"))
             self.loop.call_later(act.seconds, self._undrain, int(name.split(" ")[1]))
@@ -301,6 +305,25 @@
         elif kind == "wall":
             self.processes[name].wall_offset += act.by
 
+    def _stab(self, act: Act) -> None:
+        """From now on counts how often the head comes to a point, and ends it there, with all that it has
+        written and the network has not taken."""
+        process = self.processes[act.whom]
+        if not process.alive:
+            return
+        driver = self.heads[int(act.whom.split(" ")[1])].driver
+        name = POINTS[act.to.split(" ")[1]]
+        honest, left = getattr(driver, name), [int(act.by)]
+
+        def point(*arguments: Any, **named: Any) -> Any:
+            result = honest(*arguments, **named)
+            left[0] -= 1
+            if left[0] == 0 and self.processes[act.whom] is process:
+                self._down(act, act.whom, "stab")
+            return result
+
+        setattr(driver, name, point)
+
     def _spare(self, crash: tuple[str, str, int, Act]) -> None:
         if crash in self._crashes:
             self._crashes.remove(crash)
