--- a/gorsethread/accounts/lives.py
+++ b/gorsethread/accounts/lives.py
@@ -155,8 +155,8 @@
 
 # An ordinary life until it shows to be another: volume, profile, units, shard, alone, arrived and taken; once
 # sent the same, the shelf, when, its turn there, and how many forwards were out.
-_Taken = tuple[int, int, int, int, bool, float, float]
-_Sent = tuple[_Taken, _Shelf, float, int, int]
+Taken = tuple[int, int, int, int, bool, float, float]
+_Sent = tuple[Taken, _Shelf, float, int, int]
 
 
 class Accounts:
@@ -168,7 +168,7 @@
         self.promised = [int(p * 1e6) for p in promised]
         self.window = Window()
         self.lives: dict[int, _Life] = {}  # emptied as transactions are answered with their forwards in
-        self._taken: dict[int, _Taken] = {}  # these two emptied as lives end or are moved to lives
+        self._taken: dict[int, Taken] = {}  # these two emptied as lives end or are moved to lives
         self._sent: dict[int, _Sent] = {}
         # Packed, as kept tuples would push all else out of the processor's caches; emptied by counting.
         self._ordinary = bytearray(together * ORDINARY.size)
@@ -211,6 +211,10 @@
         self._now = when
         self._taken[id] = (volume, profile, units, shard, alone, arrived if arrived < when else when, when)
 
+    def begun(self, id: int, taken: Taken) -> None:
+        """Taken, and left unsent by the search that followed: told only now, as most are sent by it."""
+        self._taken[id] = taken
+
     def _life(self, id: int) -> _Life | None:
         """A life that is not, or no longer, an ordinary one."""
         if (life := self.lives.get(id)) is not None:
@@ -275,11 +279,14 @@
             lanes = (lanes[at:] + lanes[:at])[:LOOKS_MOST]
         return [next(iter(lane.members)) for lane in lanes]
 
-    def sent(self, id: int, forward: int, shelf: int, when: float) -> None:
+    def sent(self, id: int, forward: int, shelf: int, when: float, taken: Taken | None = None) -> None:
+        """taken: where nothing was told of the transaction yet."""
         s = self.shelves.get(shelf)
         if s is None:
             s = self._shelf(shelf)
-        if not forward and (taken := self._taken.pop(id, None)) is not None:
+        if taken is None and not forward:
+            taken = self._taken.pop(id, None)
+        if taken is not None:
             if when < self._now:
                 when = self._at(when)
             self._now = when
--- a/gorsethread/head/driver.py
+++ b/gorsethread/head/driver.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from gorsethread.accounts.lives import Accounts
+from gorsethread.accounts.lives import Accounts, Taken
 from gorsethread.accounts.stages import Outcome
 from gorsethread.head.links import NOTHING, Forward, ShelfLink, Told
 from gorsethread.head.placement import UNPLACED, Placement
@@ -47,6 +47,7 @@
     forwards: int = 0
     out: dict[int, Forward] = field(default_factory=dict)
     answered: bool = False
+    untold: Taken | None = None  # what the accounts have not heard of it yet
 
 
 class Driver:
@@ -74,6 +75,7 @@
         self.policy = Policy(self, facts, seed)
         self.recorder: Callable[[tuple[Any, ...]], None] | None = None  # sees events and acts, for replays
         self.accounts: Accounts | None = None
+        self._fresh: list[Open] = []  # taken since the last batch, which empties it
         # The first batch is empty: the policy asks for the list in it.
         self._due = True
         transport.soon(self._work)
@@ -102,7 +104,8 @@
         if self.accounts is not None:
             # What came whole in its capsule was taken as it arrived.
             when = self.transport.now() if awaited else arrived
-            self.accounts.taken(t.id, volume, profile, shard, key is not None, int(units), arrived, when)
+            t.untold = (volume, profile, int(units), shard, key is not None, arrived, when)
+            self._fresh.append(t)
         self.happened("transaction_taken", t.id, profile, plan, key, cut_off, str(volume), units, shard,
                       heads, command.repeat)
         return t
@@ -141,8 +144,15 @@
         if self.recorder:
             self.recorder(("batch", self._now))
         self.policy.batch_ended()
-        if self.accounts is not None and (unsent := self.accounts.unsent()):
-            self._account_held(self.accounts, unsent)
+        if self.accounts is not None:
+            for t in self._fresh:
+                if t.untold is not None:
+                    self.accounts.begun(t.id, t.untold)
+                    t.untold = None
+            if unsent := self.accounts.unsent():
+                self._account_held(self.accounts, unsent)
+        if self._fresh:
+            self._fresh = []
 
     def _await_cut_off(self, when: float) -> None:
         if self._cut_off_timer is not None:
@@ -177,6 +187,9 @@
 
     def _account(self, t: Open, outcome: Outcome) -> None:
         if self.accounts is not None:
+            if t.untold is not None:
+                self.accounts.begun(t.id, t.untold)
+                t.untold = None
             self.accounts.answered(t.id, outcome, self.transport.now())
 
     def _account_held(self, accounts: Accounts, unsent: list[int]) -> None:
@@ -197,7 +210,7 @@
             self.accounts.ended(t.id, f.number, how, told.service, now,
                                 Outcome.HONOURED if honoured else None)
         t.out.pop(f.number, None)
-        self.counts[f"forwards {how.value}"] += 1
+        self.counts["forwards honoured" if how is Ending.HONOURED else f"forwards {how.value}"] += 1
         if f.first_write:
             self._placing_ended(t, how)
         if honoured:
@@ -228,7 +241,8 @@
         t.forwards += 1
         t.out[f.number] = f
         link = self.links.get(shelf)
-        if t.answered or self._now >= t.cut_off or link is None or not self._holds(t, f):
+        if t.answered or self._now >= t.cut_off or link is None or not (
+                t.shard == self.shards[shelf] if t.shard != UNPLACED else self._holds(t, f)):
             f.over = True
             self._ended(f, Ending.NOT_SENT, NOTHING)
             return
@@ -236,14 +250,13 @@
         if wait > 0 and self._now + wait < t.cut_off:
             self.transport.at(self._now + wait, lambda: self._time_out(f))
         if self.accounts is not None:
-            self.accounts.sent(t.id, f.number, shelf, self.transport.now())
+            self.accounts.sent(t.id, f.number, shelf, self.transport.now(), t.untold)
+            t.untold = None
         link.send(f)
 
     def _holds(self, t: Open, f: Forward) -> bool:
         """Two first writes of one extent must not part it: the second goes where the first went."""
         shard = self.shards[f.shelf]
-        if t.shard != UNPLACED:
-            return t.shard == shard
         owner = self.placement.shard_of(t.volume, t.extent)
         if owner == UNPLACED:
             self.placement.placed(t.volume, t.extent, shard)
--- a/gorsethread/transport/real.py
+++ b/gorsethread/transport/real.py
@@ -141,8 +141,7 @@
         self.failed: BaseException | None = None
         self._over: asyncio.Future[None] = self._loop.create_future()
 
-    def now(self) -> float:
-        return time.monotonic()
+    now = staticmethod(time.monotonic)  # asked several times a transaction: no call of ours in between
 
     def wall(self) -> float:
         return time.time()
