--- a/gorsethread/faults/world.py
+++ b/gorsethread/faults/world.py
@@ -382,7 +382,11 @@
         self.loop.call_later(LOOK_EVERY, self._look)
         for name in list(self.clients):
             await self.processes[f"client {name}"].until_finished()
-        await self.day.sleep(AFTERWARDS)
+        # A head that was refused often asks again late; what it is told then comes late too.
+        by = self.loop.time() + self.site.list.ask_within + 1.0
+        while any(h.follower._stream is None for h in self.heads.values()) and self.loop.time() < by:
+            await self.day.sleep(0.2)
+        await self.day.sleep(max(AFTERWARDS, self.site.list.late_most + 1.0))
         self._check_rest()
 
     def _end(self) -> None:
