Judges: an overtaken abort is not heard, a budget begins with each life; faults as measured

An abort may overtake its command on another queue: the head then never heard that the client left, which the abort's own completion tells. A head that was killed knows nothing of the further forwards of its earlier life.

--- a/gorsethread/queues/dial.py
+++ b/gorsethread/queues/dial.py
@@ -114,10 +114,12 @@
     def io(self) -> DialedQueue:
         return self.queues[0]
 
-    def abort(self, cid: int, queue: int = 1) -> None:
-        """Asks the controller to drop a command; what comes of it shows in the command's own completion."""
+    def abort(self, cid: int, queue: int = 1, missed: Callable[[], None] = lambda: None) -> None:
+        """Asks the controller to drop a command; what comes of it shows in the command's own completion.
+        missed: told if the controller had no such command, or not yet, as it came by another queue."""
         if not self.admin.queue.over and len(self.admin.queue) < self.admin.queue.size:
-            self.admin.queue.submit(Command(Admin.ABORT, cdw10=queue | cid << 16), lambda *_: None)
+            self.admin.queue.submit(Command(Admin.ABORT, cdw10=queue | cid << 16),
+                                    lambda done, _: missed() if done.dw0 & 1 else None)
 
     async def keep_alive(self) -> None:
         await self.admin.must(Command(Admin.KEEP_ALIVE))
--- a/gorsethread/standins/client.py
+++ b/gorsethread/standins/client.py
@@ -140,7 +140,11 @@
     def _leave(self) -> None:
         if not self.over and self.link.association is not None:
             self.ended("left", None, b"")
-            self.link.association.abort(self.cid)
+            self.link.association.abort(self.cid, missed=self._abort_missed)
+
+    def _abort_missed(self) -> None:
+        """The head answered before, or had not read the command yet: it knows nothing of this leaving."""
+        self.client.recorder.saw("abort missed", label=self.t.label, attempt=self.attempt)
 
     def _time_is_up(self, turns: int = 3) -> None:
         # What had come in time may still lie unread where this process itself stood still for a moment.
--- a/gorsethread/witness/online.py
+++ b/gorsethread/witness/online.py
@@ -53,6 +53,7 @@
         self._further: dict[int, deque[float]] = defaultdict(deque)
         self._spent: dict[int, list[tuple[float, float]]] = defaultdict(list)  # first forwards as they left
         self._store: dict[int, tuple[float, float]] = {}  # of each volume's limit: level, when
+        self._missed: set[Identity] = set()
         self._start = float("nan")
         self._said: set[tuple[int, object]] = set()
 
@@ -78,11 +79,16 @@
                     self.told.setdefault((r["head"], r["shelf"]), r["t"])
             case "fell":
                 self._broken(r["t"], 4, f"shelf {r['shelf']} was pushed over while cold", r["t"])
+            case "abort missed":
+                self._missed.add((r["label"], r["attempt"]))
             case "apart":
                 self._away[r["client"], r["head"]].append((r["t"], r["until"]))
             case "head killed":
                 self._down[r["head"]].append((r["t"], float("inf")))
                 self._head_deaths[r["head"]] = r["t"]
+                # Another life of the head knows nothing of what this one spent or took.
+                self._further[r["head"]].clear()
+                self._taken[r["head"]].clear()
                 self.told = {pair: at for pair, at in self.told.items() if pair[0] != r["head"]}
             case "head back":
                 self._down[r["head"]][-1] = (self._down[r["head"]][-1][0], r["t"])
@@ -145,11 +151,13 @@
         if s is None:
             return
         mine, label, head = _Arrival(r, left_at(r)), r["label"], r["head"]
-        if mine.left > s.over_at + SLACK and not self._out_of_reach(s.sent, s.over_at):
+        missed = (label, r["attempt"]) in self._missed
+        if mine.left > s.over_at + SLACK and not missed and not self._out_of_reach(s.sent, s.over_at):
             self._broken(r["t"], 1, f"sent to shelf {r['shelf']} after it was over", label)
         if s.arrivals:
             self._again(s, mine, label)
-            self._further_forward(head, mine.left)
+            # Where a cut held the first one, what came before it was the further one.
+            self._further_forward(head, max(mine.left, min(a.left for a in s.arrivals)))
         told = self.told.get((head, r["shelf"]))
         if told is not None and mine.left > told + self.site.rules.drain_grace + SLACK:
             self._broken(r["t"], 3, f"head {head} sent to shelf {r['shelf']} after it was told of its end",
@@ -209,18 +217,21 @@
             self._broken(mine.record["t"], 5, f"head {head} sent a key's next transaction early", label)
 
     def _further_forward(self, head: int, at: float) -> None:
-        if not self.site.rules.HasField("budget"):
+        if not self.site.rules.HasField("budget") or at < self._head_deaths.get(head, 0.0):
             return
         budget, window, taken = self.site.rules.budget, self._further[head], self._taken[head]
         insort(window, at) if window and at < window[-1] else window.append(at)
-        while window[0] < at - budget.span + SLACK:
+        while window[0] < window[-1] - 2 * budget.span:
             window.popleft()
-        while taken and taken[0] < at - 2 * budget.span - 4.0:
+        while taken and taken[0] < at - 4 * budget.span:
             taken.popleft()
-        earned = sum(at - budget.span - SLACK <= t <= at + SLACK for t in taken)
-        if len(window) > budget.free + budget.part * earned:
-            self._broken(at, 6, f"head {head} made {len(window)} further forwards in {budget.span:g} s, "
-                         f"{earned} transactions taken", head)
+        # One that a cut held counts in the spans of those that left after it, too.
+        for end in [t for t in window if t >= at]:
+            made = sum(end - budget.span + SLACK <= t <= end for t in window)
+            earned = sum(end - budget.span - SLACK <= t <= end + SLACK for t in taken)
+            if made > budget.free + budget.part * earned:
+                self._broken(at, 6, f"head {head} made {made} further forwards in {budget.span:g} s, "
+                             f"{earned} transactions taken", head)
 
     def _limit(self, r: Record, left: float) -> None:
         volume = self.volumes[r["volume"]]
