--- a/gorsethread/cli/faults.py
+++ b/gorsethread/cli/faults.py
@@ -1,6 +1,5 @@
 """gorsethread faults: worlds on the virtual clock, drawn from seeds or written by hand."""
 
-import asyncio
 import json
 import sys
 from pathlib import Path
@@ -164,7 +163,7 @@
     if no := unplayable(script):
         typer.echo(f"{what}: real processes are not put through: {'; '.join(no)}", err=True)
         raise typer.Exit(2)
-    found = asyncio.run(beside(known, script))
+    found = beside(known, script)
     console = Console(stderr=json_path == "-")
     table = Table("figure", "real sockets", "virtual clock")
     for figure in ("taken", "rules"):
--- a/gorsethread/lab/scripted.py
+++ b/gorsethread/lab/scripted.py
@@ -1,5 +1,6 @@
 """A fault script on real sockets, every process on its own, beside the same script on the virtual clock."""
 
+import asyncio
 import tempfile
 from functools import partial
 from pathlib import Path
@@ -11,6 +12,7 @@
 from gorsethread.sitefile import site_pb2 as pb
 from gorsethread.standins.client import Surge
 from gorsethread.transport.real import RealTransport
+from gorsethread.witness.judge import Verdict
 
 # What a day can do to processes.
 CAN = ("kill", "still", "slow", "errors", "late", "refuse", "surge", "drain")
@@ -50,21 +52,24 @@
     return [str(act) for act in script.acts if act.kind not in CAN]
 
 
-async def beside(site: pb.Site, script: Script) -> dict[str, Any]:
+def beside(site: pb.Site, script: Script) -> dict[str, Any]:
     """Figures of the script on real sockets and on the virtual clock: parts of the value due that was
     honoured in time, by volume, and parts of the transactions by outcome."""
+    real = asyncio.run(_on_sockets(site, script))
+    return {"real": _figures(real), "virtual": _figures(play(site, script).verdict)}
+
+
+async def _on_sockets(site: pb.Site, script: Script) -> Verdict:
     with tempfile.TemporaryDirectory(prefix="gorsethread-beside-") as folder:
         transport = RealTransport(script.seed)
         plan = DayPlan(script.seed, script.heads, script.shelves, script.seconds, script.factor, (),
                        window=0.0)
         day = ScriptedDay(transport, site, plan, Path(folder), lambda line: None)
         day.script = script
-        real = (await day.play()).verdict
-    virtual = play(site, script).verdict
-    return {"real": _figures(real), "virtual": _figures(virtual)}
+        return (await day.play()).verdict
 
 
-def _figures(verdict: Any) -> dict[str, Any]:
+def _figures(verdict: Verdict) -> dict[str, Any]:
     counts = verdict.counts
     whole = max(1, counts["taken"])
     return {
