Review: what stood twice stands once, dead code is out

Nobody read the world's largest sizes, its turns, Script.without or a list of names that runs.py exported.

--- a/gorsethread/cli/faults.py
+++ b/gorsethread/cli/faults.py
@@ -1,6 +1,5 @@
 """gorsethread faults: worlds on the virtual clock, drawn from seeds or written by hand."""
 
-import json
 import sys
 from pathlib import Path
 from typing import Annotated, Any
@@ -9,7 +8,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from gorsethread.cli.options import SitePath, site_at
+from gorsethread.cli.options import SitePath, site_at, write_json
 from gorsethread.faults.mutants import MUTANTS
 from gorsethread.faults.runs import (
     Summary,
@@ -70,14 +69,6 @@
     return found[0]
 
 
-def _write(result: dict[str, Any], path: str) -> None:
-    text = json.dumps(result, indent=1) + "\n"
-    if path == "-":
-        sys.stdout.write(text)
-    elif path:
-        Path(path).write_text(text)
-
-
 @app.command()
 def run(site: SitePath = DEFAULT_SITE,
         seeds: Annotated[str, typer.Option(help="First and last.")] = "0..199", at_once: AtOnce = 0,
@@ -97,7 +88,7 @@
                   f"{summary.virtual / wall:.0f} virtual seconds a real one, "
                   f"{summary.virtual / summary.cost:.0f} a second of one core; {reached} of "
                   f"{len(KINDS) * len(STATES)} pairs of fault and state met")
-    _write({"worlds": summary.worlds, "taken": summary.taken, "failed": [vars(p) for p in summary.failed],
+    write_json({"worlds": summary.worlds, "taken": summary.taken, "failed": [vars(p) for p in summary.failed],
             "virtual_seconds": summary.virtual, "wall_seconds": wall, "cpu_seconds": summary.cost,
             "pairs": dict(sorted(summary.states.items())), "unreached": summary.unreached()}, json_path)
     raise typer.Exit(1 if summary.failed else 0)
@@ -129,7 +120,7 @@
     if not same:
         console.print("NOT THE SAME HISTORY TWICE: something rests on more than the seed")
     console.print("every rule held" if outcome.good else f"NOT GOOD: {', '.join(outcome.reasons)}")
-    _write({"script": str(script), "reasons": outcome.reasons, "digest": outcome.digest, "same": same,
+    write_json({"script": str(script), "reasons": outcome.reasons, "digest": outcome.digest, "same": same,
             "counts": outcome.verdict.counts, "rules": outcome.verdict.rules}, json_path)
     raise typer.Exit(0 if outcome.good and same else 1)
 
@@ -173,7 +164,7 @@
             told = f"volume {name} in time" if group == "volumes" else name
             table.add_row(told, str(value), str(found["virtual"][group].get(name)))
     console.print(table)
-    _write(found, json_path)
+    write_json(found, json_path)
 
 
 @app.command()
@@ -198,5 +189,5 @@
         console.print(f"{name}: {told[0]} {told[1]}", markup=False, highlight=False)
         table.add_row(name, *told)
     console.print(table)
-    _write(caught, json_path)
+    write_json(caught, json_path)
     raise typer.Exit(1 if None in caught.values() else 0)
--- a/gorsethread/cli/main.py
+++ b/gorsethread/cli/main.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import sys
 import tempfile
 from collections.abc import Callable, Coroutine
 from enum import Enum
@@ -16,7 +15,7 @@
 from rich.table import Table
 
 from gorsethread.cli import accounts, faults, lab
-from gorsethread.cli.options import SitePath, site_at
+from gorsethread.cli.options import SitePath, site_at, write_json
 from gorsethread.head.program import Head
 from gorsethread.lab import bench as benches
 from gorsethread.lab.alternate import Alternating
@@ -283,7 +282,7 @@
             typer.echo(f"--folder: {error}", err=True)
             raise typer.Exit(2) from None
     _show(console, result, known)
-    _write_json(result.as_json(), json_path)
+    write_json(result.as_json(), json_path)
     raise typer.Exit(0 if result.good else 1)
 
 
@@ -310,7 +309,7 @@
         f"{what.replace('_', ' ')} {much:.1f}" for what, much in result["accounts_footprint"].items()))
     console.print("the head's CPU by place: " + ", ".join(
         f"{place} {part:.0%}" for place, part in result["head_cpu_shares"].items()))
-    _write_json(result, json_path)
+    write_json(result, json_path)
 
 
 class Peer(str, Enum):
@@ -343,11 +342,3 @@
         result = _run_async(
             lambda transport: Load(transport, known, depth, rate, start_at, seconds).run(), number)
         Path(out).write_text(json.dumps(result))
-
-
-def _write_json(result: dict[str, Any], path: str) -> None:
-    text = json.dumps(result, indent=1) + "\n"
-    if path == "-":
-        sys.stdout.write(text)
-    elif path:
-        Path(path).write_text(text)
--- a/gorsethread/cli/options.py
+++ b/gorsethread/cli/options.py
@@ -1,7 +1,9 @@
 """Options that several commands share."""
 
+import json
+import sys
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 import typer
 
@@ -19,3 +21,12 @@
         for fault in bad.faults:
             typer.echo(fault, err=True)
         raise typer.Exit(2) from None
+
+
+def write_json(result: dict[str, Any], path: str) -> None:
+    """Where --json says: a file, - for standard output, "" for nowhere."""
+    text = json.dumps(result, indent=1) + "\n"
+    if path == "-":
+        sys.stdout.write(text)
+    elif path:
+        Path(path).write_text(text)
--- a/gorsethread/faults/draw.py
+++ b/gorsethread/faults/draw.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Sequence
 
 from gorsethread.faults.script import POINTS, Act, Clock, Script
-from gorsethread.transport.virtual import Draws
+from gorsethread.transport.program import Draws
 
 LAST = 0.55  # part of the time after which nothing new strikes
 CLEAR = 0.72  # part of the time at which every fault has ended
--- a/gorsethread/faults/mutants.py
+++ b/gorsethread/faults/mutants.py
@@ -409,8 +409,7 @@
 
 @mutant("module: each head takes all that a cold shelf bears for its own")
 def _whole_cold_part(head: Head) -> None:
-    _facts(head, heads=1, cold=replace(head.driver.policy.facts.cold,
-                                       units=3 * head.driver.policy.facts.cold.units))
+    _facts(head, heads=1)
 
 
 @mutant("module: no budget of further forwards")
--- a/gorsethread/faults/runs.py
+++ b/gorsethread/faults/runs.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass, field, replace
 from functools import partial
 
-from gorsethread.faults.draw import TROUBLES, Draw
+from gorsethread.faults.draw import Draw
 from gorsethread.faults.mutants import MUTANTS
-from gorsethread.faults.script import KINDS, Act, Script, read_script
+from gorsethread.faults.script import KINDS, Script
 from gorsethread.faults.states import STATES
 from gorsethread.faults.world import START_UP, Outcome, play
 from gorsethread.sitefile import site_pb2 as pb
@@ -192,7 +192,3 @@
     """When clients began, on the world's clock."""
     first: float = outcome.records[0]["t"] if outcome.records else 0.0
     return first + START_UP
-
-
-__all__ = ["TROUBLES", "Act", "Played", "Summary", "drawn", "play_many", "read_script", "shrink", "timeline",
-           "until_caught", "zero_of"]
--- a/gorsethread/faults/script.py
+++ b/gorsethread/faults/script.py
@@ -15,7 +15,7 @@
 Times are seconds from when clients begin; '#' begins a remark.
 """
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 PROCESSES = ("head", "shelf", "list", "client")
 # Points of a head's code: a transaction is taken, sent to a shelf, pushed back, given up, a forward ended,
@@ -130,9 +130,6 @@
         lines += [str(act) for act in sorted(self.acts)]
         return "\n".join(lines) + "\n"
 
-    def without(self, acts: tuple[Act, ...]) -> "Script":
-        return replace(self, acts=tuple(a for a in self.acts if a not in acts))
-
 
 WHOLE = {"seed": 0, "heads": 1, "shelves": 1}  # settings that are whole numbers, and their least
 
--- a/gorsethread/faults/world.py
+++ b/gorsethread/faults/world.py
@@ -69,7 +69,6 @@
     verdict: Verdict
     defects: list[str]
     digest: str
-    turns: int
     seconds: float  # virtual
     records: list[dict[str, Any]] = field(default_factory=list)
     states: dict[str, int] = field(default_factory=dict)
@@ -118,7 +117,6 @@
         self._news: dict[int, list[tuple[float, dict[str, Any]]]] = {}  # on its way, by the network's ways
         self._crashes: list[tuple[str, str, int, Act]] = []
         self.states: dict[str, int] = {}  # how often a kind of fault met heads in a state; no more than pairs
-        self.most: dict[str, int] = {}  # the largest seen of what must be bounded
 
     # ---- records
 
@@ -361,7 +359,7 @@
         verdict = Witness(self.site, self.records).judge()
         if not verdict.counts["honoured"]:
             self.defects.append("nothing was honoured: this world shows nothing")
-        return Outcome(self.script, verdict, self.defects, self.network.digest.hexdigest(), self.loop.turns,
+        return Outcome(self.script, verdict, self.defects, self.network.digest.hexdigest(),
                        self.loop.time() - self.zero + START_UP, self.records, self.states,
                        self.online.breaks)
 
@@ -402,12 +400,9 @@
         """What must be bounded at every moment."""
         for number, head in self.heads.items():
             if self.processes[f"head {number}"].alive:
-                self._grew("open transactions", len(head.driver.open))
-                self._grew("transactions of the policy", len(head.driver.policy.transactions))
                 self._check_owners(number, head)
         for process in self.processes.values():
             for stream in process.streams.values():
-                self._grew("bytes unsent at one end", stream.unsent)
                 if stream.unsent > UNSENT_MOST:
                     self._defect(f"unbounded: {process.name} holds {stream.unsent} bytes back")
         self.loop.call_later(LOOK_EVERY, self._look)
@@ -416,9 +411,6 @@
         """An exception in a timer or another callback, which a loop would only log."""
         self._defect(f"raised: {context.get('exception') or context.get('message')!r}")
 
-    def _grew(self, what: str, size: int) -> None:
-        self.most[what] = max(self.most.get(what, 0), size)
-
     def _defect(self, text: str) -> None:
         if text not in self.defects and len(self.defects) < 20:
             self.defects.append(text)
--- a/gorsethread/head/driver.py
+++ b/gorsethread/head/driver.py
@@ -179,11 +179,7 @@
 
     def _cut_off(self, t: Open) -> None:
         for f in list(t.out.values()):
-            if not f.over:
-                f.over = True
-                if link := self.links.get(f.shelf):
-                    link.call_off(f)
-                self._ended(f, Ending.TIMED_OUT, NOTHING)
+            self._time_out(f)
 
     def _account(self, t: Open, outcome: Outcome) -> None:
         if self.accounts is not None:
--- a/gorsethread/transport/real.py
+++ b/gorsethread/transport/real.py
@@ -5,7 +5,6 @@
 import gc
 import itertools
 import os
-import random
 import signal
 import socket
 import time
@@ -18,6 +17,7 @@
 from tornado.tcpserver import TCPServer
 
 from gorsethread.transport.base import Chance, Stream, StreamClosed, Timer, Unreachable
+from gorsethread.transport.program import Draws, Program
 
 READ_SIZE = 65536
 
@@ -108,11 +108,6 @@
         os.pwrite(self._file, data, offset)
 
 
-class Draws(random.Random):
-    def randrange(self, stop: int) -> int:  # type: ignore[override]
-        return super().randrange(stop)
-
-
 FIRST_PORT, PORTS = 10_000, 20_000  # under those that the system hands to outgoing connections
 _next_port = itertools.count(os.getpid() * 97)
 
@@ -131,15 +126,14 @@
     return found
 
 
-class RealTransport:
+class RealTransport(Program):
     """seed: every stream of chance comes from it and from the stream's own name."""
 
     def __init__(self, seed: int = 0) -> None:
         self._seed = seed
         self._loop = asyncio.get_event_loop()
+        super().__init__(self._loop)
         self._tasks: set[asyncio.Task[None]] = set()
-        self.failed: BaseException | None = None
-        self._over: asyncio.Future[None] = self._loop.create_future()
 
     now = staticmethod(time.monotonic)  # asked several times a transaction: no call of ours in between
 
@@ -162,9 +156,7 @@
 
     def _ended(self, task: "asyncio.Task[None]") -> None:
         self._tasks.discard(task)
-        if not task.cancelled() and (error := task.exception()) and self.failed is None:
-            self.failed = error
-            self.finish()
+        self.ended(task)
 
     async def connect(self, host: str, port: int, within: float) -> Stream:
         stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM), read_chunk_size=READ_SIZE,
@@ -223,16 +215,6 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, act)
 
-    def finish(self) -> None:
-        if not self._over.done():
-            self._over.set_result(None)
-
-    async def until_finished(self) -> None:
-        """Returns at finish(); raises what a spawned piece of work raised."""
-        await self._over
-        if self.failed is not None:
-            raise self.failed
-
 
 def run(main: Callable[[RealTransport], Coroutine[Any, Any, None]], seed: int = 0) -> None:
     """Runs a program to its end on a transport of its own."""
--- a/gorsethread/transport/virtual.py
+++ b/gorsethread/transport/virtual.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import random
 from collections import deque
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
@@ -16,6 +15,7 @@
 import xxhash
 
 from gorsethread.transport.base import Stream, StreamClosed, Unreachable
+from gorsethread.transport.program import Draws, Program
 
 BEGINS = 1000.0  # seconds on every machine's clock when a world begins
 EPOCH = 1.8e9  # and since the epoch
@@ -37,14 +37,12 @@
         self._virtual = BEGINS
         self._clock_resolution = 1e-9
         self._selector = self
-        self.turns = 0
         self.set_debug(False)
 
     def time(self) -> float:
         return self._virtual
 
     def select(self, timeout: float | None) -> list[Any]:
-        self.turns += 1
         if timeout is None:
             raise Stuck("nothing is due any more")
         if timeout > 0:
@@ -56,11 +54,6 @@
     def _write_to_self(self) -> None: ...
 
 
-class Draws(random.Random):
-    def randrange(self, stop: int) -> int:  # type: ignore[override]
-        return super().randrange(stop)
-
-
 class VirtualTimer:
     def __init__(self) -> None:
         self.cancelled = False
@@ -186,9 +179,6 @@
         self._waiting = False
         if not self.on_the_way:
             return
-        if self.sender.owner.name in self.network.vanished and not self.on_the_way[0][2]:
-            self.on_the_way.clear()
-            return
         one, other = self.sender.owner.name, self.taker.owner.name
         if not self.network.reaches(one, other):
             if other in self.network.vanished or one in self.network.vanished:
@@ -409,23 +399,22 @@
         self._file[offset:offset + len(data)] = data
 
 
-class VirtualTransport:
+class VirtualTransport(Program):
     """One process of a world. offset, drift: of its monotonic clock against the world's time (seconds, and
     seconds a second); wall_offset of its wall clock, which may jump."""
 
     def __init__(self, network: Network, disk: Disk, name: str, offset: float = 0.0,
                  drift: float = 0.0) -> None:
+        super().__init__(network.loop)
         self.network, self.disk, self.name = network, disk, name
         self.offset, self.drift, self.wall_offset = offset, drift, 0.0
         self.alive = True
         self.paused = False
-        self.failed: BaseException | None = None
         self.streams: dict[int, VirtualStream] = {}  # open ends of its own
         self._held: list[Callable[[], None]] = []  # due while it is paused; emptied as it goes on
         self._tasks: dict[int, asyncio.Task[None]] = {}  # emptied as they end
         self._listeners: list[VirtualListener] = []
         self._spawned = 0
-        self._over: asyncio.Future[None] = network.loop.create_future()
 
     # ---- the gate
 
@@ -508,9 +497,8 @@
 
     def _task_ended(self, number: int, task: "asyncio.Task[None]") -> None:
         self._tasks.pop(number, None)
-        if not task.cancelled() and (error := task.exception()) and self.failed is None and self.alive:
-            self.failed = error
-            self.finish()
+        if self.alive:
+            self.ended(task)
 
     async def connect(self, host: str, port: int, within: float) -> Stream:
         network, address = self.network, (host, port)
@@ -584,15 +572,6 @@
 
         return add
 
-    def finish(self) -> None:
-        if not self._over.done():
-            self._over.set_result(None)
-
-    async def until_finished(self) -> None:
-        await self._over
-        if self.failed is not None:
-            raise self.failed
-
 
 async def _serve(listener: VirtualListener, stream: Stream) -> None:
     await listener.on_stream(stream)
