Review: whom to tell is membership's own; worlds keep accounts; names are checked

How many peers are told, how often and what is news stood in head/peers.py, which only carries out; it is decided and tested in membership/news.py now. A script that names a volume, client or room the site lacks played on without a word; it is refused by act. faults kinds shows what each act does, which nothing read before.

--- a/gorsethread/cli/faults.py
+++ b/gorsethread/cli/faults.py
@@ -21,7 +21,7 @@
 )
 from gorsethread.faults.script import KINDS, BadScript, Script, read_script
 from gorsethread.faults.states import STATES
-from gorsethread.faults.world import play
+from gorsethread.faults.world import misfits, play
 from gorsethread.lab.scripted import beside, unplayable
 from gorsethread.sitefile import site_pb2 as pb
 from gorsethread.transport.sampling import wall_seconds
@@ -50,7 +50,10 @@
     if what.isdigit():
         return drawn(site, int(what))
     try:
-        return read_script(Path(what).read_text())
+        script = read_script(Path(what).read_text())
+        if no := misfits(site, script):
+            raise BadScript(no)
+        return script
     except OSError as error:
         typer.echo(f"{what}: {error.strerror}", err=True)
     except BadScript as bad:
@@ -94,6 +97,17 @@
     raise typer.Exit(1 if summary.failed else 0)
 
 
+@app.command()
+def kinds() -> None:
+    """Lists the acts that a script may have: whom each strikes and what else it takes."""
+    table = Table("act", "strikes", "takes", "what it does")
+    for name, kind in KINDS.items():
+        takes = [word for word, needed in (("-> or <-> whom", kind.to), ("by AMOUNT", kind.by),
+                                           ("for SECONDS", kind.lasts)) if needed]
+        table.add_row(name, ", ".join(kind.strikes), " ".join(takes), kind.says)
+    Console().print(table)
+
+
 @app.command()
 def replay(what: What, site: SitePath = DEFAULT_SITE, mutant: Planted = "", json_path: JsonPath = "",
            every: Annotated[bool, typer.Option(
--- a/gorsethread/faults/world.py
+++ b/gorsethread/faults/world.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from gorsethread.accounts.snapshots import decode
 from gorsethread.faults.script import Act, Clock, Script
 from gorsethread.faults.states import met
 from gorsethread.head.program import Head
@@ -30,11 +31,23 @@
 AFTERWARDS = 3.0  # seconds after the last answer in which everything must have come to rest
 LOOK_EVERY = 0.1  # seconds between looks at what must be bounded
 UNSENT_MOST = 4 << 20  # bytes one end of a connection may hold back
+ACCOUNTS = "accounts"
 POINTS = {"take": "take", "forward": "forward", "push_back": "push_back", "give_up": "give_up",
           "ended": "_ended", "listed": "listed", "work": "_work"}
 COUNTED = ("honoured", "pushed back", "given up", "left")
 
 
+def misfits(site: pb.Site, script: Script) -> list[str]:
+    """What a script names and this site does not have."""
+    there = {"volume": {str(v.number) for v in site.volume}, "client": {t.name for t in site.tenant},
+             "room": {str(s.zone) for s in site.shelf}}
+    named = [(str(act), *name.split(" ", 1)) for act in script.acts for name in (act.whom, act.to)
+             if name.split(" ")[0] in there]
+    named += [("volumes", "volume", str(n)) for n in script.volumes]
+    return [f"{place}: the site has no {kind} {which}" for place, kind, which in named
+            if which not in there[kind]]
+
+
 class Silent:
     """A log that keeps nothing."""
 
@@ -183,7 +196,7 @@
         name = f"head {number}"
         process = self._start(name)
         head = Head(process, self.site, number, self.script.seed * 1000 + number, f"remember/{number}",
-                    Silent())
+                    Silent(), accounts=ACCOUNTS, window=1.0)
         self.heads[number] = head
         if self.change:
             self.change(head)
@@ -386,6 +399,7 @@
             await self.day.sleep(0.2)
         await self.day.sleep(max(AFTERWARDS, self.site.list.late_most + 1.0))
         self._check_rest()
+        self._check_accounts()
 
     def _end(self) -> None:
         for process in (*self.processes.values(), self.day):
@@ -441,6 +455,15 @@
             self._defect(f"counts do not add up: head {number}: taken {counts['taken']}, answered or left "
                          f"{answered}, open {waiting}")
 
+    def _check_accounts(self) -> None:
+        """Every window that a head kept can be read, and each life in it is the sum of its stages."""
+        for name in self.day.names(ACCOUNTS):
+            raw = self.day.load(f"{ACCOUNTS}/{name}")
+            window = decode(raw or b"", self.site.name)
+            if window.remainders or window.disorders:
+                self._defect(f"accounts do not add up: {name}: {window.remainders} remainders, "
+                             f"{window.disorders} out of order")
+
     def _check_rest(self) -> None:
         """The faults are over and nobody asks for anything: all is answered, nothing is left behind."""
         honoured_by: dict[int, int] = {}
--- a/gorsethread/head/peers.py
+++ b/gorsethread/head/peers.py
@@ -8,13 +8,11 @@
 
 import msgspec
 
-from gorsethread.membership.news import Membership, News
+from gorsethread.membership.news import EVERY, Membership, News
 from gorsethread.sitefile import site_pb2 as pb
 from gorsethread.sitefile.reading import split_address
 from gorsethread.transport.base import Stream, StreamClosed, Transport, Unreachable
 
-FANOUT = 3  # peers told at once; what is new reaches n heads in about log(n) rounds
-EVERY = 1.0  # seconds between tellings of everything, which mend what was lost
 CONNECT_WITHIN = 0.5  # seconds
 LINE_MOST = 1 << 18  # bytes
 STREAMS_MOST = 64  # connections from peers at once
@@ -60,11 +58,9 @@
     def list_said(self, life: int, version: int, shelves: list[tuple[int, int, str]],
                   whole: bool) -> list[int]:
         """Shelves that may be used again."""
-        before = {n[:3] for n in self.core.to_tell(self.transport.now())}
-        freed = self.core.list_said(life, version, shelves, whole, self.transport.now())
-        now = self.core.to_tell(self.transport.now())
-        if fresh := [n for n in now if n[:3] not in before]:
-            self._tell(fresh, FANOUT)
+        freed, fresh = self.core.list_said(life, version, shelves, whole, self.transport.now())
+        if fresh:
+            self._tell(fresh, True)
         return freed
 
     # ---- to peers
@@ -77,14 +73,14 @@
             self.log.info("peers' news not borne out", shelves=freed)
             self.follower.again(freed)
         if news := self.core.to_tell(now):
-            self._tell(news, 1)
+            self._tell(news, False)
         self.transport.at(now + EVERY, self._round)
 
-    def _tell(self, news: list[News], peers: int) -> None:
+    def _tell(self, news: list[News], fresh: bool) -> None:
         if self.stopped or self.head not in self.addresses:
             return
         line = msgspec.json.encode(Line(self.head, news)) + b"\n"
-        for peer in self.core.some_peers(peers):
+        for peer in self.core.whom_to_tell(fresh):
             stream = self.open.get(peer)
             if stream is not None and stream.unsent <= LINE_MOST:
                 stream.write(line)
@@ -160,4 +156,4 @@
             return
         self.log.info("peers' news", head=line.head, shelves={n.shelf: n.state for n in fresh})
         self.follower.again([n.shelf for n in fresh])
-        self._tell(fresh, FANOUT)
+        self._tell(fresh, True)
--- a/gorsethread/membership/news.py
+++ b/gorsethread/membership/news.py
@@ -14,6 +14,8 @@
 
 BELIEVED_FOR = 10.0  # seconds that a peer's news stops sending while the own list does not bear it out
 KEPT_FOR = 30.0  # seconds that a shelf which is gone is told of to others
+FANOUT = 3  # peers told at once of what is new: it reaches n heads in about log(n) rounds
+EVERY = 1.0  # seconds between tellings of everything to one peer, which mend what was lost
 NEWS_MOST = 4096  # pieces of news held; a site has far fewer shelves
 
 
@@ -64,9 +66,10 @@
     # ---- what is heard
 
     def list_said(self, life: int, version: int, shelves: Iterable[tuple[int, int, str]], whole: bool,
-                  now: float) -> list[int]:
-        """(shelf, start, state) of each; a whole list names all there are. The shelves that peers' news
-        stopped and that may be used again by the own list's word come back."""
+                  now: float) -> tuple[list[int], list[News]]:
+        """(shelf, start, state) of each; a whole list names all there are. Back come the shelves that peers'
+        news stopped and that may be used again by the own list's word, and what is news to tell at once."""
+        told = {(n.shelf, n.start, n.state) for n in self.to_tell(now)}
         self.life, self.version, self.followed = life, version, True
         named = set()
         for shelf, start, state in shelves:
@@ -77,7 +80,8 @@
                 self.own[shelf] = self.own[shelf]._replace(state=State.GONE, at=now)
         for shelf in [s for s, o in self.own.items() if o.state is State.GONE and now - o.at > KEPT_FOR]:
             del self.own[shelf]
-        return self._freed([s for s, b in self.beyond.items() if self._known(b.news)])
+        freed = self._freed([s for s, b in self.beyond.items() if self._known(b.news)])
+        return freed, [n for n in self.to_tell(now) if (n.shelf, n.start, n.state) not in told]
 
     def list_lost(self) -> None:
         self.followed = False
@@ -121,11 +125,11 @@
                 if o.state is not State.READY and s not in self.beyond and now - o.at <= KEPT_FOR]
         return mine + [b.news for _, b in sorted(self.beyond.items())]
 
-    def some_peers(self, number: int) -> list[int]:
-        """So many different ones, drawn."""
+    def whom_to_tell(self, fresh: bool) -> list[int]:
+        """Peers, drawn: several where it is news, one where it mends what was lost."""
         left = list(self.peers)
         chosen: list[int] = []
-        while left and len(chosen) < number:
+        while left and len(chosen) < (FANOUT if fresh else 1):
             chosen.append(left.pop(self.pick(len(left))))
         return chosen
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -32,9 +32,10 @@
         m = fresh()
         self.assertEqual([news(2, State.DRAINING, 5)], m.peer_said([news(2, State.DRAINING, 5)], 1.0))
         self.assertTrue(m.stopped(2))
-        self.assertEqual([], m.list_said(LIFE, 4, [(1, 1, "draining")], False, 1.5))
+        said = m.list_said(LIFE, 4, [(1, 1, "draining")], False, 1.5)
+        self.assertEqual(([], [news(1, State.DRAINING, 4)]), said)
         self.assertTrue(m.stopped(2))
-        self.assertEqual([2], m.list_said(LIFE, 6, [(3, 1, "gone")], False, 2.0))
+        self.assertEqual([2], m.list_said(LIFE, 6, [(3, 1, "gone")], False, 2.0)[0])
         self.assertFalse(m.stopped(2))
 
     def test_old_news_stops_nothing(self) -> None:
@@ -43,6 +44,10 @@
         self.assertEqual([], m.peer_said([news(2, State.DRAINING, 9), news(2, State.GONE, 3)], 1.1))
         self.assertEqual(2, m.ignored)
 
+    def test_news_goes_to_several_and_all_else_to_one(self) -> None:
+        m = Membership(0, range(9), lambda n: n - 1)
+        self.assertEqual(([8, 7, 6], [8]), (m.whom_to_tell(True), m.whom_to_tell(False)))
+
     def test_ready_is_not_news(self) -> None:
         m = fresh()
         m.list_said(LIFE, 4, [(2, 1, "draining")], False, 1.0)
