--- a/gorsethread/faults/draw.py
+++ b/gorsethread/faults/draw.py
@@ -19,7 +19,7 @@
         self.chance = Draws(f"script {seed}")
         self.seed, self.volumes, self.tenants, self.seconds = seed, volumes, tenants, seconds
         c = self.chance
-        self.heads, self.shelves = c.choice((1, 2, 3, 3, 4)), c.choice((2, 4, 6, 6, 8))
+        self.heads, self.shelves = c.choice((1, 2, 3, 3, 4, 8)), c.choice((2, 4, 6, 6, 8))
         self.acts: list[Act] = []
         self.away: set[str] = set()  # who is killed or so already: once a world is enough
 
@@ -150,6 +150,12 @@
     def refusing_list(self) -> None:
         self._add("refuse", "list", 0.5, 4.0)
 
+    def list_dies(self) -> None:
+        """It comes back knowing nobody, and counts its versions anew."""
+        if "list" not in self.away:
+            self.away.add("list")
+            self._add("kill", "list", 0.2, 2.5)
+
     def surge(self) -> None:
         self._add("surge", f"volume {self.chance.choice(list(self.volumes))}", 0.5, 4.0,
                   by=self.chance.uniform(2.0, 12.0))
@@ -173,6 +179,7 @@
     "stab": Draw.stab,
     "pause": Draw.pause, "cut": Draw.cut, "room cut": Draw.room_cut, "reset": Draw.reset,
     "drain": Draw.drain, "still": Draw.still, "slow": Draw.slow, "errors": Draw.errors,
-    "late list": Draw.late_list, "refusing list": Draw.refusing_list, "surge": Draw.surge,
+    "late list": Draw.late_list, "refusing list": Draw.refusing_list, "list dies": Draw.list_dies,
+    "surge": Draw.surge,
     "slow connects": Draw.slow_connects, "disk": Draw.disk, "wall clock": Draw.wall,
 }
--- a/gorsethread/faults/mutants.py
+++ b/gorsethread/faults/mutants.py
@@ -13,6 +13,7 @@
 from gorsethread.nvme.command import Completion, Status
 
 Change = Callable[[Head], None]
+MOST_FORWARDS = 8  # forwards of one transaction; without an end such a world would hardly get on
 MUTANTS: dict[str, Change] = {}
 
 
@@ -419,7 +420,7 @@
     honest = policy._may_go_again
 
     def may_go_again(t: Any, how: Ending) -> bool:
-        t.forwards, kept = min(t.forwards, 1), t.forwards
+        t.forwards, kept = 1 if t.forwards < MOST_FORWARDS else t.forwards, t.forwards
         may = honest(t, how)
         t.forwards = kept
         return may
--- a/gorsethread/faults/runs.py
+++ b/gorsethread/faults/runs.py
@@ -175,7 +175,8 @@
     begin = outcome.records[0]["t"] if outcome.records else 0.0
     lines: set[tuple[float, str]] = set()
     for r in outcome.records:
-        if r["e"] in ("fault", "head killed", "head back", "shelf killed", "shelf back", "fell"):
+        if r["e"] in ("fault", "head killed", "head back", "shelf killed", "shelf back", "list killed",
+                      "list back", "fell"):
             what = r.get("act") or r["e"] + "".join(f" {r[k]}" for k in ("head", "shelf") if k in r)
             lines.add((r["t"] - begin, f"{r['t'] - site_zero:9.3f}  {'-- ' + str(what)}"))
     offset = site_zero - begin
--- a/gorsethread/faults/script.py
+++ b/gorsethread/faults/script.py
@@ -35,7 +35,8 @@
 
 
 KINDS = {
-    "kill": Kind(("head", "shelf"), lasts=True, says="ends without warning; comes back after that time"),
+    "kill": Kind(("head", "shelf", "list"), lasts=True,
+                 says="ends without warning; comes back after that time"),
     "vanish": Kind(("head", "shelf"), lasts=True, says="its machine is gone, peers hear nothing; comes back"),
     "pause": Kind(("head", "shelf", "list"), lasts=True,
                   says="stands still; then all that was due is, at once"),
--- a/gorsethread/faults/world.py
+++ b/gorsethread/faults/world.py
@@ -26,6 +26,7 @@
 from gorsethread.witness.judge import Break, Verdict, Witness
 from gorsethread.witness.online import OnlineWitness
 
+EXACT = 0.03  # seconds of slack for the judges, as the world knows when each byte left and came
 START_UP = 2.0  # seconds from the first process to the first transaction
 CALM = 2.5  # the last seconds of sending, in which a head that stands must honour something
 AFTERWARDS = 3.0  # seconds after the last answer in which everything must have come to rest
@@ -118,7 +119,7 @@
         self.network.on_lost = lambda one, other: self._apart(one, other, 0.0)
         self.disk = Disk()
         self.records: list[dict[str, Any]] = []
-        self.online = OnlineWitness(self.site)
+        self.online = OnlineWitness(self.site, EXACT)
         self.defects: list[str] = []
         self.zero = self.loop.time() + START_UP
         self.day = self._process("day")
@@ -174,7 +175,7 @@
     def _start_list(self) -> None:
         process = self._start("list")
         script = [Fault(self.zero + a.at, a.kind, a.seconds, a.by) for a in self.script.acts
-                  if a.kind in ("late", "refuse")]
+                  if a.kind in ("late", "refuse") and self.zero + a.at > self.loop.time()]
         self.list = NodeList(process, self.site, Remembering(self, process, "list"), script, Silent())
         self.list.start()
 
@@ -226,23 +227,25 @@
         process = self.processes[name]
         if not process.alive:
             return
-        kind, number = name.split(" ")
+        kind, _, number = name.partition(" ")
         if kind == "head":
             self._check_counts(int(number))
         if how == "vanish":
             process.vanish()
         else:
             process.kill()
-        self.saw("day", f"{kind} killed", {kind: int(number)})
+        self.saw("day", f"{kind} killed", {kind: int(number or 0)})
         if act is not None:
             self.loop.call_later(act.seconds, self._up, name)
 
     def _up(self, name: str) -> None:
         if self.processes[name].alive:
             return
-        kind, number = name.split(" ")
-        self.saw("day", f"{kind} back", {kind: int(number)})
-        if kind == "head":
+        kind, _, number = name.partition(" ")
+        self.saw("day", f"{kind} back", {kind: int(number or 0)})
+        if kind == "list":
+            self._start_list()
+        elif kind == "head":
             self._start_head(int(number))
         else:
             self._start_shelf(int(number), False)
@@ -369,7 +372,7 @@
             if process.failed is not None:
                 self.defects.append(f"{name.split(' ')[0]} raised: {process.failed!r}")
         self.online.end(self.loop.time())
-        verdict = Witness(self.site, self.records).judge()
+        verdict = Witness(self.site, self.records, EXACT).judge()
         if not verdict.counts["honoured"]:
             self.defects.append("nothing was honoured: this world shows nothing")
         return Outcome(self.script, verdict, self.defects, self.network.digest.hexdigest(),
--- a/gorsethread/membership/news.py
+++ b/gorsethread/membership/news.py
@@ -3,8 +3,9 @@
 
 A peer's news may stop this head sending to a shelf; it never lets it send. Each piece of news names the
 version of the list that said it, so late, doubled and reordered news does no harm: where the own list has
-come as far, it is not listened to. A list that began anew counts from the start again and has another life;
-news of another life stops sending too, as either side may be behind, but only for a while.
+come as far, it is not listened to. A list that began anew counts from the start again and has a later life,
+by its machine's time of day. That may have been set back: so what the own list does not bear out stops
+sending only for a while.
 """
 
 from collections.abc import Callable, Iterable
@@ -136,8 +137,9 @@
     # ---- parts
 
     def _known(self, n: News) -> bool:
-        """The own list, whose news comes in order, has said all that there was up to this."""
-        return self.followed and n.life == self.life and n.version <= self.version
+        """The own list, whose news comes in order, has said all that there was up to this; an earlier life of
+        the list said nothing that a later one does not know."""
+        return self.followed and (n.life, n.version) <= (self.life, self.version)
 
     @staticmethod
     def _newer(n: News, than: News) -> bool:
--- a/gorsethread/standins/nodelist.py
+++ b/gorsethread/standins/nodelist.py
@@ -52,7 +52,7 @@
         self.script = script
         self.chance = transport.chance("list")
         self.version = 1
-        self.life = int(transport.now() * 1e6)  # versions of another life of the list don't compare
+        self.life = int(transport.wall() * 1e6)  # versions of another life of the list don't compare
         self.entries: dict[int, tuple[Register, str, float]] = {}  # shelf: what it said, its state, since
         self.changes: deque[tuple[int, int]] = deque(maxlen=CHANGES_KEPT)  # version, shelf
         self.followers: dict[Follower, None] = {}  # emptied as heads' streams end
--- a/gorsethread/witness/judge.py
+++ b/gorsethread/witness/judge.py
@@ -52,8 +52,10 @@
 
 
 class Witness:
-    def __init__(self, site: pb.Site, records: Iterable[Record]) -> None:
-        self.site = site
+    """slack: seconds; less than SLACK only where the network itself was watched."""
+
+    def __init__(self, site: pb.Site, records: Iterable[Record], slack: float = SLACK) -> None:
+        self.site, self.slack = site, slack
         self.records = sorted(records, key=lambda r: r["t"])
         self.zero = self.records[0]["t"] if self.records else 0.0
         self.verdict = Verdict()
@@ -178,13 +180,13 @@
             elif sum(how in (*FINAL, "late") for how in hows) > 1:
                 self._broken(1, f"more than one answer: {', '.join(hows)}", label)
             for arrival in self.arrivals.get(identity, ()):
-                if left_at(arrival) > end + SLACK and not away and identity not in self.missed:
+                if left_at(arrival) > end + self.slack and not away and identity not in self.missed:
                     self._broken(1, f"sent to shelf {arrival['shelf']} after it was over", label)
 
     def _out_of_reach(self, sent: Record, end: float) -> bool:
         """Its head was down, stood still or did not reach its client for some of that time."""
         spans = self.down[sent["head"]] + self.apart[sent["who"], sent["head"]]
-        return any(begin - SLACK <= end and sent["t"] <= until + SLACK for begin, until in spans)
+        return any(begin - self.slack <= end and sent["t"] <= until + self.slack for begin, until in spans)
 
     def _no_effect_twice(self) -> None:
         for label, ran in self.ran.items():
@@ -218,9 +220,9 @@
             one, other = self.shelves[first["shelf"]], self.shelves[later["shelf"]]
             outside = (profile.group == pb.SHARD and one.shard != other.shard
                        or profile.group == pb.ZONE and one.zone != other.zone)
-            if outside or later["t"] > first["t"] + profile.remembered + SLACK:
+            if outside or later["t"] > first["t"] + profile.remembered + self.slack:
                 self._broken(2, "a labelled transaction was sent again outside its group or window", label)
-        if pushed and (profile.group != pb.ALL or pushed["t"] > first["t"] + profile.remembered + SLACK):
+        if pushed and (profile.group != pb.ALL or pushed["t"] > first["t"] + profile.remembered + self.slack):
             self._broken(2, "a labelled transaction that may have run was pushed back", label)
 
     def _drains(self) -> None:
@@ -236,7 +238,7 @@
             elif r["e"] == "head killed":
                 # A new life of the head knows only the list it remembers, until it is told again.
                 told = {pair: at for pair, at in told.items() if pair[0] != r["head"]}
-            elif r["e"] == "arrived" and left_at(r) > grace + SLACK + told.get((r["head"], r["shelf"]),
+            elif r["e"] == "arrived" and left_at(r) > grace + self.slack + told.get((r["head"], r["shelf"]),
                                                                                left_at(r)):
                 self._broken(3, f"head {r['head']} sent to shelf {r['shelf']} after it was told of its end",
                              r["label"])
@@ -273,7 +275,7 @@
         if end is not None and end["t"] <= left_at(later):
             return True
         # The shelf had not ended it: the head may go on only after a time-out or a broken link, and a rest.
-        rest = self.site.rules.key_rest - SLACK
+        rest = self.site.rules.key_rest - self.slack
         known_over = [at for at in self.shelf_deaths[earlier["shelf"]] if earlier["t"] <= at]
         known_over += [a["t"] for a in self.answers.get((earlier["label"], earlier["attempt"]), ())]
         return any(at + rest <= left_at(later) for at in known_over)
@@ -295,9 +297,10 @@
                 window.append(at)
                 # Another life of the head knows nothing of what this one spent or took.
                 life = max((d for d in self.head_deaths[head] if d < at), default=0.0)
-                while window[0] < max(life, at - budget.span + SLACK):
+                while window[0] < max(life, at - budget.span + self.slack):
                     window.popleft()
-                earned = sum(max(life, at - budget.span - SLACK) <= t <= at + SLACK for t in taken[head])
+                since = max(life, at - budget.span - self.slack)
+                earned = sum(since <= t <= at + self.slack for t in taken[head])
                 if len(window) > budget.free + budget.part * earned:
                     self._broken(6, f"head {head} made {len(window)} further forwards in {budget.span:g} s, "
                                  f"{earned} transactions taken")
@@ -318,6 +321,6 @@
                 store = min(plan.limit_burst, store + (t - at) * plan.limit)
                 at = t
                 store -= units
-                if store < -plan.limit_slack - SLACK * plan.limit:
+                if store < -plan.limit_slack - self.slack * plan.limit:
                     self._broken(7, f"volume {volume.name} was sent {-store:.1f} units past its limit")
                     break
--- a/gorsethread/witness/online.py
+++ b/gorsethread/witness/online.py
@@ -35,8 +35,8 @@
 class OnlineWitness:
     """take() each record; breaks has what was broken, with the moment."""
 
-    def __init__(self, site: pb.Site) -> None:
-        self.site = site
+    def __init__(self, site: pb.Site, slack: float = SLACK) -> None:
+        self.site, self.slack = site, slack
         self.breaks: list[tuple[float, Break]] = []
         self.seen: dict[Identity, _Seen] = {}
         self.ran: dict[int, int] = defaultdict(int)  # by label
@@ -111,7 +111,7 @@
 
     def _out_of_reach(self, sent: Record, until: float) -> bool:
         spans = self._down[sent["head"]] + self._away[sent["who"], sent["head"]]
-        return any(begin - SLACK <= until and sent["t"] <= end + SLACK for begin, end in spans)
+        return any(begin - self.slack <= until and sent["t"] <= end + self.slack for begin, end in spans)
 
     def _profile(self, s: _Seen) -> pb.Profile:
         return self.site.profile[s.sent["profile"]]
@@ -139,7 +139,7 @@
         may = [a for a in s.arrivals if not self._known_not_to_have_run(a, r["t"])]
         if not may or profile.effect == pb.REDOABLE:
             return
-        late = r["t"] > may[0].record["t"] + profile.remembered + SLACK
+        late = r["t"] > may[0].record["t"] + profile.remembered + self.slack
         if profile.effect == pb.IRREVERSIBLE or profile.group != pb.ALL or late:
             self._broken(r["t"], 2, "what may have run was pushed back", r["label"])
 
@@ -152,14 +152,14 @@
             return
         mine, label, head = _Arrival(r, left_at(r)), r["label"], r["head"]
         missed = (label, r["attempt"]) in self._missed
-        if mine.left > s.over_at + SLACK and not missed and not self._out_of_reach(s.sent, s.over_at):
+        if mine.left > s.over_at + self.slack and not missed and not self._out_of_reach(s.sent, s.over_at):
             self._broken(r["t"], 1, f"sent to shelf {r['shelf']} after it was over", label)
         if s.arrivals:
             self._again(s, mine, label)
             # Where a cut held the first one, what came before it was the further one.
             self._further_forward(head, max(mine.left, min(a.left for a in s.arrivals)))
         told = self.told.get((head, r["shelf"]))
-        if told is not None and mine.left > told + self.site.rules.drain_grace + SLACK:
+        if told is not None and mine.left > told + self.site.rules.drain_grace + self.slack:
             self._broken(r["t"], 3, f"head {head} sent to shelf {r['shelf']} after it was told of its end",
                          label)
         if not s.arrivals:
@@ -180,7 +180,7 @@
         one, other = self.shards[may[0].record["shelf"]], self.shards[mine.record["shelf"]]
         outside = (profile.group == pb.SHARD and one[0] != other[0]
                    or profile.group == pb.ZONE and one[1] != other[1])
-        if outside or mine.left > may[0].record["t"] + profile.remembered + SLACK:
+        if outside or mine.left > may[0].record["t"] + profile.remembered + self.slack:
             self._broken(mine.record["t"], 2,
                          "a labelled transaction was sent again outside its group or window", label)
 
@@ -213,7 +213,7 @@
             return
         known_over = [at for at in self._shelf_deaths[its.record["shelf"]] if its.record["t"] <= at]
         known_over.append(earlier.over_at)
-        if not any(at + self.site.rules.key_rest - SLACK <= mine.left for at in known_over):
+        if not any(at + self.site.rules.key_rest - self.slack <= mine.left for at in known_over):
             self._broken(mine.record["t"], 5, f"head {head} sent a key's next transaction early", label)
 
     def _further_forward(self, head: int, at: float) -> None:
@@ -227,8 +227,8 @@
             taken.popleft()
         # One that a cut held counts in the spans of those that left after it, too.
         for end in [t for t in window if t >= at]:
-            made = sum(end - budget.span + SLACK <= t <= end for t in window)
-            earned = sum(end - budget.span - SLACK <= t <= end + SLACK for t in taken)
+            made = sum(end - budget.span + self.slack <= t <= end for t in window)
+            earned = sum(end - budget.span - self.slack <= t <= end + self.slack for t in taken)
             if made > budget.free + budget.part * earned:
                 self._broken(at, 6, f"head {head} made {made} further forwards in {budget.span:g} s, "
                              f"{earned} transactions taken", head)
@@ -250,7 +250,7 @@
         for when, units in again:
             level = min(plan.limit_burst, level + (when - at) * plan.limit) - units
             at = when
-            if level < -plan.limit_slack - SLACK * plan.limit:
+            if level < -plan.limit_slack - self.slack * plan.limit:
                 self._broken(r["t"], 7, f"volume {volume.name} was sent {-level:.1f} units past its limit",
                              volume.number)
         self._store[volume.number] = (level, at)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -207,6 +207,11 @@
                          for row in h.book.accounts.close_window(h.transport.now()).all_rows())
         self.assertEqual(closed, counted + still_open)
 
+    def test_a_list_that_comes_back_knowing_nobody(self) -> None:
+        world = self.kept("2 kill list for 1\n2.5 kill shelf-1 for 2\n6 drain shelf-2 for 2")
+        self.assertEqual(1, len(self.times(world, "list back")))
+        self.assertTrue([at for at in self.times(world, "arrived", shelf=1) if at > 5.0])
+
     def test_list_and_peers_disagree(self) -> None:
         """Peers' old word against a newer one of the list: the list's holds, and the shelf is used again."""
         world = self.kept("2 drain shelf-1 for 1.5\n2.5 late list by 2 for 3\n3 cut list -> head-2 for 3")
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -44,6 +44,11 @@
         self.assertEqual([], m.peer_said([news(2, State.DRAINING, 9), news(2, State.GONE, 3)], 1.1))
         self.assertEqual(2, m.ignored)
 
+    def test_an_earlier_life_of_the_list_is_old_news(self) -> None:
+        m = fresh()
+        self.assertEqual([], m.peer_said([news(1, State.GONE, 99, life=LIFE - 1)], 1.0))
+        self.assertEqual(1, len(m.peer_said([news(1, State.GONE, 1, life=LIFE + 1)], 1.0)))
+
     def test_news_goes_to_several_and_all_else_to_one(self) -> None:
         m = Membership(0, range(9), lambda n: n - 1)
         self.assertEqual(([8, 7, 6], [8]), (m.whom_to_tell(True), m.whom_to_tell(False)))
