What a timer raises ends a real program, as what spawned work raises does

An exception in a timer or a batch was only logged by the loop: the head went on with what it had lost, its transactions without an answer. A test raises in a timer.

--- a/gorsethread/transport/base.py
+++ b/gorsethread/transport/base.py
@@ -74,7 +74,9 @@
         set; only to name times to people and to other machines."""
         ...
 
-    def at(self, when: float, act: Callable[[], None]) -> Timer: ...
+    def at(self, when: float, act: Callable[[], None]) -> Timer:
+        """An exception in act is a defect, as in spawn(); so with soon()."""
+        ...
 
     def soon(self, act: Callable[[], None]) -> None:
         """Calls act after what is going on now, before anything new is read."""
--- a/gorsethread/transport/program.py
+++ b/gorsethread/transport/program.py
@@ -12,7 +12,8 @@
 
 
 class Program:
-    """failed: what a spawned piece of work raised first; it ends the program."""
+    """failed: what spawned work or a timer's act raised first; it ends the program, as what was lost
+    with it is not known. Hurts all that is open, which clients may repeat."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self.failed: BaseException | None = None
@@ -20,7 +21,11 @@
 
     def ended(self, task: "asyncio.Task[None]") -> None:
         """A spawned piece of work is done, well or not."""
-        if not task.cancelled() and (error := task.exception()) and self.failed is None:
+        if not task.cancelled() and (error := task.exception()):
+            self.fails(error)
+
+    def fails(self, error: BaseException) -> None:
+        if self.failed is None:
             self.failed = error
             self.finish()
 
--- a/gorsethread/transport/real.py
+++ b/gorsethread/transport/real.py
@@ -133,6 +133,7 @@
         self._seed = seed
         self._loop = asyncio.get_event_loop()
         super().__init__(self._loop)
+        self._loop.set_exception_handler(self._raised)
         self._tasks: set[asyncio.Task[None]] = set()
 
     now = staticmethod(time.monotonic)  # asked several times a transaction: no call of ours in between
@@ -154,6 +155,12 @@
         self._tasks.add(task)
         task.add_done_callback(self._ended)
 
+    def _raised(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """What a timer or another callback raised, which a loop would only log."""
+        loop.default_exception_handler(context)
+        if "handle" in context and isinstance(error := context.get("exception"), Exception):
+            self.fails(error)
+
     def _ended(self, task: "asyncio.Task[None]") -> None:
         self._tasks.discard(task)
         self.ended(task)
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -1,5 +1,6 @@
 """The virtual network does what TCP and processes do: windows, cuts, resets, kills, pauses, clocks."""
 
+import logging
 import unittest
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -8,6 +9,7 @@
 from hypothesis import strategies as st
 
 from gorsethread.transport.base import Stream, StreamClosed, Unreachable
+from gorsethread.transport.real import RealTransport
 from gorsethread.transport.virtual import Disk, Network, VirtualLoop, VirtualTransport, Weather
 
 ADDRESS = ("b", 1)
@@ -190,3 +192,13 @@
 
         self.play(work)
         self.assertTrue(0.0 <= came[0] < 1e-6, came)
+
+
+class Defects(unittest.IsolatedAsyncioTestCase):
+    async def test_what_a_timer_raises_ends_a_real_program(self) -> None:
+        logging.getLogger("asyncio").setLevel(logging.CRITICAL)
+        self.addCleanup(logging.getLogger("asyncio").setLevel, logging.NOTSET)
+        transport = RealTransport()
+        transport.at(transport.now(), lambda: [][0])
+        with self.assertRaises(IndexError):
+            await transport.until_finished()
