The live head: the platform's HTTP in and out of the same driver and decisions

Change: http1/ (codec on h11, bounded), platform/ (configuration, clients, shelf pool, discovery, program); the driver carries an opaque payload over links and placement told as protocols and serves both fronts; settings to start facts are read by one function shared with benchlink; the transport accepts by itself, with a bound, and hears SIGHUP.

--- a/gorsethread/accounts/stages.py
+++ b/gorsethread/accounts/stages.py
@@ -3,6 +3,7 @@
 from enum import IntEnum
 
 from gorsethread.model import Held
+from gorsethread.model import Outcome as Outcome
 
 
 class Stage(IntEnum):
@@ -51,13 +52,6 @@
          Stage.UNDIVIDED)
 
 
-class Outcome(IntEnum):
-    HONOURED = 0
-    PUSHED_BACK = 1
-    GIVEN_UP = 2
-    LEFT = 3
-
-
 # Holders that are no volume; volumes have their own numbers, from 1.
 SHELF = -1
 HEAD = -2
--- a/gorsethread/benchlink/__main__.py
+++ b/gorsethread/benchlink/__main__.py
@@ -5,20 +5,10 @@
 import traceback
 from typing import Any
 
-from gorsethread.model import (
-    ColdRule,
-    Effect,
-    Ending,
-    ForwardBudget,
-    Group,
-    Plan,
-    Profile,
-    StartFacts,
-)
+from gorsethread.model import Ending
 from gorsethread.policy import Policy
+from gorsethread.startfacts import Fields, Malformed, start_facts, word
 
-EFFECTS = {"free": Effect.REDOABLE, "guarded": Effect.LABELLED, "single_shot": Effect.IRREVERSIBLE}
-GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.SHARD}
 ENDINGS = {
     "S": Ending.HONOURED,
     "E": Ending.ERROR,
@@ -32,55 +22,6 @@
 CLIENT_REPEAT = 2
 
 
-class Malformed(Exception):
-    """A line that does not follow the wire."""
-
-
-class Fields(dict[str, Any]):
-    """A decoded object; asking for a field that is not there is the sender's fault."""
-
-    def __missing__(self, name: str) -> Any:
-        raise Malformed(f"missing field {name}")
-
-
-def word(table: dict[str, Any], value: Any) -> Any:
-    if value not in table:
-        raise Malformed(f"unknown word {value!r}")
-    return table[value]
-
-
-def start_facts(setup: Fields) -> StartFacts:
-    rules, may, facts = setup["contract"], setup["permissions"], setup["specifics"]
-    budget = None
-    if rules.get("furtherRatio") is not None or rules.get("freeResends") is not None:
-        budget = ForwardBudget(
-            rules.get("freeResends") or 0.0, rules.get("furtherRatio") or 0.0, rules["ratioSpan"]
-        )
-    return StartFacts(
-        profiles=tuple(
-            Profile(s["aim"], word(EFFECTS, s["effect"]), word(GROUPS, s.get("group", "all")),
-                    s.get("window", 0.0), bool(s.get("keepOrder")), s["worth"])
-            for s in setup["services"]
-        ),
-        plans=tuple(
-            Plan(g.get("floorRate", 0.0), g.get("proportion", 1.0), g.get("neverOver", 0.0),
-                 g.get("limitBurst", 0.0), g.get("baseRate", 0.0))
-            for g in setup["grades"]
-        ),
-        heads=setup["balancers"],
-        list_on_request=setup["membershipMode"] == "subscribe",
-        ask_within=rules.get("askWithin", 0.0),
-        cold=ColdRule(facts["coldUnits"], rules["fall"], rules["cold"], rules["coldFrom"]),
-        budget=budget,
-        key_rest=rules.get("orderSettle") or 0.0,
-        most_forwards=may["maxAttempts"],
-        longest_return=may["maxRetryAfter"] if may["retryAfter"] else 0.0,
-        largest_units=facts["mostUnits"],
-        share_worth=facts.get("shareWorth", 1.0),
-        repeats_marked=bool(setup["clients"].get("marksRetry")),
-    )
-
-
 class BenchHost:
     """The host of one instance: every act becomes a line of the reply."""
 
--- a/gorsethread/faults/mutants.py
+++ b/gorsethread/faults/mutants.py
@@ -5,8 +5,9 @@
 from dataclasses import replace
 from typing import Any
 
+from gorsethread.head.carrying import Forward
 from gorsethread.head.driver import Open
-from gorsethread.head.links import Forward, ShelfLink
+from gorsethread.head.links import ShelfLink
 from gorsethread.head.program import Head
 from gorsethread.lab.planted import plant
 from gorsethread.model import Ending
@@ -226,8 +227,7 @@
             out = list(link.out.values())
             honest(reason)
             for f in out:
-                link.send(Forward(f.transaction, -1, f.shelf, f.sent_at, f.command, f.data, f.read,
-                                  lambda *_: None))
+                link.send(Forward(f.transaction, -1, f.shelf, f.sent_at, f.payload, lambda *_: None))
 
         _override(link, "_broke", broke)
 
@@ -337,12 +337,12 @@
 def _shifts_writes(head: Head) -> None:
     honest, now = head.driver.take, _some(20)
 
-    def take(client: Any, command: Any, data: bytes, *rest: Any, **named: Any) -> Open:
-        if data and now() and command.cdw10 % 64 > 1:
-            command = command._replace(cdw10=command.cdw10 - 1)
-        return honest(client, command, data, *rest, **named)
+    def take(client: Any, order: Any, **named: Any) -> Open:
+        if order.data and now() and order.command.cdw10 % 64 > 1:
+            order = order._replace(command=order.command._replace(cdw10=order.command.cdw10 - 1))
+        return honest(client, order, **named)
 
-    head.driver.take = take  # type: ignore[method-assign]
+    head.driver.take = take  # type: ignore[method-assign,assignment]
 
 
 @mutant("clients: a client's own patience is not heeded")
--- a/gorsethread/head/clients.py
+++ b/gorsethread/head/clients.py
@@ -2,9 +2,10 @@
 
 from typing import Any, NamedTuple
 
+from gorsethread.head.carrying import UNPLACED, Placement
 from gorsethread.head.driver import Driver, Open
 from gorsethread.head.facts import Sorter, units_of
-from gorsethread.head.placement import UNPLACED, Placement
+from gorsethread.head.links import Order
 from gorsethread.nvme.command import SGL_IN_CAPSULE, Completion, Opcode, Status
 from gorsethread.nvme.subsystem import BLOCK, Namespace, Subsystem
 from gorsethread.queues.serve import IoCommand
@@ -130,10 +131,11 @@
             onward = command._replace(sgl_address=0, cdw3=command.cdw3 & 0xFF)
         key = f"{volume.number}/{extent}" if self._in_order[waiting.profile] else None
         waiting.taken = self.driver.take(
-            waiting, onward, data, length if command.opcode == Opcode.READ else 0, profile=waiting.profile,
-            plan=volume.plan_number, key=key, cut_off=waiting.cut_off, volume=volume.number, extent=extent,
+            waiting, Order(onward, data, length if command.opcode == Opcode.READ else 0),
+            profile=waiting.profile, plan=volume.plan_number, key=key, cut_off=waiting.cut_off,
+            volume=volume.number, place=(volume.number, extent),
             units=float(units_of(length, self._unit_bytes)), shard=shard, heads=volume.heads,
-            arrived=io.arrived, awaited=waiting.timer is not None,
+            repeat=command.repeat, arrived=io.arrived, awaited=waiting.timer is not None,
         )
 
     def left(self, io: IoCommand) -> None:
--- a/gorsethread/head/driver.py
+++ b/gorsethread/head/driver.py
@@ -8,14 +8,20 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any, Protocol
-
-from gorsethread.accounts.lives import Accounts, Taken
-from gorsethread.accounts.stages import Outcome
-from gorsethread.head.links import NOTHING, Forward, ShelfLink, Told
-from gorsethread.head.placement import UNPLACED, Placement
-from gorsethread.model import Ending, Held, StartFacts
-from gorsethread.nvme.command import Command
+from typing import Any
+
+from gorsethread.head.carrying import (
+    NOTHING,
+    UNPLACED,
+    Accounts,
+    Client,
+    Forward,
+    Place,
+    Placement,
+    Taken,
+    Told,
+)
+from gorsethread.model import Ending, Held, Outcome, StartFacts
 from gorsethread.policy import NEVER_RAN, Policy
 from gorsethread.transport.base import Timer, Transport
 
@@ -23,25 +29,15 @@
 PASSED_OVER = 0.1  # seconds ahead that answered transactions are cleared from the cut-offs in one go
 
 
-class Client(Protocol):
-    """Whoever is owed the answer; each transaction sees exactly one of these calls, or none once it left."""
-
-    def honoured(self, shard: int, data: bytes) -> None: ...
-    def pushed_back(self, return_after: float) -> None: ...
-    def given_up(self) -> None: ...
-
-
 @dataclass(slots=True, eq=False)
 class Open:
-    """A transaction from its taking until it is answered and its forwards are in."""
+    """A transaction from its taking until it is answered and its forwards are in. place: what a first write
+    of it may part; None where the wire names the shard of all that has one."""
 
     id: int
     client: Client
-    command: Command
-    data: bytes
-    read: int
-    volume: int
-    extent: int
+    payload: Any
+    place: Place | None
     shard: int
     cut_off: float
     forwards: int = 0
@@ -61,10 +57,12 @@
         self._batch: list[tuple[str, tuple[Any, ...]]] = []
         self._due = False
         self.open: dict[int, Open] = {}  # emptied as transactions end
-        self.links: dict[int, ShelfLink] = {}  # emptied as shelves leave the list and their forwards are in
+        # A Link each, of the kind that the front's own wire has; emptied as shelves leave the list and their
+        # forwards are in.
+        self.links: dict[int, Any] = {}
         self.shards: dict[int, int] = {}  # of every shelf in links
         # First writes out of extents being placed: how many, and if one may have run; emptied as they end.
-        self._placing: dict[tuple[int, int], tuple[int, bool]] = {}
+        self._placing: dict[Place, tuple[int, bool]] = {}
         self.counts: Counter[str] = Counter()
         self._last_id = 0
         # One timer for the soonest cut-off, as one each costs several times as much. Each entry goes as its
@@ -89,13 +87,13 @@
             self._due = True
             self.transport.soon(self._work)
 
-    def take(self, client: Client, command: Command, data: bytes, read: int, *, profile: int, plan: int,
-             key: str | None, cut_off: float, volume: int, extent: int, units: float, shard: int,
-             heads: int, arrived: float, awaited: bool = False) -> Open:
+    def take(self, client: Client, payload: Any, *, profile: int, plan: int, key: str | None, cut_off: float,
+             volume: int | str, units: float, shard: int, heads: int, repeat: bool, arrived: float,
+             place: Place | None = None, awaited: bool = False) -> Open:
         self._last_id = (self._last_id + 1) % 2**32
         while self._last_id in self.open:
             self._last_id = (self._last_id + 1) % 2**32
-        t = Open(self._last_id, client, command, data, read, volume, extent, shard, cut_off)
+        t = Open(self._last_id, client, payload, place, shard, cut_off)
         self.open[t.id] = t
         heapq.heappush(self._cut_offs, (cut_off, t.id))
         if cut_off < self._cut_off_at:
@@ -107,7 +105,7 @@
             t.untold = (volume, profile, int(units), shard, key is not None, arrived, when)
             self._fresh.append(t)
         self.happened("transaction_taken", t.id, profile, plan, key, cut_off, str(volume), units, shard,
-                      heads, command.repeat)
+                      heads, repeat)
         return t
 
     def client_left(self, t: Open) -> None:
@@ -233,7 +231,7 @@
         t = self.open.get(transaction)
         if t is None:
             return
-        f = Forward(t.id, t.forwards, shelf, self._now, t.command, t.data, t.read, self._ended)
+        f = Forward(t.id, t.forwards, shelf, self._now, t.payload, self._ended)
         t.forwards += 1
         t.out[f.number] = f
         link = self.links.get(shelf)
@@ -252,28 +250,31 @@
 
     def _holds(self, t: Open, f: Forward) -> bool:
         """Two first writes of one extent must not part it: the second goes where the first went."""
+        if t.place is None:
+            return True
         shard = self.shards[f.shelf]
-        owner = self.placement.shard_of(t.volume, t.extent)
+        owner = self.placement.shard_of(*t.place)
         if owner == UNPLACED:
-            self.placement.placed(t.volume, t.extent, shard)
-            self._placing[t.volume, t.extent] = (0, False)
+            self.placement.placed(*t.place, shard)
+            self._placing[t.place] = (0, False)
         elif owner != shard:
             return False
-        if (placing := self._placing.get((t.volume, t.extent))) is not None:
+        if (placing := self._placing.get(t.place)) is not None:
             f.first_write = True
-            self._placing[t.volume, t.extent] = (placing[0] + 1, placing[1])
+            self._placing[t.place] = (placing[0] + 1, placing[1])
         return True
 
     def _placing_ended(self, t: Open, how: Ending) -> None:
         """An extent stays where a first write of it may have run; it is free again once none has."""
-        out, ran = self._placing[t.volume, t.extent]
+        assert t.place is not None
+        out, ran = self._placing[t.place]
         out, ran = out - 1, ran or how not in NEVER_RAN
         if out:
-            self._placing[t.volume, t.extent] = (out, ran)
+            self._placing[t.place] = (out, ran)
             return
-        del self._placing[t.volume, t.extent]
+        del self._placing[t.place]
         if not ran:
-            self.placement.released(t.volume, t.extent)
+            self.placement.released(*t.place)
 
     def _time_out(self, f: Forward) -> None:
         if not f.over:
--- a/gorsethread/head/links.py
+++ b/gorsethread/head/links.py
@@ -4,10 +4,10 @@
 that finds no connection ends as UNREACHED, and the policy lets the shelf rest.
 """
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
+from gorsethread.head.carrying import NOTHING, Forward, Told
 from gorsethread.model import Ending
 from gorsethread.nvme.command import Command, Completion, Status, told_service
 from gorsethread.queues.dial import Association, Names, dial
@@ -16,33 +16,12 @@
 ENDINGS: dict[int, Ending] = {Status.SUCCESS: Ending.HONOURED, Status.ABORT_REQUESTED: Ending.CALLED_OFF}
 
 
-@dataclass(slots=True, eq=False)
-class Forward:
-    """One sending of a transaction to a shelf. over: its ending has been told; later answers are dropped."""
+class Order(NamedTuple):
+    """A forward's payload here. read: bytes that its answer may bring."""
 
-    transaction: int
-    number: int
-    shelf: int
-    sent_at: float
     command: Command
-    data: bytes
-    read: int
-    ended: "Callable[[Forward, Ending, Told], None]"
-    cid: int = -1
-    over: bool = False
-    first_write: bool = False  # of an extent that nobody has placed yet
-
-
-class Told(NamedTuple):
-    """What a shelf's answer brought: data of a read, units served elsewhere, usage, its own service time."""
-
     data: bytes = b""
-    elsewhere: int = 0
-    usage: int = 0
-    service: float = 0.0
-
-
-NOTHING = Told()
+    read: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -126,7 +105,9 @@
                 self.connecting = True
                 self.transport.spawn(self._connect())
             return
-        f.cid = queue.submit(f.command, lambda done, data: self._done(f, done, data), f.data, f.read)
+        order: Order = f.payload
+        f.cid = queue.submit(order.command, lambda done, data: self._done(f, done, data), order.data,
+                             order.read)
         self.out[f.cid] = f
 
     def _done(self, f: Forward, completion: Completion, data: bytes) -> None:
--- a/gorsethread/head/placement.py
+++ b/gorsethread/head/placement.py
@@ -1,28 +1,13 @@
 """Where an extent lives, as one head knows it. A versioned extent map will take this place."""
 
 from collections import OrderedDict
-from typing import Protocol
 
+from gorsethread.head.carrying import UNPLACED
 from gorsethread.sitefile import site_pb2 as pb
 
-UNPLACED = -1
 REMEMBERED_MOST = 1 << 20  # extents; the least used are forgotten first
 
 
-class Placement(Protocol):
-    def shard_of(self, volume: int, extent: int) -> int:
-        """The shard that holds it, or UNPLACED for an extent nobody has written."""
-        ...
-
-    def placed(self, volume: int, extent: int, shard: int) -> None:
-        """A first write of it goes, or went, to this shard."""
-        ...
-
-    def released(self, volume: int, extent: int) -> None:
-        """Its first write is known not to have run."""
-        ...
-
-
 class SitePlacement:
     """Fixed volumes by the site file; others by first write, remembered for this life of the head."""
 
--- a/gorsethread/lab/peers.py
+++ b/gorsethread/lab/peers.py
@@ -5,7 +5,8 @@
 
 from hdrh.histogram import HdrHistogram
 
-from gorsethread.head.links import Forward, ShelfLink, Told
+from gorsethread.head.carrying import Forward, Told
+from gorsethread.head.links import Order, ShelfLink
 from gorsethread.head.placement import SitePlacement
 from gorsethread.model import Ending
 from gorsethread.nvme.command import Completion, Opcode, Status, io_command
@@ -60,7 +61,7 @@
             io.answer(Completion(0, Status.SUCCESS if honoured else Status.INTERNAL_ERROR), told.data)
 
         read = 0 if data else c.blocks * BLOCK
-        link.send(Forward(0, 0, link.shelf, self.transport.now(), c, data, read, ended))
+        link.send(Forward(0, 0, link.shelf, self.transport.now(), Order(c, data, read), ended))
 
     def left(self, io: IoCommand) -> None: ...
 
--- a/gorsethread/lab/planted.py
+++ b/gorsethread/lab/planted.py
@@ -2,8 +2,8 @@
 
 from typing import Any
 
+from gorsethread.head.carrying import Forward
 from gorsethread.head.driver import Driver, Open
-from gorsethread.head.links import Forward
 from gorsethread.head.program import Head
 from gorsethread.model import Effect, Ending
 
@@ -34,7 +34,7 @@
     """Sends a forward again behind the policy's back; what comes of it is dropped."""
     if link := driver.links.get(f.shelf):
         for _ in range(times):
-            copy = Forward(f.transaction, -1, f.shelf, f.sent_at, f.command, f.data, f.read, lambda *_: None)
+            copy = Forward(f.transaction, -1, f.shelf, f.sent_at, f.payload, lambda *_: None)
             link.send(copy)
 
 
@@ -96,7 +96,7 @@
 
 def _no_budget(head: Head) -> None:
     def act(t: Open, f: Forward) -> None:
-        if not f.command.to_controller:
+        if not f.payload.command.to_controller:
             _again(head.driver, f)
 
     _after_forward(head.driver, act)
--- a/gorsethread/model.py
+++ b/gorsethread/model.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
-from enum import Enum
+from enum import Enum, IntEnum
 
 
 class Effect(Enum):
@@ -32,6 +32,15 @@
     NOT_SENT = "not sent"
 
 
+class Outcome(IntEnum):
+    """How a transaction ended. The numbers stand in snapshots of accounts: added to, never changed."""
+
+    HONOURED = 0
+    PUSHED_BACK = 1
+    GIVEN_UP = 2
+    LEFT = 3
+
+
 class Held(Enum):
     """What kept a transaction back at the head in the last search."""
 
--- /dev/null
+++ b/gorsethread/platform/__main__.py
@@ -0,0 +1,52 @@
+"""python -m gorsethread.platform: one head in service, as the platform starts it.
+
+Exit status 0: ended in order, 2: the configuration or the address can't be used, 1: a defect."""
+
+import os
+import sys
+
+from gorsethread.logs import log_for, start_logs
+from gorsethread.platform.config import Unusable, read_order
+from gorsethread.platform.program import LiveHead
+from gorsethread.transport.real import RealTransport, run
+
+
+def main() -> int:
+    path = os.environ.get("GW_CONFIG")
+    if not path:
+        print("gorsethread: GW_CONFIG is not set: it names the configuration's file", file=sys.stderr)
+        return 2
+    start_logs(True)
+    status = 0
+
+    async def serve(transport: RealTransport) -> None:
+        nonlocal status
+        try:
+            order = read_order(transport.load(path), path)
+        except Unusable as error:
+            print(f"gorsethread: {error}", file=sys.stderr)
+            status = 2
+            return
+        log = log_for(head=order.name)
+        head = LiveHead(transport, order, path, log)
+        transport.on_reload(head.reload)
+        transport.on_terminate(transport.finish)
+        try:
+            head.start()
+        except OSError as error:
+            print(f"gorsethread: {path}: listen: {error}", file=sys.stderr)
+            status = 2
+            return
+        try:
+            await transport.until_finished()
+            await head.end()
+        except Exception as error:
+            log.exception("the head must end: a defect", reason=repr(error))
+            status = 1
+
+    run(serve)
+    return status
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/gorsethread/platform/config.py
@@ -0,0 +1,112 @@
+"""What a head is told at its start and anew at SIGHUP: the file that GW_CONFIG names."""
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from gorsethread.model import StartFacts
+from gorsethread.platform.listing import ListAnswer
+from gorsethread.startfacts import Fields, Malformed, start_facts
+
+Address = tuple[str, int]
+NOBODY_KNOWN = {"generation": 0, "reset": True, "instances": []}
+
+
+class Unusable(Exception):
+    """The configuration can't be used; the text names the place and the reason."""
+
+
+@dataclass(frozen=True)
+class Naming:
+    """The words that requests use, as places in the settings, and what bounds their figures."""
+
+    profiles: dict[bytes, int]
+    plans: dict[bytes, int]
+    zones: dict[str, int]
+    most_units: float
+    shards: int
+
+
+@dataclass(frozen=True)
+class Order:
+    """One head's orders. dial_within, idle: seconds, of connections to shelves."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    known: ListAnswer
+    facts: StartFacts
+    naming: Naming
+    dial_within: float
+    idle: float
+
+
+def address_of(value: Any, place: str) -> Address:
+    host, colon, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    if not host or not colon or not port.isdigit() or not 0 < int(port) < 65536:
+        raise Unusable(f"{place}: {value!r} is no host:port")
+    return host, int(port)
+
+
+def _field(given: Any, place: str, *kinds: type) -> Any:
+    here = given
+    for name in place.split("."):
+        if not isinstance(here, dict) or name not in here:
+            raise Unusable(f"{place}: is missing")
+        here = here[name]
+    if kinds and (not isinstance(here, kinds) or isinstance(here, bool)):
+        raise Unusable(f"{place}: {here!r} is of the wrong kind")
+    return here
+
+
+def read_order(raw: bytes | None, path: str) -> Order:
+    """Unusable, with the file's path in front, for what is missing or wrong. Unknown fields are ignored."""
+    if raw is None:
+        raise Unusable(f"{path}: can't be read")
+    try:
+        given = json.loads(raw, object_hook=Fields)
+    except ValueError as error:
+        raise Unusable(f"{path}: is not JSON: {error}") from None
+    try:
+        return _order(given)
+    except Unusable as error:
+        raise Unusable(f"{path}: {error}") from None
+    except Malformed as error:
+        raise Unusable(f"{path}: settings: {error}") from None
+    except (TypeError, AttributeError, KeyError, ValueError) as error:
+        raise Unusable(f"{path}: settings: something is of the wrong kind: {error}") from None
+
+
+def _order(given: Any) -> Order:
+    settings = _field(given, "settings", dict)
+    sockets = _field(given, "limits.sockets", int)
+    if sockets < 32:
+        raise Unusable(f"limits.sockets: {sockets} are too few to serve with")
+    seed = _field(given, "seed", str, int)
+    try:
+        seed = int(seed, 16) if isinstance(seed, str) else seed
+    except ValueError:
+        raise Unusable(f"seed: {seed!r} is no number in hexadecimal digits") from None
+    try:
+        known = msgspec.convert(given.get("known", NOBODY_KNOWN), ListAnswer)
+    except msgspec.ValidationError as error:
+        raise Unusable(f"known: {error}") from None
+    facts = start_facts(settings)
+    if not facts.profiles or not facts.plans:
+        raise Unusable("settings: no profile or no plan")
+    naming = Naming(
+        {s["name"].encode(): n for n, s in enumerate(settings["services"])},
+        {g["name"].encode(): n for n, g in enumerate(settings["grades"])},
+        {name: n for n, name in enumerate(settings.get("azs", []))},
+        facts.largest_units, settings["specifics"]["shards"],
+    )
+    return Order(
+        str(_field(given, "name", str)), address_of(_field(given, "listen"), "listen"),
+        address_of(_field(given, "discovery"), "discovery"), seed, sockets, known, facts, naming,
+        float(_field(settings, "permissions.dialTimeout", int, float)),
+        float(_field(settings, "permissions.connIdle", int, float)),
+    )
--- /dev/null
+++ b/gorsethread/platform/discovery.py
@@ -0,0 +1,157 @@
+"""Follows discovery by its watch; a failed call is told to the decisions, which say when to ask again."""
+
+from hashlib import blake2b
+from typing import Any
+
+import msgspec
+
+from gorsethread.head.driver import Driver
+from gorsethread.http1.asking import Answer, Asking
+from gorsethread.http1.bounds import Spoilt
+from gorsethread.platform.config import Address, Naming, Unusable, address_of
+from gorsethread.platform.listing import Instance, ListAnswer
+from gorsethread.platform.shelves import Shelves
+from gorsethread.transport.base import Stream, StreamClosed, Transport, Unreachable
+
+CONNECT_WITHIN = 1.0  # seconds
+ANSWER_WITHIN = 1.5  # seconds after a call's wait is over: the platform deems its news told soon after
+
+
+class Failed(Exception):
+    """A call brought nothing that can be believed."""
+
+
+def shelf_number(instance: str) -> int:
+    """The same at every head and after every restart, as the decisions rank shelves by it."""
+    return int.from_bytes(blake2b(instance.encode(), digest_size=7).digest())
+
+
+class Discovery:
+    """wait: seconds that a call may wait for news."""
+
+    def __init__(self, transport: Transport, address: Address, naming: Naming, shelves: Shelves, wait: float,
+                 log: Any) -> None:
+        self.transport, self.address, self.naming, self.shelves = transport, address, naming, shelves
+        self.wait, self.log = wait, log
+        self.driver: Driver
+        self.version = 0
+        self.known: dict[int, Instance] = {}  # emptied as shelves leave the list
+        # Between the Unix clock, which discovery tells starts by, and the head's: fixed, so that one start
+        # told twice is one start.
+        self._clocks = transport.wall() - transport.now()
+        self._stream: Stream | None = None
+        self._asking = False
+        self._whole = False  # the next call asks for the whole list
+        self._moved = False
+        self.stopped = False
+
+    def start(self, known: ListAnswer) -> None:
+        self.version = known.generation
+        self._pass_on(known.instances, True, True)
+
+    def follow(self) -> None:
+        """The decisions ask for the list and its changes; a failure comes back to them as a refusal."""
+        if not self._asking and not self.stopped:
+            self._asking = True
+            self.transport.spawn(self._follow())
+
+    def moved(self, address: Address) -> None:
+        """Discovery is at another address now: the watch goes on there at once."""
+        self.address = address
+        if self._asking:
+            self._moved = True
+            self._end_call()
+        else:
+            self.follow()
+
+    def stop(self) -> None:
+        self.stopped = True
+        self._end_call()
+
+    def _end_call(self) -> None:
+        if self._stream is not None:
+            self._stream.close()
+
+    async def _follow(self) -> None:
+        while not self.stopped:
+            self._moved = False
+            try:
+                await self._watch()
+            except (Unreachable, StreamClosed, Spoilt, Failed) as error:
+                if self._moved:
+                    continue
+                self._asking = False
+                if not self.stopped:
+                    self.log.info("the list is not followed", reason=str(error)[:200])
+                    self.driver.list_refused()
+                return
+            finally:
+                self._end_call()
+                self._stream = None
+
+    async def _watch(self) -> None:
+        """One call after the other on one connection, until one fails."""
+        address = self.address
+        stream = self._stream = await self.transport.connect(*address, CONNECT_WITHIN)
+        asking = Asking()
+        while not self.stopped and address == self.address:
+            target = b"/v1/servers"
+            if self.version and not self._whole:
+                target += b"?since=%d&timeout_ms=%d" % (self.version, round(self.wait * 1000))
+            host = f"{address[0]}:{address[1]}".encode()
+            stream.write(asking.request(b"GET", target, [(b"host", host)], b""))
+            by = self.transport.now() + self.wait + ANSWER_WITHIN
+            # Guards against a machine that vanished without a word: the head would be deaf to drains.
+            timer = self.transport.at(by, stream.close)
+            answer = None
+            try:
+                while answer is None:
+                    answer = asking.feed(await stream.read())
+            finally:
+                timer.cancel()
+            self._take(answer)
+            if answer.last:
+                stream.close()
+                stream = self._stream = await self.transport.connect(*address, CONNECT_WITHIN)
+                asking = Asking()
+
+    def _take(self, answer: Answer) -> None:
+        if answer.status != 200:
+            raise Failed(f"status {answer.status}")
+        try:
+            told: ListAnswer = msgspec.json.decode(answer.body, type=ListAnswer)
+            for s in told.instances:
+                address_of(s.host_port, s.instance_id)
+        except (msgspec.DecodeError, Unusable) as error:
+            raise Failed(str(error)) from None
+        if told.generation < self.version and not self._whole:
+            # Older than what is known: nothing of it is believed, but if the service counts anew since it
+            # came back, the whole list asked for next says so.
+            self._whole = True
+            raise Failed(f"generation {told.generation} after {self.version}")
+        if not told.reset and self._whole:
+            raise Failed("changes in place of the whole list")
+        self._whole = False
+        self.version = told.generation
+        if told.instances or told.reset:
+            self.log.info("list", generation=told.generation, whole=told.reset,
+                          shelves={s.instance_id: s.lifecycle for s in told.instances[:20]})
+            self._pass_on(told.instances, told.reset, False)
+
+    def _pass_on(self, instances: list[Instance], whole: bool, remembered: bool) -> None:
+        if whole:
+            self.known = {}
+        entries = []
+        for s in instances:
+            number = shelf_number(s.instance_id)
+            if s.lifecycle == "gone":
+                self.known.pop(number, None)
+            else:
+                self.known[number] = s
+                self.shelves.listed(number, s.cell, address_of(s.host_port, s.instance_id))
+            since = s.started_at_ms * 0.001 - self._clocks if s.started_at_ms > 0 else 0.0
+            zone = self.naming.zones.get(s.zone, shelf_number(s.zone))
+            entries.append((number, zone, s.cell, s.lifecycle == "ready", since))
+        # Also links that had forwards out when their shelf left the list go, once these are in.
+        self.shelves.only(set(self.known))
+        self.driver.listed(entries, whole, remembered)
--- /dev/null
+++ b/gorsethread/platform/program.py
@@ -0,0 +1,102 @@
+"""Assembles the head in service and runs it to its end."""
+
+from typing import Any
+
+from gorsethread.head.driver import Driver
+from gorsethread.platform.clients import ClientSide
+from gorsethread.platform.config import Order, Unusable, read_order
+from gorsethread.platform.discovery import Discovery
+from gorsethread.platform.shelves import Pool, Shelves
+from gorsethread.transport.base import Transport
+
+CLIENTS_PART, SHELVES_PART = 0.5, 0.4  # of the descriptors; the rest is for discovery and the program itself
+SWEEP_EVERY = 0.25  # seconds
+REPORT_EVERY = 10.0  # seconds: logs are counts, not a line for each bad client
+STILL_COMING = 0.5  # seconds after SIGTERM that new connections may come
+LONGEST_WAIT = 10.0  # seconds that a call of discovery may wait
+
+
+class NoPlacement:
+    """The platform's requests name their shard; a new object's later ones do."""
+
+    def shard_of(self, volume: int, extent: int) -> int:
+        raise AssertionError("nothing is placed here")
+
+    def placed(self, volume: int, extent: int, shard: int) -> None:
+        raise AssertionError("nothing is placed here")
+
+    def released(self, volume: int, extent: int) -> None:
+        raise AssertionError("nothing is placed here")
+
+
+class LiveHead:
+    """path: of the configuration, read again at SIGHUP."""
+
+    def __init__(self, transport: Transport, order: Order, path: str, log: Any) -> None:
+        self.transport, self.order, self.path, self.log = transport, order, path, log
+        self.pool = Pool(transport, int(order.sockets * SHELVES_PART), order.dial_within, order.idle, log)
+        self.driver = Driver(transport, order.facts, order.seed, NoPlacement(), self._follow, log)
+        shelves = Shelves(self.pool, self.driver.links, self.driver.shards)
+        wait = min(LONGEST_WAIT, 0.5 * order.facts.ask_within or LONGEST_WAIT)
+        self.discovery = Discovery(transport, order.discovery, order.naming, shelves, wait, log)
+        self.discovery.driver = self.driver
+        self.clients = ClientSide(transport, self.driver, order.naming, int(order.sockets * CLIENTS_PART),
+                                  log)
+        self.ended = False
+
+    def _follow(self) -> None:
+        self.discovery.follow()
+
+    def start(self) -> None:
+        """OSError where its address can't be had."""
+        self.discovery.start(self.order.known)
+        self._listener = self.transport.listen(*self.order.listen, self.clients.on_stream,
+                                               self.clients.admits)
+        self._sweep()
+        self._report()
+        self.log.info("head serves", address=f"{self.order.listen[0]}:{self.order.listen[1]}",
+                      shelves=len(self.discovery.known))
+
+    def reload(self) -> None:
+        """Reads the configuration again; of it, what a running head can follow is where discovery is."""
+        try:
+            order = read_order(self.transport.load(self.path), self.path)
+        except Unusable as error:
+            self.log.error("the new configuration can't be used; the old one stands", reason=str(error))
+            return
+        self.order = order
+        self.log.info("configuration read again", discovery=f"{order.discovery[0]}:{order.discovery[1]}")
+        if order.discovery != self.discovery.address:
+            self.discovery.moved(order.discovery)
+
+    async def end(self) -> None:
+        """In order: serves on while clients still come, then only what is open, each to its answer."""
+        self.clients.ending = True
+        self.log.info("head ends", open=len(self.driver.open))
+        await self.transport.sleep(STILL_COMING)
+        self._listener.close()
+        while self.clients.connections:
+            self.clients.close_idle()
+            await self.transport.sleep(0.02)
+        self.ended = True
+        self.discovery.stop()
+        for link in list(self.pool.links.values()):
+            link.close()
+        self._count("head ended")
+
+    def _sweep(self) -> None:
+        if not self.ended:
+            self.clients.sweep()
+            self.pool.sweep()
+            self.transport.at(self.transport.now() + SWEEP_EVERY, self._sweep)
+
+    def _report(self) -> None:
+        if not self.ended:
+            self._count("counts")
+            self.transport.at(self.transport.now() + REPORT_EVERY, self._report)
+
+    def _count(self, what: str) -> None:
+        counts = {name.replace(" ", "_"): n for name, n in sorted(self.driver.counts.items())}
+        self.log.info(what, open=len(self.driver.open), clients=len(self.clients.connections),
+                      shelf_connections=self.pool.held, opened=self.pool.opened,
+                      waiting=len(self.pool.waiting), wrong=self.clients.report(), **counts)
--- /dev/null
+++ b/gorsethread/platform/shelves.py
@@ -0,0 +1,245 @@
+"""Connections to shelves: one request at a time on each, each forward's one ending told as it was.
+
+Nothing is sent again here. A forward for which no connection comes up, or whose connection ends before its
+last byte is written, ends as UNREACHED; after that as BROKEN, or as ERROR where what came can't be read.
+"""
+
+from collections import deque
+from typing import Any, NamedTuple
+
+from gorsethread.head.carrying import NOTHING, Forward, Told
+from gorsethread.http1.asking import Answer, Asking
+from gorsethread.http1.bounds import Headers, Spoilt
+from gorsethread.model import Ending
+from gorsethread.transport.base import Stream, StreamClosed, Transport, Unreachable
+
+DECLINED = b"srv-declined"
+ELSEWHERE, USAGE = b"other-hosts", b"volume-load"
+IDLE_PART = 0.8  # of the time after which a shelf closes an idle connection: the head is first
+MILLISECOND = 0.001
+
+
+class Parcel(NamedTuple):
+    """A forward's payload here: what the client sent, passed on unchanged, and until when it waits."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    cut_off: float
+
+
+def figure(value: bytes | None) -> float:
+    """A figure told beside an answer; 0 where it can't be read, as the answer stands without it."""
+    try:
+        read = float(value) if value else 0.0
+    except ValueError:
+        return 0.0
+    return read if 0.0 <= read < 1e12 else 0.0
+
+
+class Connection:
+    """One connection and what is out on it. over: it has ended, or is not used any more."""
+
+    __slots__ = ("link", "stream", "asking", "out", "idle_since", "over")
+
+    def __init__(self, link: "ShelfLink", stream: Stream) -> None:
+        self.link, self.stream = link, stream
+        self.over = False
+        self.asking = Asking()
+        self.out: Forward | None = None
+        self.idle_since = 0.0
+
+
+class Pool:
+    """The connections of all shelves together. most: how many may be open or come up at once."""
+
+    def __init__(self, transport: Transport, most: int, dial_within: float, idle: float, log: Any) -> None:
+        self.transport, self.most, self.log = transport, most, log
+        self.dial_within, self.idle = dial_within, idle * IDLE_PART
+        self.held = 0
+        self.opened = 0
+        self.links: dict[int, ShelfLink] = {}  # emptied as shelves leave the list
+        self.busy: dict[int, Connection] = {}  # by transaction; emptied as forwards end
+        self.waiting: deque[tuple[ShelfLink, Forward]] = deque()  # emptied as connections come free
+
+    def room(self) -> bool:
+        """Whether one more may be opened; makes room by the connection that is idle for longest."""
+        if self.held >= self.most:
+            oldest = min((link.idle[0] for link in self.links.values() if link.idle),
+                         key=lambda c: c.idle_since, default=None)
+            if oldest is None:
+                return False
+            oldest.link.lose(oldest)
+        return True
+
+    def freed(self) -> None:
+        """A connection has come free or ended: what waits for one goes on."""
+        while self.waiting and (self.waiting[0][1].over or self.waiting[0][0].idle or self.room()):
+            link, f = self.waiting.popleft()
+            if not f.over:
+                link.send(f)
+
+    def sweep(self) -> None:
+        """Closes what was idle for so long that its shelf may be about to."""
+        before = self.transport.now() - self.idle
+        for link in list(self.links.values()):
+            while link.idle and link.idle[0].idle_since <= before:
+                link.lose(link.idle[0])
+
+
+class ShelfLink:
+    """All connections to one shelf at one address; the most recently used goes first."""
+
+    def __init__(self, pool: Pool, shelf: int, address: tuple[str, int]) -> None:
+        self.pool, self.shelf, self.address = pool, shelf, address
+        self.transport = pool.transport
+        self.host = f"{address[0]}:{address[1]}".encode()
+        self.idle: deque[Connection] = deque()  # emptied by use, by sweep() and as connections end
+        self.out = 0  # connections that carry a forward or come up for one
+        self.closed = False
+
+    @property
+    def unused(self) -> bool:
+        return not self.out
+
+    def close(self) -> None:
+        """No more is sent here; what is out goes on to its end."""
+        self.closed = True
+        while self.idle:
+            self.lose(self.idle[-1])
+
+    # ---- from the driver
+
+    def send(self, f: Forward) -> None:
+        if self.idle:
+            self._submit(self.idle.pop(), f)
+        elif self.pool.room():
+            self.pool.held += 1
+            self.out += 1
+            self.transport.spawn(self._dial(f))
+        else:
+            self.pool.waiting.append((self, f))
+
+    def call_off(self, f: Forward) -> None:
+        """Closes its connection, by which the shelf learns that nobody waits."""
+        connection = self.pool.busy.get(f.transaction)
+        if connection is not None and connection.out is f:
+            connection.link.lose(connection)
+
+    # ---- connections
+
+    async def _dial(self, f: Forward) -> None:
+        try:
+            stream = await self.transport.connect(*self.address, self.pool.dial_within)
+        except Unreachable as error:
+            self.out -= 1
+            self.pool.held -= 1
+            self.pool.log.debug("shelf not reached", shelf=self.host.decode(), reason=str(error))
+            self._end(f, Ending.UNREACHED)
+            self.pool.freed()
+            return
+        self.out -= 1
+        self.pool.opened += 1
+        connection = Connection(self, stream)
+        if f.over:
+            self._rest(connection)
+        else:
+            self._submit(connection, f)
+        await self._listen(connection)
+
+    def _submit(self, connection: Connection, f: Forward) -> None:
+        parcel: Parcel = f.payload
+        left = max(1, round((parcel.cut_off - self.transport.now()) / MILLISECOND))
+        headers = [(b"host", self.host), *parcel.headers, (b"req-deadline-ms", b"%d" % left)]
+        connection.out = f
+        self.out += 1
+        self.pool.busy[f.transaction] = connection
+        connection.stream.write(connection.asking.request(parcel.method, parcel.target, headers, parcel.body))
+
+    async def _listen(self, connection: Connection) -> None:
+        try:
+            while True:
+                answer = connection.asking.feed(await connection.stream.read())
+                if answer is not None:
+                    self._answered(connection, answer)
+        except StreamClosed:
+            unsent = connection.stream.unsent
+            f = self.lose(connection)
+            if f is not None:
+                self._end(f, Ending.UNREACHED if unsent else Ending.BROKEN)
+        except Spoilt as error:
+            f = self.lose(connection)
+            if f is not None:
+                self.pool.log.debug("spoilt answer", shelf=self.host.decode(), reason=str(error))
+                self._end(f, Ending.ERROR)
+        self.pool.freed()
+
+    def _answered(self, connection: Connection, answer: Answer) -> None:
+        f, connection.out = connection.out, None
+        assert f is not None
+        self.out -= 1
+        self.pool.busy.pop(f.transaction, None)
+        if answer.last:
+            self.lose(connection)
+        else:
+            self._rest(connection)
+        if answer.status == 200:
+            self._end(f, Ending.HONOURED, Told(answer.body, figure(answer.one(ELSEWHERE)),
+                                               figure(answer.one(USAGE))))
+        elif answer.status in (503, 504) and answer.one(DECLINED) == b"1":
+            self._end(f, Ending.TURNED_AWAY)
+        else:
+            self._end(f, Ending.ERROR)
+        self.pool.freed()
+
+    def _rest(self, connection: Connection) -> None:
+        connection.idle_since = self.transport.now()
+        self.idle.append(connection)
+        if self.closed:
+            self.lose(connection)
+
+    def lose(self, connection: Connection) -> Forward | None:
+        """The connection is used no more; returns what was out on it."""
+        f, connection.out = connection.out, None
+        if f is not None:
+            self.out -= 1
+            self.pool.busy.pop(f.transaction, None)
+        elif connection in self.idle:
+            self.idle.remove(connection)
+        if not connection.over:
+            connection.over = True
+            self.pool.held -= 1
+            connection.stream.close()
+        return f
+
+    def _end(self, f: Forward, how: Ending, told: Told = NOTHING) -> None:
+        if not f.over:
+            f.over = True
+            f.ended(f, how, told)
+
+
+class Shelves:
+    """Keeps a link for each shelf in the list, in the driver's tables."""
+
+    def __init__(self, pool: Pool, links: dict[int, Any], shards: dict[int, int]) -> None:
+        self.pool, self.links, self.shards = pool, links, shards
+
+    def listed(self, shelf: int, shard: int, address: tuple[str, int]) -> None:
+        link = self.links.get(shelf)
+        if link is not None and link.address != address:
+            # What is out at the old address ends there; nothing new goes to it.
+            link.close()
+            link = None
+        if link is None:
+            self.links[shelf] = self.pool.links[shelf] = ShelfLink(self.pool, shelf, address)
+        self.shards[shelf] = shard
+
+    def only(self, shelves: set[int]) -> None:
+        """A link with forwards out stays until they are in; the list may name the shelf again by then."""
+        for shelf in [s for s in self.links if s not in shelves]:
+            link = self.links[shelf]
+            if link.unused:
+                link.close()
+                del self.links[shelf], self.pool.links[shelf]
+                self.shards.pop(shelf, None)
--- a/gorsethread/transport/base.py
+++ b/gorsethread/transport/base.py
@@ -92,8 +92,18 @@
         """Unreachable where none is established within that many seconds."""
         ...
 
-    def listen(self, host: str, port: int, on_stream: Callable[[Stream], Awaitable[None]]) -> Listener:
-        """port 0 takes a free one. OSError where the address can't be had."""
+    def listen(self, host: str, port: int, on_stream: Callable[[Stream], Awaitable[None]],
+               admits: Callable[[], bool] | None = None) -> Listener:
+        """port 0 takes a free one. admits() is asked as each connection is accepted, before anything else of
+        it; False closes it. OSError where the address can't be had."""
+        ...
+
+    def on_terminate(self, act: Callable[[], None]) -> None:
+        """Calls act each time the program is asked to end."""
+        ...
+
+    def on_reload(self, act: Callable[[], None]) -> None:
+        """Calls act each time the program is asked to read its configuration again."""
         ...
 
     def chance(self, name: str) -> Chance: ...
--- a/gorsethread/transport/real.py
+++ b/gorsethread/transport/real.py
@@ -14,12 +14,14 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
-from tornado.tcpserver import TCPServer
 
 from gorsethread.transport.base import Chance, Stream, StreamClosed, Timer, Unreachable
 from gorsethread.transport.program import Draws, Program
 
 READ_SIZE = 65536
+BACKLOG = 512  # connections the system accepts ahead of us
+ACCEPTS = 32  # a turn of the loop, so that a flood of connections leaves room for those that are open
+ACCEPT_AGAIN = 0.05  # seconds
 
 
 class RealStream:
@@ -52,8 +54,10 @@
         self._corked_size += len(data)
 
     def _flush(self) -> None:
+        if self._stream.closed():
+            return  # what was never handed on stays unsent
         corked, self._corked, self._corked_size = self._corked, [], 0
-        if corked and not self._stream.closed():
+        if corked:
             self._flushed = self._stream.write(b"".join(corked))
             self._flushed.add_done_callback(_seen)
 
@@ -77,24 +81,46 @@
         future.exception()  # a write's failure shows at the next read
 
 
-class _Acceptor(TCPServer):
-    def __init__(self, transport: "RealTransport", on_stream: Callable[[Stream], Awaitable[None]]) -> None:
-        super().__init__(read_chunk_size=READ_SIZE, max_buffer_size=4 * READ_SIZE)
-        self._transport, self._on_stream = transport, on_stream
-
-    def handle_stream(self, stream: IOStream, address: Any) -> None:
-        self._transport.spawn(self._serve(RealStream(stream, f"{address[0]}:{address[1]}")))
+class RealListener:
+    def __init__(self, transport: "RealTransport", sockets: list[socket.socket],
+                 on_stream: Callable[[Stream], Awaitable[None]], admits: Callable[[], bool] | None) -> None:
+        self._transport, self._sockets = transport, sockets
+        self._on_stream, self._admits = on_stream, admits
+        self.port: int = sockets[0].getsockname()[1]
+        for listening in sockets:
+            self._read(listening)
+
+    def _read(self, listening: socket.socket) -> None:
+        if self._sockets:
+            self._transport._loop.add_reader(listening.fileno(), self._accept, listening, ACCEPTS)
+
+    def _accept(self, listening: socket.socket, most: int) -> None:
+        for _ in range(most):
+            try:
+                accepted, address = listening.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                return
+            except OSError:
+                # Out of descriptors: the loop would come back at once, again and again.
+                self._transport._loop.remove_reader(listening.fileno())
+                self._transport._loop.call_later(ACCEPT_AGAIN, self._read, listening)
+                return
+            if self._admits is not None and not self._admits():
+                accepted.close()
+                continue
+            stream = IOStream(accepted, read_chunk_size=READ_SIZE, max_buffer_size=4 * READ_SIZE)
+            self._transport.spawn(self._serve(RealStream(stream, f"{address[0]}:{address[1]}")))
 
     async def _serve(self, stream: Stream) -> None:
         await self._on_stream(stream)
 
-
-class RealListener:
-    def __init__(self, server: TCPServer, port: int) -> None:
-        self._server, self.port = server, port
-
     def close(self) -> None:
-        self._server.stop()
+        sockets, self._sockets = self._sockets, []
+        for listening in sockets:
+            # What the system has accepted already is served.
+            self._accept(listening, BACKLOG)
+            self._transport._loop.remove_reader(listening.fileno())
+            listening.close()
 
 
 class FileBlocks:
@@ -166,8 +192,11 @@
         self.ended(task)
 
     async def connect(self, host: str, port: int, within: float) -> Stream:
-        stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM), read_chunk_size=READ_SIZE,
-                          max_buffer_size=4 * READ_SIZE)
+        try:
+            stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM), read_chunk_size=READ_SIZE,
+                              max_buffer_size=4 * READ_SIZE)
+        except OSError as error:
+            raise Unreachable(f"{host}:{port}: {error}") from None
         try:
             await asyncio.wait_for(stream.connect((host, port)), within)
         except (StreamClosedError, TimeoutError, OSError) as error:
@@ -176,11 +205,10 @@
             raise Unreachable(f"{host}:{port}: {reason}") from None
         return RealStream(stream, f"{host}:{port}")
 
-    def listen(self, host: str, port: int, on_stream: Callable[[Stream], Awaitable[None]]) -> RealListener:
-        sockets = bind_sockets(port, host, family=socket.AF_INET)
-        server = _Acceptor(self, on_stream)
-        server.add_sockets(sockets)
-        return RealListener(server, sockets[0].getsockname()[1])
+    def listen(self, host: str, port: int, on_stream: Callable[[Stream], Awaitable[None]],
+               admits: Callable[[], bool] | None = None) -> RealListener:
+        return RealListener(self, bind_sockets(port, host, family=socket.AF_INET, backlog=BACKLOG), on_stream,
+                            admits)
 
     def chance(self, name: str) -> Chance:
         return Draws(f"{self._seed}/{name}")
@@ -222,6 +250,9 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, act)
 
+    def on_reload(self, act: Callable[[], None]) -> None:
+        self._loop.add_signal_handler(signal.SIGHUP, act)
+
 
 def run(main: Callable[[RealTransport], Coroutine[Any, Any, None]], seed: int = 0) -> None:
     """Runs a program to its end on a transport of its own."""
--- a/gorsethread/transport/virtual.py
+++ b/gorsethread/transport/virtual.py
@@ -367,8 +367,8 @@
 
 class VirtualListener:
     def __init__(self, transport: "VirtualTransport", host: str, port: int,
-                 on_stream: Callable[[Stream], Awaitable[None]]) -> None:
-        self.transport, self.port, self.on_stream = transport, port, on_stream
+                 on_stream: Callable[[Stream], Awaitable[None]], admits: Callable[[], bool] | None) -> None:
+        self.transport, self.port, self.on_stream, self.admits = transport, port, on_stream, admits
         self._address = (host, port)
         transport.network.listeners[self._address] = self
         transport.network.machines[self._address] = transport.name
@@ -415,6 +415,8 @@
         self._tasks: dict[int, asyncio.Task[None]] = {}  # emptied as they end
         self._listeners: list[VirtualListener] = []
         self._spawned = 0
+        self._on_terminate: Callable[[], None] = self.finish
+        self._on_reload: Callable[[], None] = self.kill  # what a program that names nothing gets
 
     # ---- the gate
 
@@ -528,18 +530,32 @@
         theirs = VirtualStream(network, server, f"127.0.0.1:{network.port()}")
         mine.other, theirs.other = theirs, mine
         mine.out, theirs.out = Pipe(network, mine, theirs), Pipe(network, theirs, mine)
-        server.gate(lambda: server.spawn(_serve(listener, theirs)))
+        server.gate(lambda: _accept(listener, theirs))
         return mine
 
-    def listen(self, host: str, port: int,
-               on_stream: Callable[[Stream], Awaitable[None]]) -> VirtualListener:
+    def listen(self, host: str, port: int, on_stream: Callable[[Stream], Awaitable[None]],
+               admits: Callable[[], bool] | None = None) -> VirtualListener:
         if (host, port) in self.network.listeners:
             raise OSError(f"{host}:{port} is in use")
         self.network.vanished.discard(self.name)
-        listener = VirtualListener(self, host, port or self.network.port(), on_stream)
+        listener = VirtualListener(self, host, port or self.network.port(), on_stream, admits)
         self._listeners.append(listener)
         return listener
 
+    def on_terminate(self, act: Callable[[], None]) -> None:
+        self._on_terminate = act
+
+    def on_reload(self, act: Callable[[], None]) -> None:
+        self._on_reload = act
+
+    def terminate(self) -> None:
+        """As SIGTERM."""
+        self.gate(self._on_terminate)
+
+    def reload(self) -> None:
+        """As SIGHUP."""
+        self.gate(self._on_reload)
+
     def chance(self, name: str) -> Draws:
         return self.network.chance(f"{self.name}: {name}")
 
@@ -573,5 +589,12 @@
         return add
 
 
+def _accept(listener: VirtualListener, stream: VirtualStream) -> None:
+    if listener.admits is not None and not listener.admits():
+        stream.close()
+        return
+    listener.transport.spawn(_serve(listener, stream))
+
+
 async def _serve(listener: VirtualListener, stream: Stream) -> None:
     await listener.on_stream(stream)
--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -5,7 +5,7 @@
 import tempfile
 from pathlib import Path
 
-from gorsethread.head.links import Forward, Told
+from gorsethread.head.carrying import Forward, Told
 from gorsethread.model import Ending
 from gorsethread.nvme.command import Command, Completion, Opcode, Status, connect, connect_data, io_command
 from gorsethread.nvme.pdu import Encoder, PduType, initialize
--- a/tests/test_idle_shelves.py
+++ b/tests/test_idle_shelves.py
@@ -4,9 +4,10 @@
 import unittest
 from typing import Any
 
+from gorsethread.head.carrying import NOTHING
 from gorsethread.head.driver import Driver
 from gorsethread.head.facts import start_facts
-from gorsethread.head.links import NOTHING
+from gorsethread.head.links import Order
 from gorsethread.head.placement import SitePlacement
 from gorsethread.logs import log_for, start_logs
 from gorsethread.model import Ending
@@ -42,9 +43,9 @@
         sys.setprofile(seen)
         try:
             for n in range(100):
-                driver.take(Deaf(), io_command(Opcode.READ, 1), b"", 0, profile=0, plan=0, key=None,
-                            cut_off=clock.time + 1.0, volume=1, extent=n % 2, units=1.0, shard=n % 2, heads=1,
-                            arrived=clock.time)
+                driver.take(Deaf(), Order(io_command(Opcode.READ, 1)), profile=0, plan=0, key=None,
+                            cut_off=clock.time + 1.0, volume=1, place=(1, n % 2), units=1.0, shard=n % 2,
+                            heads=1, repeat=False, arrived=clock.time)
                 clock.move(clock.time + 0.001)
                 f = links[n % 2].held.pop()
                 f.over = True
--- a/tests/test_same_decisions.py
+++ b/tests/test_same_decisions.py
@@ -7,15 +7,17 @@
 from typing import Any
 
 from gorsethread.accounts.lives import Accounts
-from gorsethread.benchlink.__main__ import EFFECTS, ENDINGS, GROUPS, Link
+from gorsethread.benchlink.__main__ import ENDINGS, Link
+from gorsethread.head.carrying import NOTHING, Forward, Told
 from gorsethread.head.driver import Driver
 from gorsethread.head.facts import start_facts
-from gorsethread.head.links import NOTHING, Forward, Told
+from gorsethread.head.links import Order
 from gorsethread.head.placement import SitePlacement
 from gorsethread.logs import log_for, start_logs
 from gorsethread.model import Ending, StartFacts
 from gorsethread.nvme.command import Opcode, io_command
 from gorsethread.sitefile.reading import parse_site
+from gorsethread.startfacts import EFFECTS, GROUPS
 from tests.rig import SITE
 from tests.virtual import Clockwork
 
@@ -186,10 +188,10 @@
         command = io_command(Opcode.WRITE if write else Opcode.READ, volume, extent * 64,
                              attempt=int(chance.random() < 0.1))
         key = f"{volume}/{extent}" if profile == 1 else None
-        driver.take(Deaf(), command, b"", 0, profile=profile, plan=0, key=key,
-                    cut_off=driver.transport.now() + chance.uniform(0.05, 1.0), volume=volume, extent=extent,
-                    units=float(1 + chance.randrange(8)), shard=shard, heads=1,
-                    arrived=driver.transport.now())
+        driver.take(Deaf(), Order(command), profile=profile, plan=0, key=key,
+                    cut_off=driver.transport.now() + chance.uniform(0.05, 1.0), volume=volume,
+                    place=(volume, extent), units=float(1 + chance.randrange(8)), shard=shard, heads=1,
+                    repeat=command.repeat, arrived=driver.transport.now())
 
     def through_bench(self, told: list[tuple[Any, ...]], seed: int) -> list[tuple[Any, ...]]:
         link = Link()
