Connections that break when used again are not kept for a while; one break is no dead shelf

At fault: platform/shelves.py used a kept connection whatever became of others; policy._judge took each broken connection for the shelf's own failure and rested it from the second. Change: Trust counts how kept connections fare and keeps none while more than a few in a hundred break; in the module a broken connection asks for a rest from the fourth in turn, an unreached shelf from the second.

--- a/gorsethread/platform/shelves.py
+++ b/gorsethread/platform/shelves.py
@@ -17,6 +17,8 @@
 ELSEWHERE, USAGE = b"other-hosts", b"volume-load"
 IDLE_PART = 0.8  # of the time after which a shelf closes an idle connection: the head is first
 REST = 0.005  # seconds after an answer within which an end of the connection may still be on its way
+BREAKS_FREE, BREAKS_PART = 1.0, 0.04  # of kept connections used again: more, and none is kept for a while
+HALF_LIFE = 5.0  # seconds
 MILLISECOND = 0.001
 
 
@@ -42,7 +44,7 @@
 class Connection:
     """One connection and what is out on it. over: it has ended, or is not used any more."""
 
-    __slots__ = ("link", "stream", "asking", "out", "idle_since", "over")
+    __slots__ = ("link", "stream", "asking", "out", "idle_since", "uses", "over")
 
     def __init__(self, link: "ShelfLink", stream: Stream) -> None:
         self.link, self.stream = link, stream
@@ -50,6 +52,32 @@
         self.asking = Asking()
         self.out: Forward | None = None
         self.idle_since = 0.0
+        self.uses = 0
+
+
+class Trust:
+    """Whether connections that have answered once are worth keeping: how many used again broke, of late.
+
+    Guards against shelves, or something on the way, that end kept connections without a word: what is written
+    to such a one may have run, and what is irreversible is lost with it. Costs a new connection each.
+    """
+
+    def __init__(self) -> None:
+        self._again = self._broke = self._at = 0.0
+
+    def seen(self, broke: bool, now: float) -> None:
+        """One that was used again has ended its forward."""
+        self._fade(now)
+        self._again += 1.0
+        self._broke += broke
+
+    def holds(self, now: float) -> bool:
+        self._fade(now)
+        return self._broke <= BREAKS_FREE + BREAKS_PART * self._again
+
+    def _fade(self, now: float) -> None:
+        part = 0.5 ** ((now - self._at) / HALF_LIFE)
+        self._again, self._broke, self._at = self._again * part, self._broke * part, now
 
 
 class Pool:
@@ -60,6 +88,7 @@
         self.dial_within, self.idle = dial_within, idle * IDLE_PART
         self.held = 0
         self.opened = 0
+        self.trust = Trust()
         self.spoilt: Counter[str] = Counter()  # emptied by each report
         self.links: dict[int, ShelfLink] = {}  # emptied as shelves leave the list
         self.busy: dict[int, Connection] = {}  # by transaction; emptied as forwards end
@@ -119,7 +148,7 @@
     # ---- from the driver
 
     def send(self, f: Forward) -> None:
-        connection = self._rested()
+        connection = self._rested() if self.idle else None
         if connection is not None:
             self._submit(connection, f)
         elif self.pool.room():
@@ -143,7 +172,8 @@
     def _rested(self) -> Connection | None:
         """The connection to use next. Guards against shelves that end a connection right behind an answer, or
         say more on it: one that answered just now is used only where no other may be opened."""
-        before = self.transport.now() - REST
+        now = self.transport.now()
+        before = now - REST if self.pool.trust.holds(now) else -1.0
         for connection in reversed(list(self.idle)):
             if not connection.stream.quiet():
                 self.lose(connection)
@@ -176,6 +206,7 @@
         left = max(1, round((parcel.cut_off - self.transport.now()) / MILLISECOND))
         headers = [(b"host", self.host), *parcel.headers, (b"req-deadline-ms", b"%d" % left)]
         connection.out = f
+        connection.uses += 1
         self.out += 1
         self.pool.busy[f.transaction] = connection
         connection.stream.write(connection.asking.request(parcel.method, parcel.target, headers, parcel.body))
@@ -193,6 +224,8 @@
             unsent = connection.stream.unsent
             f = self.lose(connection)
             if f is not None:
+                if connection.uses > 1:
+                    self.pool.trust.seen(True, self.transport.now())
                 self._end(f, Ending.UNREACHED if unsent else Ending.BROKEN)
         except Spoilt as error:
             f = self.lose(connection)
@@ -206,7 +239,10 @@
         assert f is not None
         self.out -= 1
         self.pool.busy.pop(f.transaction, None)
-        if answer.last:
+        now = self.transport.now()
+        if connection.uses > 1:
+            self.pool.trust.seen(False, now)
+        if answer.last or not self.pool.trust.holds(now):
             self.lose(connection)
         else:
             self._rest(connection)
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -403,7 +403,8 @@
         s.errors += 0.1 * ((how is Ending.ERROR) - s.errors)
         if how in (Ending.UNREACHED, Ending.BROKEN):
             s.misses += 1
-            if s.misses > 1:  # a connection may break alone; a dead shelf shows at the next forward
+            # A connection may break alone, several in turn; a dead shelf takes no new one.
+            if s.misses > (1 if how is Ending.UNREACHED else 3):
                 s.rest_until = self.now + min(2.0, 0.1 * 2.0**min(s.misses, 9))
             return
         s.misses = s.misses + 1 if how is Ending.TIMED_OUT else 0
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -308,6 +308,29 @@
 
         self.play(work)
 
+    def test_where_kept_connections_break_none_is_kept_for_a_while(self) -> None:
+        async def work() -> None:
+            head = self.start()
+            shelf, seen = self.shelves[0], []
+
+            def says(request: Request) -> list[bytes]:
+                seen.append(shelf.connections)
+                return [b""] if seen.count(shelf.connections) > 1 else [whole(200, b"x")]
+
+            shelf.says = says
+            statuses = [(await self.call(wish(str(n), "post", body=b"x"), 0.05)).status
+                        for n in range(300, 340)]
+            self.assertLess(statuses.count(504), 4)
+            shelf.says = lambda r: [whole(200, b"x")]
+            await self.wait(30.0)
+            before = shelf.connections
+            for n in range(340, 360):
+                await self.call(wish(str(n), "post", body=b"x"), 0.05)
+            self.assertEqual(1, shelf.connections - before)
+            self.assertEqual({}, head.driver.open)
+
+        self.play(work)
+
     def test_an_idle_connection_that_the_shelf_ends_is_not_used(self) -> None:
         async def work() -> None:
             head = self.start()
