--- a/gorsethread/platform/program.py
+++ b/gorsethread/platform/program.py
@@ -75,7 +75,7 @@
     async def end(self) -> None:
         """In order: serves on while it may, as clients go on using the connections they have and find no
         other head; then only what is open, each to its answer before the head is killed."""
-        self.log.info("head ends", open=len(self.driver.open))
+        self._count("head ends")
         lasts = min(self.order.longest, LONGEST_COUNTED) + KILL_AFTER - SPARE
         self.clients.end_by = self.transport.now() + lasts
         await self.transport.sleep(max(STILL_COMING, lasts - LAST_ANSWERS))
