--- a/gorsethread/cli/lab.py
+++ b/gorsethread/cli/lab.py
@@ -8,9 +8,11 @@
 
 import typer
 from rich.console import Console
+from rich.table import Table
 
 from gorsethread.cli.options import SitePath, site_at
 from gorsethread.lab.accounts import experiment
+from gorsethread.lab.sockets import compare
 
 app = typer.Typer(name="lab", no_args_is_help=True, help="Experiments on loopback, with figures.")
 
@@ -55,3 +57,19 @@
     good = (f["right_of_all"] >= 0.95 and f["accused_on_quiet_days"] < 0.02 and not f["remainders"]
             and not f["days_not_good"])
     raise typer.Exit(0 if good else 1)
+
+
+@app.command()
+def sockets(logs: Annotated[Path, typer.Argument(help="Folder with a log of each head.")],
+            report: Annotated[Path, typer.Argument(help="The bench's report of that day, as JSON.")]) -> None:
+    """What heads in service believe beside what the bench saw on the sockets, figure by figure."""
+    try:
+        heads = [path.read_text().splitlines() for path in sorted(logs.glob("*.log"))]
+        rows = compare(heads, json.loads(report.read_text()))
+    except (OSError, ValueError, KeyError, TypeError) as error:
+        typer.echo(f"lab sockets: can't be compared: {error!r}", err=True)
+        raise typer.Exit(2) from None
+    table = Table("figure", "heads", "sockets", "heads less sockets")
+    for name, told, seen in rows:
+        table.add_row(name, str(told), str(seen), f"{told - seen:+d}")
+    Console().print(table)
--- /dev/null
+++ b/gorsethread/lab/sockets.py
@@ -0,0 +1,52 @@
+"""What heads in service believe, from their logs, beside what the operators' bench saw on the sockets.
+
+A head's counts stand in its log every few seconds and as it ends; a head that started anew counts from 0, so the
+last line of each life is taken. A head that was killed has told nothing since its last line: its part is short.
+"""
+
+import json
+from collections import Counter
+from collections.abc import Iterable
+from typing import Any
+
+# The bench's outcomes of forwards, in the order its report lists them, by our words.
+OUTCOMES = ("honoured", "error", "turned away", "timed out", "unreached", "broken", "called off", "not sent")
+
+
+def counts_of(lines: Iterable[str]) -> Counter[str]:
+    """Added up over the lives in one head's log; lines that are no counts are passed over."""
+    total: Counter[str] = Counter()
+    life: dict[str, int] = {}
+    for line in lines:
+        start = line.find("{")
+        try:
+            told = json.loads(line[start:]) if start >= 0 else None
+        except ValueError:
+            continue
+        if not isinstance(told, dict):
+            continue
+        if told.get("event") == "head serves":
+            total.update(life)
+            life = {}
+        elif told.get("event") in ("counts", "head ends", "head ended"):
+            life = {name: n for name, n in told.items() if isinstance(n, int) and name in COUNTED}
+    total.update(life)
+    return total
+
+
+COUNTED = {"taken", "honoured", "pushed_back", "given_up", "left",
+           *(f"forwards_{name.replace(' ', '_')}" for name in OUTCOMES)}
+
+
+def compare(logs: Iterable[Iterable[str]], report: dict[str, Any]) -> list[tuple[str, int, int]]:
+    """(what, heads', bench's) for each figure that both have. KeyError for a report without windows."""
+    heads: Counter[str] = Counter()
+    for lines in logs:
+        heads.update(counts_of(lines))
+    windows = report["windows"]
+    rows = [("transactions", heads["taken"], sum(w["client_tries"] for w in windows)),
+            ("pushed back", heads["pushed_back"], sum(w["refused"] for w in windows))]
+    for place, name in enumerate(OUTCOMES):
+        seen = sum(w["outcomes"][place] for w in windows)
+        rows.append((f"forwards {name}", heads[f"forwards_{name.replace(' ', '_')}"], seen))
+    return rows
