A time-out says nothing of a shelf's usual time

Seen on rate+silent+leave: after one forward without an answer the module's usual time of that shelf stood at 450 to 620 ms where answers took 10, so all of its transactions counted as hopeless and were pushed back at once. At fault: policy._judge took the cut-off of a time-out for the time that answers take; only answers tell that.

--- a/gorsethread/lab/sockets.py
+++ b/gorsethread/lab/sockets.py
@@ -1,7 +1,7 @@
 """What heads in service believe, from their logs, beside what the operators' bench saw on the sockets.
 
-A head's counts stand in its log every few seconds and as it ends; a head that started anew counts from 0, so the
-last line of each life is taken. A head that was killed has told nothing since its last line: its part is short.
+A head's counts stand in its log every few seconds and as it ends; a head that started anew counts from 0, so
+the last line of each life is taken. A head that was killed has told nothing since: its part is short.
 """
 
 import json
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -416,10 +416,10 @@
             part = 0.5
             self.overload_until = self.now + 1.0
         elif how in (Ending.HONOURED, Ending.TIMED_OUT):
-            s.time += (0.3 if s.time else 1.0) * (elapsed - s.time)
-            seen = s.times.get(t.profile, elapsed)
-            s.times[t.profile] = seen + 0.3 * (elapsed - seen)
             if how is Ending.HONOURED:
+                s.time += (0.3 if s.time else 1.0) * (elapsed - s.time)
+                seen = s.times.get(t.profile, elapsed)
+                s.times[t.profile] = seen + 0.3 * (elapsed - seen)
                 s.unit_time = min(1.02 * s.unit_time, elapsed / max(t.units, 1.0))
             wait = elapsed - 2.0 * s.unit_time * t.units if s.unit_time < float("inf") else elapsed
             part = WAIT_PART * self.quickest / max(wait, 0.001)
