--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -423,6 +423,9 @@
                 s.unit_time = min(1.02 * s.unit_time, elapsed / max(t.units, 1.0))
             wait = elapsed - 2.0 * s.unit_time * t.units if s.unit_time < float("inf") else elapsed
             part = WAIT_PART * self.quickest / max(wait, 0.001)
+        s.slow = s.slow + 1 if part < 1.0 else 0
+        if part < 1.0 and s.slow < 2 and how is not Ending.TURNED_AWAY:
+            return  # its own work may have taken long
         if part < 1.0:
             # Answers to what was sent before the last cut say nothing of the cut.
             if self.now - elapsed >= s.cut_at:
