A forward passed over by the answer to a later one makes no shelf silent

Seen on rate+silent+leave: 2100 units of value pushed back for a silent shelf at two heads in 20 s, at shelves that had answered within the last 200 ms; each had one forward out whose connection had fallen silent. At fault: policy._silent took the oldest forward out, also one that a later answer had passed over.

--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -381,13 +381,16 @@
 
     def _silent(self, s: Shelf) -> bool:
         """Guards against a hung shelf holding slots: one forward at a time until it answers. One that goes
-        on answering is not silent; a forward whose answer is lost is late by itself."""
-        oldest = next(iter(s.out.values()), self.now)
+        on answering is not silent; a forward passed over by the answer to a later one is late by itself."""
+        oldest = self._oldest(s)
         overdue = self._is_overdue(s, oldest)
         if overdue and oldest >= s.cut_at:
             self._cut(s, self.first_rate, 0.5)
         return overdue
 
+    def _oldest(self, s: Shelf) -> float:
+        return next((at for at in s.out.values() if at >= s.answered_of), self.now)
+
     def _is_overdue(self, s: Shelf, oldest: float) -> bool:
         return self.now - max(oldest, s.answered_at) > self.quickest
 
@@ -603,7 +606,7 @@
         return (self._held_at(t, s) if s else Held.NO_SHELF), at
 
     def _held_at(self, t: Transaction, s: Shelf) -> Held:
-        v, oldest = t.volume, next(iter(s.out.values()), self.now)
+        v, oldest = t.volume, self._oldest(s)
         if v.plan.limit and not t.forwards and v.limit_store < t.units:
             return Held.LIMIT
         if self.now < s.rest_until:
