--- a/gorsethread/model.py
+++ b/gorsethread/model.py
@@ -141,7 +141,6 @@
     errors: float = 0.0
     rest_until: float = 0.0
     misses: int = 0
-    slow: int = 0  # answers in turn that had waited too long
     out: dict[tuple[int, int], float] = field(default_factory=dict)
     cold_sent: deque[tuple[float, float]] = field(default_factory=deque)
     last_send: float = 0.0  # after it was told to drain
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -22,7 +22,7 @@
 FREE_RATE = 8.0  # times the usual rate of a unit of weight; from here on a shelf holds nothing back
 # Times the usual rate: from lower, a shelf overloaded for a moment stays idle for ten seconds, as few answers
 # come that could raise it, and each that took long by its own work cuts it again.
-LOWEST_RATE = 0.3
+LOWEST_RATE = 0.1
 WAIT_PART = 0.3  # of the shortest promise: the longest wait at a shelf that is not crowded
 DRAIN_PART = 0.75  # of the grace: a send may still have to wait for a connection
 LOOK_AGAIN = 0.02  # seconds until a store or span that held something back is looked at again
@@ -372,8 +372,8 @@
             # One more only as the last has been silent too, for twice as long each time: else one lost
             # answer keeps a shelf of little traffic idle until its cut-off.
             last = next(reversed(s.out.values()), -float("inf"))
-            pause = min(4.0 * self.quickest, max(self.quickest, 12.0 * s.time))
-            due = last + pause * 2.0**min(len(s.out) - 1, 6)
+            pause = max(self.quickest, 12.0 * s.time)
+            due = last + pause * 2.0**min(len(s.out) + s.misses - 1, 6)
             if self.now < due:
                 self.look_at = min(self.look_at, due)
             return 1 if self.now >= due else 0
@@ -426,9 +426,6 @@
                 s.unit_time = min(1.02 * s.unit_time, elapsed / max(t.units, 1.0))
             wait = elapsed - 2.0 * s.unit_time * t.units if s.unit_time < float("inf") else elapsed
             part = WAIT_PART * self.quickest / max(wait, 0.001)
-        s.slow = s.slow + 1 if part < 1.0 else 0
-        if part < 1.0 and s.slow < 2 and how is not Ending.TURNED_AWAY:
-            return  # its own work may have taken long
         if part < 1.0:
             # Answers to what was sent before the last cut say nothing of the cut.
             if self.now - elapsed >= s.cut_at:
