--- a/gorsethread/accounts/lives.py
+++ b/gorsethread/accounts/lives.py
@@ -10,9 +10,9 @@
 """
 
 from gorsethread.accounts.ordinary import ORDINARY, count
-from gorsethread.accounts.stages import HEAD, LIST, SHELF, STAGE_OF, STAGES, UNKNOWN, Outcome, Stage
+from gorsethread.accounts.stages import HEAD, LIST, SHELF, STAGE_OF, STAGES, UNKNOWN, Stage
 from gorsethread.accounts.window import ShelfRow, Window, shares
-from gorsethread.model import Ending, Held
+from gorsethread.model import Ending, Held, Outcome
 
 LOOK_EVERY = 0.02  # seconds between looks at what holds the lanes
 LOOKS_MOST = 128  # lanes a look; further ones keep what was last seen until their turn
--- a/gorsethread/accounts/ordinary.py
+++ b/gorsethread/accounts/ordinary.py
@@ -5,8 +5,9 @@
 
 import numpy
 
-from gorsethread.accounts.stages import UNKNOWN, Outcome, Stage
+from gorsethread.accounts.stages import UNKNOWN, Stage
 from gorsethread.accounts.window import Numbers, Window, sums
+from gorsethread.model import Outcome
 
 # Volume, profile, units, shelf, whom it waited behind; arrived, taken, sent, ended, and work as told (0:
 # untold), these in seconds.
--- a/gorsethread/accounts/snapshots.py
+++ b/gorsethread/accounts/snapshots.py
@@ -8,8 +8,9 @@
 
 from gorsethread.accounts import snapshot_pb2 as pb
 from gorsethread.accounts.sketch import Sketch
-from gorsethread.accounts.stages import STAGES, Outcome
+from gorsethread.accounts.stages import STAGES
 from gorsethread.accounts.window import Blamed, Row, ShelfRow, Span, Window
+from gorsethread.model import Outcome
 
 MAGIC = b"GTACC"
 VERSION = 1
--- a/gorsethread/accounts/stages.py
+++ b/gorsethread/accounts/stages.py
@@ -3,7 +3,6 @@
 from enum import IntEnum
 
 from gorsethread.model import Held
-from gorsethread.model import Outcome as Outcome
 
 
 class Stage(IntEnum):
--- a/gorsethread/accounts/window.py
+++ b/gorsethread/accounts/window.py
@@ -11,7 +11,8 @@
 import numpy.typing
 
 from gorsethread.accounts.sketch import WIDTH, Sketch
-from gorsethread.accounts.stages import OTHERS, STAGES, UNKNOWN, WAITS, Outcome
+from gorsethread.accounts.stages import OTHERS, STAGES, UNKNOWN, WAITS
+from gorsethread.model import Outcome
 
 ROWS_MOST = 512  # volumes with a row of their own, by profile, in the window of one head
 BLAMES_MOST = 4096  # entries of the matrix; past them holders and then waiters are not told apart
--- a/gorsethread/head/links.py
+++ b/gorsethread/head/links.py
@@ -50,7 +50,12 @@
             self.transport.spawn(self._connect())
 
     def call_off(self, f: Forward) -> None:
-        """Asks the shelf to drop it; it still holds its command id until the shelf has answered."""
+        """Asks the shelf to drop it; it still holds its command id until the shelf has answered. What waits
+        for its connection is not sent at all."""
+        if f in self.waiting:
+            self.waiting.remove(f)
+            self._end(f, Ending.NOT_SENT)
+            return
         if self.association is not None and f.cid in self.out and self.out[f.cid] is f:
             self.association.abort(f.cid)
 
--- a/gorsethread/head/program.py
+++ b/gorsethread/head/program.py
@@ -7,6 +7,7 @@
 from gorsethread.head.driver import Driver
 from gorsethread.head.facts import start_facts
 from gorsethread.head.links import ShelfLink
+from gorsethread.head.linktable import LinkTable
 from gorsethread.head.listing import ListFollower
 from gorsethread.head.peers import PeerSide
 from gorsethread.head.placement import SitePlacement
@@ -20,43 +21,6 @@
 RETRY_DELAYS = (0.1, 0.3)  # beside the site's longest return time
 
 
-class Links:
-    """Keeps a link for each shelf in the list."""
-
-    def __init__(self, transport: Transport, site: pb.Site, head: int, log: Any) -> None:
-        self.transport, self.site, self.log = transport, site, log
-        host = f"nqn.2026-12.org.gorsethread:head:{head}"
-        self.names = Names(site.subsystem, host, head.to_bytes(16, "little"))
-        self.driver: Driver
-
-    def listed(self, shelf: int, shard: int, address: tuple[str, int], state: str) -> None:
-        links = self.driver.links
-        link = links.get(shelf)
-        if state == "gone":
-            self._forget(shelf)
-            return
-        if link is not None and link.address != address:
-            link.close()
-            link = None
-        if link is None:
-            known = self.site.links
-            links[shelf] = ShelfLink(self.transport, shelf, address, self.names, known.connect_within,
-                                     known.queue_size, known.digests, self.log)
-        self.driver.shards[shelf] = shard
-
-    def only(self, shelves: set[int]) -> None:
-        for shelf in [s for s in self.driver.links if s not in shelves]:
-            self._forget(shelf)
-
-    def _forget(self, shelf: int) -> None:
-        """A link with forwards out stays until they are in; the list may name the shelf again by then."""
-        link = self.driver.links.get(shelf)
-        if link is not None and link.idle:
-            link.close()
-            del self.driver.links[shelf]
-            self.driver.shards.pop(shelf, None)
-
-
 class Head:
     """remember: file that keeps the last list; accounts: folder for a snapshot of each window (seconds)."""
 
@@ -64,7 +28,10 @@
                  most_connections: int = 0, accounts: str = "", window: float = 10.0) -> None:
         self.transport, self.site, self.number, self.log = transport, site, number, log
         placement = SitePlacement(site)
-        links = Links(transport, site, number, log)
+        host_name = f"nqn.2026-12.org.gorsethread:head:{number}"
+        names, known = Names(site.subsystem, host_name, number.to_bytes(16, "little")), site.links
+        links = LinkTable(lambda shelf, address: ShelfLink(
+            transport, shelf, address, names, known.connect_within, known.queue_size, known.digests, log))
         self.follower = ListFollower(transport, site.list.address, number, remember, links, log)
         self.driver = Driver(transport, start_facts(site), seed, placement, self.follower.follow, log)
         self.follower.driver = links.driver = self.driver
--- a/gorsethread/http1/serving.py
+++ b/gorsethread/http1/serving.py
@@ -12,7 +12,6 @@
 
 from gorsethread.http1.bounds import MOST_BODY, MOST_HEAD, MOST_HELD, Headers, Unreadable, length_of
 
-CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 LENGTHS = re.compile(rb"\ncontent-length[ \t]*:[ \t]*([^\r\n]*?)[ \t]*\r?(?=\n)", re.IGNORECASE)
 
 
@@ -45,7 +44,7 @@
         self._raw = b""  # what has come of the head: h11 makes one length of several that are the same
         self._body: list[bytes] = []
         self._size = 0
-        self._ahead = 0  # bytes come since the open request was whole
+        self.ahead = 0  # bytes come since the open request was whole
         self._came = False
         self.open = False
 
@@ -56,8 +55,8 @@
     def feed(self, data: bytes) -> None:
         """Unreadable where more came ahead of its turn than is held."""
         if self.open:
-            self._ahead += len(data)
-            if self._ahead > MOST_HELD:
+            self.ahead += len(data)
+            if self.ahead > MOST_HELD:
                 raise Unreadable(400, "too much sent ahead")
         elif self._head is None:
             self._raw += data
@@ -90,7 +89,7 @@
                 assert head is not None
                 self._head, self._body, self._size = None, [], 0
                 self._raw = self._wire.trailing_data[0]
-                self._ahead = len(self._raw)
+                self.ahead = len(self._raw)
                 self.open = True
                 return Request(head.method, head.target, list(head.headers), body)
             else:
@@ -115,7 +114,7 @@
 
     @property
     def awaits_continue(self) -> bool:
-        """The client asked whether it may send its body; CONTINUE is to be written."""
+        """The client asked whether it may send its body; continued() is to be written."""
         return self._head is not None and self._wire.they_are_waiting_for_100_continue
 
     def continued(self) -> bytes:
--- a/gorsethread/lab/accounts.py
+++ b/gorsethread/lab/accounts.py
@@ -13,9 +13,10 @@
 
 from gorsethread.accounts import report
 from gorsethread.accounts.lives import Accounts
-from gorsethread.accounts.stages import STAGES, Outcome, Stage
+from gorsethread.accounts.stages import STAGES, Stage
 from gorsethread.accounts.window import Window
 from gorsethread.lab.day import Day, DayPlan
+from gorsethread.model import Outcome
 from gorsethread.sitefile import site_pb2 as pb
 from gorsethread.standins.client import Surge
 from gorsethread.transport.real import RealTransport
--- a/gorsethread/lab/sockets.py
+++ b/gorsethread/lab/sockets.py
@@ -29,7 +29,7 @@
             total.update(life)
             life = {}
         elif told.get("event") in ("counts", "head ends", "head ended"):
-            life = {name: n for name, n in told.items() if isinstance(n, int) and name in COUNTED}
+            life.update({name: n for name, n in told.items() if isinstance(n, int) and name in COUNTED})
     total.update(life)
     return total
 
--- a/gorsethread/platform/__main__.py
+++ b/gorsethread/platform/__main__.py
@@ -40,6 +40,7 @@
         try:
             await transport.until_finished()
             await head.end()
+            await transport.until_finished()  # raises what failed meanwhile
         except Exception as error:
             log.exception("the head must end: a defect", reason=repr(error))
             status = 1
--- a/gorsethread/platform/clients.py
+++ b/gorsethread/platform/clients.py
@@ -9,7 +9,7 @@
 
 from gorsethread.head.driver import Driver, Open
 from gorsethread.http1.bounds import Headers, Unreadable
-from gorsethread.http1.serving import CONTINUE, Request, Serving, last_words
+from gorsethread.http1.serving import Request, Serving, last_words
 from gorsethread.platform.config import Naming
 from gorsethread.platform.requests import ONWARD, Wanted, read_request
 from gorsethread.platform.shelves import Parcel
@@ -57,9 +57,8 @@
     # ---- its bytes
 
     def answer(self, status: int, headers: Headers, body: bytes) -> None:
-        if self.id:
-            self.side.open.pop(self.id, None)
-            self.id = b""
+        self.side.open.pop(self.id, None)
+        self.id = b""
         if self.over:
             return
         said, goes_on = self.codec.answer(status, headers, body, last=self.side.ending)
@@ -82,10 +81,12 @@
             while not self.over and not self.paused and (request := self.codec.next()) is not None:
                 self.side.requested(self, request)
             if not self.over and self.codec.awaits_continue:
-                self.codec.continued()
-                self.stream.write(CONTINUE)
+                self.stream.write(self.codec.continued())
         except Unreadable as error:
             self.refuse(error)
+        except Exception as error:
+            # Also called by the loop, where an exception would end the head and all it holds.
+            self.side.failed(self, error)
 
     def end(self) -> None:
         if not self.over:
@@ -97,7 +98,8 @@
         try:
             while not self.over:
                 data = await self.stream.read()
-                self.arrived = transport.now()
+                if not self.codec.ahead:  # else a request held since earlier would get a later cut-off
+                    self.arrived = transport.now()
                 if not self.codec.begun and not self.codec.open:
                     self.began = self.arrived if self.served else self.began
                 self.codec.feed(data)
@@ -118,10 +120,9 @@
 
     def __init__(self, transport: Transport, driver: Driver, naming: Naming, most: int, log: Any) -> None:
         self.transport, self.driver, self.naming, self.most, self.log = transport, driver, naming, most, log
-        self.connections: dict[int, Connection] = {}  # in order of accepting; emptied as they end
+        self.connections: dict[Connection, None] = {}  # in order of accepting; emptied as they end
         self.open: dict[bytes, Connection] = {}  # by id; emptied by answers and as clients leave
         self.wrong: Counter[str] = Counter()  # emptied by each report
-        self._numbers = 0
         self._accepted = 0  # and not yet among the connections
         self.ending = False
         self.end_by = float("inf")  # when the head itself ends: it waits for nothing longer
@@ -134,13 +135,13 @@
                 self.wrong["no room for a connection"] += 1
                 return False
             spare.end()
-            self._forget(spare)
+            del self.connections[spare]
         self._accepted += 1
         return True
 
     def _least_used(self) -> Connection | None:
         """The oldest that has said nothing whole; else the longest idle that may be closed."""
-        free = [c for c in self.connections.values() if not c.codec.open and c.taken is None]
+        free = [c for c in self.connections if not c.codec.open]
         silent = next((c for c in free if not c.served), None)
         if silent is not None:
             return silent
@@ -149,29 +150,24 @@
 
     async def on_stream(self, stream: Stream) -> None:
         self._accepted -= 1
-        self._numbers += 1
-        number = self._numbers
         connection = Connection(self, stream, self.transport.now())
-        self.connections[number] = connection
+        self.connections[connection] = None
         try:
             await connection.serve()
         except Exception as error:
-            # A defect met by one connection's bytes costs that connection alone.
-            self.log.exception("a connection failed", reason=repr(error))
+            self.failed(connection, error)
         finally:
             connection.end()
-            self.connections.pop(number, None)
-            if connection.id and self.open.get(connection.id) is connection:
-                del self.open[connection.id]
+            self.connections.pop(connection, None)
+            self.open.pop(connection.id, None)
             if connection.taken is not None:
                 taken, connection.taken = connection.taken, None
                 self.driver.client_left(taken)
 
-    def _forget(self, connection: Connection) -> None:
-        for number, known in self.connections.items():
-            if known is connection:
-                del self.connections[number]
-                return
+    def failed(self, connection: Connection, error: Exception) -> None:
+        """A defect met by one connection's bytes costs that connection alone."""
+        self.log.exception("a connection failed", reason=repr(error))
+        connection.end()
 
     def requested(self, connection: Connection, request: Request) -> None:
         if request.target == READY and request.method in (b"GET", b"HEAD"):
@@ -204,8 +200,8 @@
         now = self.transport.now()
         # Guards against clients that ask once and keep their connection: others may have none left.
         idle_most = IDLE_MOST if len(self.connections) < CROWDED * self.most else MAY_CLOSE
-        for c in list(self.connections.values()):
-            if c.codec.open or c.taken is not None:
+        for c in list(self.connections):
+            if c.codec.open:
                 continue
             if c.codec.begun:
                 if c.began <= now - WHOLE_WITHIN:
@@ -214,8 +210,8 @@
                 c.end()
 
     def close_idle(self) -> None:
-        for c in list(self.connections.values()):
-            if not c.codec.open and c.taken is None and not c.codec.begun:
+        for c in list(self.connections):
+            if not c.codec.open and not c.codec.begun:
                 c.end()
 
     def report(self) -> dict[str, int]:
--- a/gorsethread/platform/config.py
+++ b/gorsethread/platform/config.py
@@ -1,7 +1,8 @@
 """What a head is told at its start and anew at SIGHUP: the file that GW_CONFIG names."""
 
 import json
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, fields
 from typing import Any
 
 import msgspec
@@ -65,6 +66,14 @@
     return here
 
 
+def _check_figures(part: Any) -> None:
+    """Guards against settings of the right shape with a word for a figure, which would end a serving head."""
+    for f in fields(part):
+        value = getattr(part, f.name)
+        if f.type in (int, float) and (type(value) not in (int, float) or not math.isfinite(value)):
+            raise Unusable(f"settings: {type(part).__name__} {f.name}: {value!r} is no figure")
+
+
 def read_order(raw: bytes | None, path: str) -> Order:
     """Unusable, with the file's path in front, for what is missing or wrong. Unknown fields are ignored."""
     if raw is None:
@@ -100,6 +109,8 @@
     facts = start_facts(settings)
     if not facts.profiles or not facts.plans:
         raise Unusable("settings: no profile or no plan")
+    for part in (facts, facts.cold, *facts.profiles, *facts.plans, *([facts.budget] if facts.budget else ())):
+        _check_figures(part)
     naming = Naming(
         {s["name"].encode(): n for n, s in enumerate(settings["services"])},
         {g["name"].encode(): n for n, g in enumerate(settings["grades"])},
--- a/gorsethread/platform/discovery.py
+++ b/gorsethread/platform/discovery.py
@@ -6,11 +6,12 @@
 import msgspec
 
 from gorsethread.head.driver import Driver
+from gorsethread.head.linktable import LinkTable
 from gorsethread.http1.asking import Answer, Asking
 from gorsethread.http1.bounds import Spoilt
 from gorsethread.platform.config import Address, Naming, Unusable, address_of
 from gorsethread.platform.listing import Instance, ListAnswer
-from gorsethread.platform.shelves import Shelves
+from gorsethread.platform.shelves import Pool
 from gorsethread.transport.base import Stream, StreamClosed, Transport, Unreachable
 
 CONNECT_WITHIN = 1.0  # seconds
@@ -28,13 +29,14 @@
 
 
 class Discovery:
-    """wait: seconds that a call may wait for news."""
+    """wait: seconds that a call may wait for news. driver and pool are set before start()."""
 
-    def __init__(self, transport: Transport, address: Address, naming: Naming, shelves: Shelves, wait: float,
+    def __init__(self, transport: Transport, address: Address, naming: Naming, links: LinkTable, wait: float,
                  log: Any) -> None:
-        self.transport, self.address, self.naming, self.shelves = transport, address, naming, shelves
+        self.transport, self.address, self.naming, self.links = transport, address, naming, links
         self.wait, self.log = wait, log
         self.driver: Driver
+        self.pool: Pool
         self.version = 0
         self.known: dict[int, Instance] = {}  # emptied as shelves leave the list
         # Between the Unix clock, which discovery tells starts by, and the head's: fixed, so that one start
@@ -154,10 +156,11 @@
                 self.known.pop(number, None)
             else:
                 self.known[number] = s
-                self.shelves.listed(number, s.cell, address_of(s.host_port, s.instance_id))
+            self.links.listed(number, s.cell, address_of(s.host_port, s.instance_id), s.lifecycle)
             since = s.started_at_ms * 0.001 - self._clocks if s.started_at_ms > 0 else 0.0
             zone = self.naming.zones.get(s.zone, shelf_number(s.zone))
             entries.append((number, zone, s.cell, s.lifecycle == "ready", since))
         # Also links that had forwards out when their shelf left the list go, once these are in.
-        self.shelves.only(set(self.known))
+        self.links.only(set(self.known))
+        self.pool.withdraw(lambda n: n not in self.known or self.known[n].lifecycle != "ready")
         self.driver.listed(entries, whole, remembered)
--- a/gorsethread/platform/program.py
+++ b/gorsethread/platform/program.py
@@ -3,10 +3,11 @@
 from typing import Any
 
 from gorsethread.head.driver import Driver
+from gorsethread.head.linktable import LinkTable
 from gorsethread.platform.clients import ClientSide
 from gorsethread.platform.config import Order, Unusable, read_order
 from gorsethread.platform.discovery import Discovery
-from gorsethread.platform.shelves import Pool, Shelves
+from gorsethread.platform.shelves import Pool, ShelfLink
 from gorsethread.transport.base import Transport
 
 CLIENTS_PART, SHELVES_PART = 0.5, 0.4  # of the descriptors; the rest is for discovery and the program itself
@@ -37,19 +38,18 @@
 
     def __init__(self, transport: Transport, order: Order, path: str, log: Any) -> None:
         self.transport, self.order, self.path, self.log = transport, order, path, log
-        self.pool = Pool(transport, int(order.sockets * SHELVES_PART), order.dial_within, order.idle, log)
-        self.driver = Driver(transport, order.facts, order.seed, NoPlacement(), self._follow, log)
-        shelves = Shelves(self.pool, self.driver.links, self.driver.shards)
+        links = LinkTable(lambda shelf, address: ShelfLink(self.pool, shelf, address))
         wait = min(LONGEST_WAIT, 0.5 * order.facts.ask_within or LONGEST_WAIT)
-        self.discovery = Discovery(transport, order.discovery, order.naming, shelves, wait, log)
-        self.discovery.driver = self.driver
+        self.discovery = Discovery(transport, order.discovery, order.naming, links, wait, log)
+        self.driver = Driver(transport, order.facts, order.seed, NoPlacement(), self.discovery.follow, log)
+        self.discovery.driver = links.driver = self.driver
+        self.pool = Pool(transport, self.driver.links, int(order.sockets * SHELVES_PART), order.dial_within,
+                         order.idle, log)
+        self.discovery.pool = self.pool
         self.clients = ClientSide(transport, self.driver, order.naming, int(order.sockets * CLIENTS_PART),
                                   log)
         self.ended = False
 
-    def _follow(self) -> None:
-        self.discovery.follow()
-
     def start(self) -> None:
         """OSError where its address can't be had."""
         self.discovery.start(self.order.known)
--- a/gorsethread/platform/shelves.py
+++ b/gorsethread/platform/shelves.py
@@ -5,6 +5,7 @@
 """
 
 from collections import Counter, deque
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from gorsethread.head.carrying import NOTHING, Forward, Told
@@ -81,23 +82,24 @@
 
 
 class Pool:
-    """The connections of all shelves together. most: how many may be open or come up at once."""
+    """The connections of all shelves together. most: how many may be open or come up at once. links: the
+    driver's table of them."""
 
-    def __init__(self, transport: Transport, most: int, dial_within: float, idle: float, log: Any) -> None:
-        self.transport, self.most, self.log = transport, most, log
+    def __init__(self, transport: Transport, links: "dict[int, ShelfLink]", most: int, dial_within: float,
+                 idle: float, log: Any) -> None:
+        self.transport, self.links, self.most, self.log = transport, links, most, log
         self.dial_within, self.idle = dial_within, idle * IDLE_PART
         self.held = 0
         self.opened = 0
         self.trust = Trust()
         self.spoilt: Counter[str] = Counter()  # emptied by each report
-        self.links: dict[int, ShelfLink] = {}  # emptied as shelves leave the list
         self.busy: dict[int, Connection] = {}  # by transaction; emptied as forwards end
         self.waiting: deque[tuple[ShelfLink, Forward]] = deque()  # emptied as connections come free
 
     def room(self) -> bool:
         """Whether one more may be opened; makes room by the connection that is idle for longest."""
         if self.held >= self.most:
-            oldest = min((link.idle[0] for link in self.links.values() if link.idle),
+            oldest = min((link.kept[0] for link in self.links.values() if link.kept),
                          key=lambda c: c.idle_since, default=None)
             if oldest is None:
                 return False
@@ -106,11 +108,24 @@
 
     def freed(self) -> None:
         """A connection has come free or ended: what waits for one goes on."""
-        while self.waiting and (self.waiting[0][1].over or self.waiting[0][0].idle or self.room()):
+        while self.waiting and (self.waiting[0][1].over or self.waiting[0][0].kept or self.room()):
             link, f = self.waiting.popleft()
+            link.out -= 1
             if not f.over:
                 link.send(f)
 
+    def withdraw(self, unready: Callable[[int], bool]) -> None:
+        """Of shelves that drain or are gone nothing waits for a connection: it could come after the grace."""
+        for number, link in self.links.items():
+            link.unready = unready(number)
+        waiting, self.waiting = self.waiting, deque()
+        for link, f in waiting:
+            if link.unready or link.closed:
+                link.out -= 1
+                link.end(f, Ending.NOT_SENT)
+            else:
+                self.waiting.append((link, f))
+
     def report(self) -> dict[str, int]:
         """What answers were spoilt by since the last report, the commonest few."""
         spoilt, self.spoilt = self.spoilt, Counter()
@@ -120,8 +135,8 @@
         """Closes what was idle for so long that its shelf may be about to."""
         before = self.transport.now() - self.idle
         for link in list(self.links.values()):
-            while link.idle and link.idle[0].idle_since <= before:
-                link.lose(link.idle[0])
+            while link.kept and link.kept[0].idle_since <= before:
+                link.lose(link.kept[0])
 
 
 class ShelfLink:
@@ -131,31 +146,35 @@
         self.pool, self.shelf, self.address = pool, shelf, address
         self.transport = pool.transport
         self.host = f"{address[0]}:{address[1]}".encode()
-        self.idle: deque[Connection] = deque()  # emptied by use, by sweep() and as connections end
-        self.out = 0  # connections that carry a forward or come up for one
+        self.kept: deque[Connection] = deque()  # emptied by use, by sweep() and as connections end
+        self.out = 0  # forwards that are out, wait for a connection to come up or for room for one
         self.closed = False
+        self.unready = False  # the shelf drains or has left the list
 
     @property
-    def unused(self) -> bool:
+    def idle(self) -> bool:
         return not self.out
 
     def close(self) -> None:
         """No more is sent here; what is out goes on to its end."""
         self.closed = True
-        while self.idle:
-            self.lose(self.idle[-1])
+        while self.kept:
+            self.lose(self.kept[-1])
 
     # ---- from the driver
 
     def send(self, f: Forward) -> None:
-        connection = self._rested() if self.idle else None
+        connection = self._rested()
         if connection is not None:
             self._submit(connection, f)
         elif self.pool.room():
             self.pool.held += 1
             self.out += 1
             self.transport.spawn(self._dial(f))
+        elif self.unready:
+            self.end(f, Ending.NOT_SENT)
         else:
+            self.out += 1
             self.pool.waiting.append((self, f))
 
     def call_off(self, f: Forward) -> None:
@@ -163,9 +182,7 @@
         connection = self.pool.busy.get(f.transaction)
         if connection is not None and connection.out is f:
             connection.link.lose(connection)
-            self._end(f, Ending.CALLED_OFF)
-        else:
-            self._end(f, Ending.NOT_SENT)  # its connection was not up yet, or it waited for one
+        self.end(f, Ending.CALLED_OFF)  # also where it only waited: not the shelf, the client ended it
 
     # ---- connections
 
@@ -174,11 +191,11 @@
         say more on it: one that answered just now is used only where no other may be opened."""
         now = self.transport.now()
         before = now - REST if self.pool.trust.holds(now) else -1.0
-        for connection in reversed(list(self.idle)):
+        for connection in reversed(list(self.kept)):
             if not connection.stream.quiet():
                 self.lose(connection)
             elif connection.idle_since <= before or self.pool.held >= self.pool.most:
-                self.idle.remove(connection)
+                self.kept.remove(connection)
                 return connection
         return None
 
@@ -189,7 +206,7 @@
             self.out -= 1
             self.pool.held -= 1
             self.pool.log.debug("shelf not reached", shelf=self.host.decode(), reason=str(error))
-            self._end(f, Ending.UNREACHED)
+            self.end(f, Ending.UNREACHED)
             self.pool.freed()
             return
         self.out -= 1
@@ -226,12 +243,12 @@
             if f is not None:
                 if connection.uses > 1:
                     self.pool.trust.seen(True, self.transport.now())
-                self._end(f, Ending.UNREACHED if unsent else Ending.BROKEN)
+                self.end(f, Ending.UNREACHED if unsent else Ending.BROKEN)
         except Spoilt as error:
             f = self.lose(connection)
             if f is not None:
                 self.pool.spoilt[str(error)[:40]] += 1
-                self._end(f, Ending.ERROR)
+                self.end(f, Ending.ERROR)
         self.pool.freed()
 
     def _answered(self, connection: Connection, answer: Answer) -> None:
@@ -247,17 +264,17 @@
         else:
             self._rest(connection)
         if answer.status == 200:
-            self._end(f, Ending.HONOURED, Told(answer.body, figure(answer.one(ELSEWHERE)),
+            self.end(f, Ending.HONOURED, Told(answer.body, figure(answer.one(ELSEWHERE)),
                                                figure(answer.one(USAGE))))
         elif answer.status in (503, 504) and answer.one(DECLINED) == b"1":
-            self._end(f, Ending.TURNED_AWAY)
+            self.end(f, Ending.TURNED_AWAY)
         else:
-            self._end(f, Ending.ERROR)
+            self.end(f, Ending.ERROR)
         self.pool.freed()
 
     def _rest(self, connection: Connection) -> None:
         connection.idle_since = self.transport.now()
-        self.idle.append(connection)
+        self.kept.append(connection)
         if self.closed:
             self.lose(connection)
 
@@ -267,41 +284,16 @@
         if f is not None:
             self.out -= 1
             self.pool.busy.pop(f.transaction, None)
-        elif connection in self.idle:
-            self.idle.remove(connection)
+        elif connection in self.kept:
+            self.kept.remove(connection)
         if not connection.over:
             connection.over = True
             self.pool.held -= 1
             connection.stream.close()
         return f
 
-    def _end(self, f: Forward, how: Ending, told: Told = NOTHING) -> None:
+    def end(self, f: Forward, how: Ending, told: Told = NOTHING) -> None:
         if not f.over:
             f.over = True
             f.ended(f, how, told)
 
-
-class Shelves:
-    """Keeps a link for each shelf in the list, in the driver's tables."""
-
-    def __init__(self, pool: Pool, links: dict[int, Any], shards: dict[int, int]) -> None:
-        self.pool, self.links, self.shards = pool, links, shards
-
-    def listed(self, shelf: int, shard: int, address: tuple[str, int]) -> None:
-        link = self.links.get(shelf)
-        if link is not None and link.address != address:
-            # What is out at the old address ends there; nothing new goes to it.
-            link.close()
-            link = None
-        if link is None:
-            self.links[shelf] = self.pool.links[shelf] = ShelfLink(self.pool, shelf, address)
-        self.shards[shelf] = shard
-
-    def only(self, shelves: set[int]) -> None:
-        """A link with forwards out stays until they are in; the list may name the shelf again by then."""
-        for shelf in [s for s in self.links if s not in shelves]:
-            link = self.links[shelf]
-            if link.unused:
-                link.close()
-                del self.links[shelf], self.pool.links[shelf]
-                self.shards.pop(shelf, None)
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -24,6 +24,8 @@
 # come that could raise it, and each that took long by its own work cuts it again.
 LOWEST_RATE = 0.1
 WAIT_PART = 0.3  # of the shortest promise: the longest wait at a shelf that is not crowded
+SILENT_PAUSE = 12.0  # usual times of a shelf that fell silent, until it gets one more forward
+BREAKS_MOST = 3  # connections broken in turn from which a shelf needs no rest
 DRAIN_PART = 0.75  # of the grace: a send may still have to wait for a connection
 LOOK_AGAIN = 0.02  # seconds until a store or span that held something back is looked at again
 NEVER_RAN = (Ending.TURNED_AWAY, Ending.UNREACHED, Ending.NOT_SENT)
@@ -156,7 +158,7 @@
         new = Shelf(id, zone, shard, 0.0, ready, self.now, FIRST_BOUND, self.first_rate)
         s = self.shelves.setdefault(id, new)
         if since > max(s.since, self.born):
-            # Guards against all heads rushing to a shelf that just came back; costs up to half a span.
+            # Guards against all heads rushing to a shelf that just came back; costs half of what it lacks.
             cold = self.facts.cold
             missing = min(cold.span, cold.warm_after) * (1.0 - cold.first_part)
             s.first_send = self.now + 0.5 * missing * self._random()
@@ -372,7 +374,7 @@
             # One more only as the last has been silent too, for twice as long each time: else one lost
             # answer keeps a shelf of little traffic idle until its cut-off.
             last = next(reversed(s.out.values()), -float("inf"))
-            pause = max(self.quickest, 12.0 * s.time)
+            pause = max(self.quickest, SILENT_PAUSE * s.time)
             due = last + pause * 2.0**min(len(s.out) + s.misses - 1, 6)
             if self.now < due:
                 self.look_at = min(self.look_at, due)
@@ -395,11 +397,10 @@
         return self.now - max(oldest, s.answered_at) > self.quickest
 
     def _judge(self, s: Shelf, how: Ending, elapsed: float, t: Transaction, sent: float) -> None:
-        if how in (Ending.CALLED_OFF, Ending.NOT_SENT):
-            return  # says nothing of the shelf
         if not s.ready and how in NEVER_RAN:
-            s.last_send = self.drained_at = 0.0  # wants nothing new already; no sign of overload
-            return
+            s.last_send = self.drained_at = 0.0  # takes nothing new already, or is gone; no sign of overload
+        if how in (Ending.CALLED_OFF, Ending.NOT_SENT) or not s.ready and how in NEVER_RAN:
+            return  # says nothing of the shelf's health
         if how in (Ending.HONOURED, Ending.ERROR, Ending.TURNED_AWAY):
             s.answered_at, s.answered_of = self.now, max(s.answered_of, sent)
         elif how in (Ending.TIMED_OUT, Ending.BROKEN) and s.answered_of > sent:
@@ -410,7 +411,7 @@
         if how in (Ending.UNREACHED, Ending.BROKEN):
             s.misses += 1
             # A connection may break alone, several in turn; a dead shelf takes no new one.
-            if s.misses > (1 if how is Ending.UNREACHED else 3):
+            if s.misses > (1 if how is Ending.UNREACHED else BREAKS_MOST):
                 s.rest_until = self.now + min(2.0, 0.1 * 2.0**min(s.misses, 9))
             return
         s.misses = s.misses + 1 if how is Ending.TIMED_OUT else 0
--- a/gorsethread/transport/real.py
+++ b/gorsethread/transport/real.py
@@ -94,6 +94,9 @@
 
 
 class RealListener:
+    """Accepts by itself and not by Tornado's server, which takes 128 connections a turn before anyone can say
+    no to one, and whose loop raises, ending the program, where no descriptor is left."""
+
     def __init__(self, transport: "RealTransport", sockets: list[socket.socket],
                  on_stream: Callable[[Stream], Awaitable[None]], admits: Callable[[], bool] | None) -> None:
         self._transport, self._sockets = transport, sockets
--- a/gorsethread/transport/virtual.py
+++ b/gorsethread/transport/virtual.py
@@ -229,6 +229,7 @@
         self._got: deque[tuple[float, bytes]] = deque()  # arrived and unread: when it left, what
         self.unread = 0  # bytes of it; bounded by the window
         self._ended = ""  # why nothing more comes
+        self._broken = False
         self.closed = False
         self._reader: asyncio.Future[None] | None = None
         self._drain: list[asyncio.Future[None]] = []
@@ -278,7 +279,7 @@
 
     def _push(self) -> None:
         w = self.network.weather
-        while self._unsent and not self.closed:
+        while self._unsent and not self.closed and not self._broken:
             room = w.window - self.out.size - self.other.unread
             if room <= 0:
                 break
@@ -352,8 +353,7 @@
             return  # a reset is a packet too
         self._got.clear()
         self.unread = 0
-        self._unsent.clear()
-        self._ended = reason
+        self._ended, self._broken = reason, True  # what was unsent stays so, as a real stream tells it
         self._wake()
 
     def _wake(self) -> None:
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -79,6 +79,11 @@
         self.host.say(f"    {id} on shelf {shelf}: {how.value}")
         self.policy.forward_ended(id, number, how, shelf, self.host.now - sent, over, elsewhere, 0)
 
+    def health(self, shelf: int = 1) -> None:
+        s = self.policy.shelves[shelf]
+        self.host.say(f"    shelf {shelf}: rate {s.rate:.2f}, usual time {s.time:.2f}, {s.misses} misses, "
+                      f"rests {max(0.0, s.rest_until - self.host.now):.2f}")
+
     def end(self) -> None:
         self.policy.batch_ended()
 
--- a/tests/live.py
+++ b/tests/live.py
@@ -45,6 +45,7 @@
         self.seen: list[Request] = []
         self.connections = 0
         self.ends = 0  # connections the head ended
+        self.later = b""  # said on the connection some time behind each answer
         self.delay = 0.01
         self.says: Callable[[Request], list[bytes] | None] = lambda r: [whole(200, b"got " + r.target)]
         self.listener = transport.listen(host, 1, self.on_stream)
@@ -62,6 +63,9 @@
                         if not piece:
                             stream.close()
                         stream.write(piece)
+                    if self.later:
+                        await self.transport.sleep(0.02)
+                        stream.write(self.later)
                     codec.answer(200, [], b"")
         except StreamClosed:
             self.ends += 1
--- a/tests/queues.py
+++ b/tests/queues.py
@@ -9,9 +9,8 @@
 
 from gorsethread.accounts.causes import Findings, Known, find
 from gorsethread.accounts.lives import LOOK_EVERY, Accounts
-from gorsethread.accounts.stages import Outcome
 from gorsethread.accounts.window import Span, Window
-from gorsethread.model import Ending, Held
+from gorsethread.model import Ending, Held, Outcome
 
 UNIT_TIME = 0.01
 CUT_OFF = 1.0
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -17,10 +17,10 @@
 from gorsethread.accounts.page import page
 from gorsethread.accounts.sketch import DEPTH, ERROR, SURE, WIDTH, Sketch
 from gorsethread.accounts.snapshots import FRAME, MAGIC, BadSnapshot, decode, encode
-from gorsethread.accounts.stages import OTHERS, STAGES, WORDS, Outcome, Stage, bucket_of, bucket_value
+from gorsethread.accounts.stages import OTHERS, STAGES, WORDS, Stage, bucket_of, bucket_value
 from gorsethread.accounts.window import BLAMES_MOST, BUCKETS, ROWS_MOST, Span, Window
 from gorsethread.cli.main import app
-from gorsethread.model import Ending, Held
+from gorsethread.model import Ending, Held, Outcome
 from tests.queues import KNOWN, QueueDay
 
 ENDINGS = [Ending.HONOURED] * 3 + list(Ending)
--- a/tests/test_accounts_running.py
+++ b/tests/test_accounts_running.py
@@ -5,10 +5,11 @@
 from pathlib import Path
 
 from gorsethread.accounts.snapshots import decode
-from gorsethread.accounts.stages import SHELF, Outcome, Stage
+from gorsethread.accounts.stages import SHELF, Stage
 from gorsethread.accounts.window import Window
 from gorsethread.head.program import Head
 from gorsethread.logs import log_for
+from gorsethread.model import Outcome
 from gorsethread.nvme.command import Opcode
 from tests.rig import Rig
 
--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -3,9 +3,14 @@
 import asyncio
 import gc
 import tempfile
+import unittest
+from collections.abc import Coroutine
 from pathlib import Path
+from typing import Any
 
 from gorsethread.head.carrying import Forward, Told
+from gorsethread.head.links import Order as Sent
+from gorsethread.head.links import ShelfLink
 from gorsethread.model import Ending
 from gorsethread.nvme.command import Command, Completion, Opcode, Status, connect, connect_data, io_command
 from gorsethread.nvme.pdu import Encoder, PduType, initialize
@@ -356,3 +361,17 @@
 
 def _fields(command: Command) -> dict[str, int]:
     return command._asdict()
+
+
+class Waiting(unittest.TestCase):
+    def test_what_is_called_off_before_its_connection_stands_is_not_sent(self) -> None:
+        class Spawns:
+            def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+                work.close()  # the connection is not up yet, and stays so
+
+        link = ShelfLink(Spawns(), 1, ("shelf", 1), None, 1.0, 8, False, None)  # type: ignore[arg-type]
+        ends: list[Ending] = []
+        f = Forward(1, 0, 1, 0.0, Sent(io_command(Opcode.READ, 1)), lambda f, how, told: ends.append(how))
+        link.send(f)
+        link.call_off(f)
+        self.assertEqual(([Ending.NOT_SENT], []), (ends, link.waiting))
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -85,6 +85,10 @@
         self.refused(b"GET /a HTTP/1.0\r\n\r\n", 505)
         self.refused(b"GET /a HTTP/1.1\r\n\r\n", 400)
 
+    def test_other_protocols(self) -> None:
+        self.refused(b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n", 501)
+        self.refused(b"GET /a HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n", 501)
+
     def test_last_words_are_an_answer(self) -> None:
         client = h11.Connection(h11.CLIENT)
         client.send(h11.Request(method="GET", target="/", headers=[("Host", "a")]))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,14 +1,20 @@
 """The head in service, end to end on the virtual clock: clients, bad clients, shelves, discovery, signals."""
 
 import json
+import signal
+import socket
 import subprocess
 import sys
+import tempfile
 import unittest
+from typing import Any
 
 from gorsethread.http1.serving import Request
 from gorsethread.platform.config import Unusable, read_order
 from gorsethread.transport.base import Stream
-from tests.live import PATH, SETTINGS, Caller, NewsList, Shelf, instance, order, whole, wish
+from gorsethread.transport.real import free_ports
+from gorsethread.transport.virtual import Weather
+from tests.live import LIST, PATH, SETTINGS, Caller, NewsList, Shelf, instance, order, whole, wish
 from tests.live import LiveRig as Rig
 
 
@@ -94,6 +100,43 @@
 
         self.play(work)
 
+    def test_a_held_requests_cut_off_counts_from_its_own_coming(self) -> None:
+        async def work() -> None:
+            self.start()
+            self.shelves[1].delay, self.shelves[0].says = 0.3, lambda r: None
+            caller = await self.call(wish("e5", shard=1) + wish("e6", patience=400), 0.25)
+            caller.stream.write(wish("e7")[:30])
+            began = self.user.now() - 0.25
+            await self.wait(0.7)
+            self.assertEqual([b"200", b"504"], [part[:3] for part in caller.got.split(b"HTTP/1.1 ")[1:]])
+            self.assertLess(caller.answered_at - began, 0.5)
+
+        self.play(work)
+
+    def test_a_clients_mark_of_a_repeat_reaches_the_decisions(self) -> None:
+        async def work() -> None:
+            head = self.start()
+            told: list[tuple[Any, ...]] = []
+            head.driver.recorder = told.append
+            await self.call(wish("e9"))
+            await self.call(wish("ea", more="Req-Retry: 1\r\n"))
+            marks = [entry[-1] for entry in told if entry[2:3] == ("transaction_taken",)]
+            self.assertEqual([False, True], marks)
+
+        self.play(work)
+
+    def test_a_client_may_ask_before_it_sends_its_body(self) -> None:
+        async def work() -> None:
+            self.start()
+            whole_wish = wish("e8", "post", body=b"hello", more="Expect: 100-continue\r\n")
+            caller = await self.call(whole_wish[:-5])
+            self.assertEqual(b"HTTP/1.1 100 \r\n\r\n", caller.got)
+            caller.stream.write(b"hello")
+            await self.wait(0.1)
+            self.assertEqual((200, [b"hello"]), (caller.status, [r.body for r in self.shelves[0].seen]))
+
+        self.play(work)
+
     def test_an_idle_connection_is_kept_for_two_seconds_and_not_for_ever(self) -> None:
         async def work() -> None:
             self.start()
@@ -126,13 +169,14 @@
         ]
 
         async def work() -> None:
-            self.start()
+            head = self.start()
             for data in spoilt:
                 with self.subTest(data=data[:200]):
                     caller = await self.call(data, 0.5)
                     self.assertTrue(400 <= caller.status < 600 or caller.ended_at, caller.got)
                     self.assertNotIn(caller.status, (429, 503), "these would say that it was a transaction")
             self.assertEqual([], self.shelves[0].seen + self.shelves[1].seen)
+            self.assertEqual(0, head.driver.counts["taken"])
 
         self.play(work)
 
@@ -188,6 +232,24 @@
 
         self.play(work)
 
+    def test_a_defect_met_by_a_held_request_costs_its_connection_alone(self) -> None:
+        """What was sent ahead is gone on with from the loop, not from the connection's own task."""
+        async def work() -> None:
+            head = self.start()
+            honest = head.clients.requested
+
+            def requested(connection: object, request: Request) -> None:
+                if request.one(b"x-bomb"):
+                    raise ZeroDivisionError
+                honest(connection, request)  # type: ignore[arg-type]
+
+            head.clients.requested = requested  # type: ignore[method-assign]
+            bomb = await self.call(wish("16") + wish("17", more="X-Bomb: 1\r\n"), 0.2)
+            self.assertEqual((1, True), (bomb.got.count(b"HTTP/1.1 200"), bomb.ended_at > 0))
+            self.assertEqual(200, (await self.call(wish("18"))).status)
+
+        self.play(work)
+
     def test_a_defect_met_by_one_connection_costs_that_one_alone(self) -> None:
         async def work() -> None:
             head = self.start()
@@ -253,6 +315,18 @@
 
         self.play(work)
 
+    def test_noise_that_comes_later_on_an_idle_connection_reaches_nobody(self) -> None:
+        async def work() -> None:
+            head = self.start()
+            self.shelves[0].later = whole(200, b"a second answer")
+            for n in range(46, 50):
+                caller = await self.call(wish(str(n), "post", body=b"x"), 0.03)
+                self.assertEqual((200, b"got /post/7f3a9c21e0b4d655"), (caller.status, caller.body))
+                await self.wait(0.05)
+                self.assertEqual(0, head.pool.held)
+
+        self.play(work)
+
     def test_a_second_answer_or_noise_behind_one_reaches_nobody_else(self) -> None:
         async def work() -> None:
             self.start()
@@ -321,6 +395,7 @@
             statuses = [(await self.call(wish(str(n), "post", body=b"x"), 0.05)).status
                         for n in range(300, 340)]
             self.assertLess(statuses.count(504), 4)
+            self.assertEqual(0, head.pool.held, "none is kept, used or not")
             shelf.says = lambda r: [whole(200, b"x")]
             await self.wait(30.0)
             before = shelf.connections
@@ -331,6 +406,58 @@
 
         self.play(work)
 
+    def test_nothing_is_sent_right_behind_an_answer_on_the_same_connection(self) -> None:
+        """The second transaction is there as the first is answered; the connection's end is on its way."""
+        async def work() -> None:
+            head = self.start()
+            self.shelves[0].says = lambda r: [whole(200, b"x"), b""]
+            for n in range(130, 150, 2):
+                both = wish(str(n), "post", body=b"x") + wish(str(n + 1), "post", body=b"x")
+                self.assertEqual(2, (await self.call(both)).got.count(b"HTTP/1.1 200"))
+            self.assertEqual(0, head.driver.counts["forwards broken"])
+
+        self.play(work)
+
+    def test_what_the_system_knows_of_a_connections_end_is_asked_before_it_is_used(self) -> None:
+        async def work() -> None:
+            head = self.start()
+            await self.call(wish("150"))
+            link = next(link for link in head.pool.links.values() if link.kept)
+            link.kept[0].stream._ended = "closed by peer"  # type: ignore[attr-defined]  # no task was told yet
+            self.assertEqual(200, (await self.call(wish("151", "post", body=b"x"))).status)
+            self.assertEqual((0, 2), (head.driver.counts["forwards broken"], self.shelves[0].connections))
+
+        self.play(work)
+
+    def test_a_connection_that_ends_before_the_last_byte_is_written_never_ran(self) -> None:
+        async def work() -> None:
+            head = self.start()
+            self.network.weather = Weather(window=1000, split=0.0)
+            shelf, honest = self.shelves[0], self.shelves[0].on_stream
+
+            async def deaf(stream: Stream) -> None:
+                shelf.listener.on_stream = honest
+                await self.user.sleep(0.05)
+                stream.close()
+
+            shelf.listener.on_stream = deaf
+            caller = await self.call(wish("152", "post", body=bytes(5000)), 0.9)
+            self.assertEqual((200, 1, 0), (caller.status, head.driver.counts["forwards unreached"],
+                                           head.driver.counts["forwards broken"]))
+
+        self.play(work)
+
+    def test_what_is_over_before_its_connection_stands_is_not_sent(self) -> None:
+        async def work() -> None:
+            self.start()
+            self.network.slow_connects["shelf0"] = 0.05
+            caller = await self.call(wish("153", "post", body=b"x"), 0.05)
+            caller.stream.close()
+            await self.wait(0.5)
+            self.assertEqual((1, []), (self.shelves[0].connections, self.shelves[0].seen))
+
+        self.play(work)
+
     def test_an_idle_connection_that_the_shelf_ends_is_not_used(self) -> None:
         async def work() -> None:
             head = self.start()
@@ -350,6 +477,24 @@
 
         self.play(work)
 
+    def test_what_waits_for_a_connection_is_not_sent_to_a_shelf_that_drains(self) -> None:
+        async def work() -> None:
+            head = self.start()
+            await self.wait(0.2)
+            head.pool.most = 1
+            self.shelves[0].says = lambda r: None
+            blocker = await self.call(wish("74", patience=5000))
+            await self.call(wish("75", shard=1, patience=5000))
+            self.assertEqual(1, len(head.pool.waiting))
+            self.list.tell(instance(1, "draining"))
+            await self.wait(1.5)
+            self.assertEqual(0, len(head.pool.waiting))
+            blocker.stream.close()
+            await self.wait(1.0)
+            self.assertEqual([], self.shelves[1].seen)
+
+        self.play(work)
+
     def test_the_pool_is_bounded_and_those_who_wait_get_their_turn(self) -> None:
         async def work() -> None:
             head = self.start(limits={"cores": 1.0, "memory_mb": 64, "sockets": 32})
@@ -387,6 +532,11 @@
             await self.call(wish("72"))
             self.assertEqual((1, 1), (len(self.shelves[0].seen), len(moved.seen)))
             self.assertEqual(1, self.shelves[0].ends)
+            moved.delay = 0.2
+            slow = await self.call(wish("76"), 0.05)
+            self.list.tell(instance(0))
+            await self.wait(0.5)
+            self.assertEqual((200, 1), (slow.status, moved.ends), "it answers, and its connection goes")
 
         self.play(work)
 
@@ -426,6 +576,31 @@
 
         self.play(work)
 
+    def test_a_shelfs_start_is_put_on_the_heads_clock_once(self) -> None:
+        async def work() -> None:
+            head = self.start()
+            await self.wait(0.2)
+            started, now = self.user.wall() * 1000, self.transport.now()
+            for _ in range(2):
+                self.list.tell(instance(0, started=started))
+                await self.wait(0.7)
+                since = [s.since for s in head.driver.policy.shelves.values() if s.shard == 0]
+                self.assertAlmostEqual(now, since[0], places=3)
+
+        self.play(work)
+
+    def test_a_discovery_whose_machine_is_gone_is_asked_anew(self) -> None:
+        async def work() -> None:
+            head = self.start()
+            await self.wait(0.2)
+            self.list.transport.vanish()
+            self.list = NewsList(self.process("list again"), LIST, generation=1)
+            self.list.tell(instance(0, "gone"))
+            await self.wait(12.0)
+            self.assertEqual(2, head.discovery.version)
+
+        self.play(work)
+
     def test_a_discovery_that_vanished_without_a_word_is_asked_again(self) -> None:
         async def work() -> None:
             head = self.start()
@@ -497,6 +672,7 @@
             self.assertLess(self.user.now() - began, 2.0 + 0.7 - 0.25)
             await self.wait(0.05)
             self.assertEqual(504, last.status, "the head ends first: it is answered all the same")
+            self.assertIn(b"connection: close", last.got.lower())
             self.assertTrue(idle.ended_at)
             self.assertEqual({}, head.driver.open)
 
@@ -510,7 +686,12 @@
                 ({"settings": 3}, "settings"), ({"settings": {**SETTINGS, "services": []}}, "settings"),
                 ({"settings": {k: v for k, v in SETTINGS.items() if k != "grades"}}, "grades"),
                 ({"known": {"generation": "x"}}, "known"), ({"discovery": "a:99999"}, "discovery"),
-                ({"settings": {**SETTINGS, "specifics": []}}, "settings")):
+                ({"settings": {**SETTINGS, "specifics": []}}, "settings"),
+                ({"settings": {**SETTINGS, "services": [{**SETTINGS["services"][0], "aim": "soon"}]}},
+                 "promised"),
+                ({"settings": {**SETTINGS, "contract": {**SETTINGS["contract"], "fall": float("nan")}}},
+                 "span"),
+                ({"settings": {**SETTINGS, "grades": [{"name": "plain", "neverOver": [9]}]}}, "limit")):
             with self.subTest(changed=changed), self.assertRaises(Unusable) as caught:
                 read_order(json.dumps(order(**changed)).encode(), "the/place")
             self.assertIn("the/place", str(caught.exception))
@@ -530,3 +711,44 @@
                 "'gorsethread.lab', 'gorsethread.cli'))))")
         done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=30)
         self.assertEqual("\n", done.stdout, done.stderr)
+
+
+class WholeProgram(unittest.TestCase):
+    """The real program as the platform starts it, on loopback."""
+
+    def program(self, listen: str) -> "subprocess.Popen[str]":
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        settings = {**SETTINGS, "services": [{**s, "giveUp": 0.2} for s in SETTINGS["services"]]}
+        nobody: dict[str, Any] = {"generation": 0, "reset": True, "instances": []}
+        with open(f"{folder}/config.json", "w") as file:
+            json.dump(order(listen=listen, discovery="127.0.0.1:9", settings=settings, known=nobody), file)
+        started = self.enterContext(subprocess.Popen(
+            [sys.executable, "-m", "gorsethread.platform"], stderr=subprocess.PIPE, text=True,
+            env={"GW_CONFIG": f"{folder}/config.json"}))
+        self.addCleanup(started.kill)
+        return started
+
+    def test_it_serves_reloads_and_ends_in_order(self) -> None:
+        port = free_ports(1)[0]
+        program = self.program(f"127.0.0.1:{port}")
+        assert program.stderr is not None
+        first = next(line for line in program.stderr if "head serves" in line)
+        self.assertIn(str(port), first)
+        with socket.create_connection(("127.0.0.1", port), 5) as client:
+            client.sendall(b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n")
+            self.assertTrue(client.recv(1000).startswith(b"HTTP/1.1 200 "))
+            program.send_signal(signal.SIGHUP)
+            next(line for line in program.stderr if "configuration read again" in line)
+            client.sendall(b"nonsense\r\n\r\n")
+            self.assertTrue(client.recv(1000).startswith(b"HTTP/1.1 400 "))
+        program.send_signal(signal.SIGTERM)
+        program.send_signal(signal.SIGTERM)
+        self.assertIn("head ended", program.stderr.read())
+        self.assertEqual(0, program.wait(10))
+
+    def test_an_address_that_cant_be_had(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            program = self.program(f"127.0.0.1:{taken.getsockname()[1]}")
+            said = program.communicate(timeout=20)[1]
+        self.assertEqual((2, 1), (program.returncode, said.count("\n")), said)
+        self.assertIn("listen", said)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,6 +1,6 @@
 """Each rule kept by one head alone. Without its guard, each of these traces changes."""
 
-from gorsethread.model import Effect, Ending, ForwardBudget, Group, Plan, Profile
+from gorsethread.model import ColdRule, Effect, Ending, ForwardBudget, Group, Plan, Profile
 from tests.harness import PLAIN, SLOW, Scene
 
 ONCE = Profile(0.3, Effect.IRREVERSIBLE, Group.ALL, 5.0, True, 1.0)
@@ -87,30 +87,93 @@
         self.until(2.1)
         self.kept("cold_shelf_after_own_start")
 
+    def test_gone_without_a_drain(self) -> None:
+        """A forward that can't be sent there tells that it is gone: what waits for its shard waits on."""
+        self.start()
+        self.shelves({1: 0.0}, ready=False, whole=False)
+        self.take(1)
+        self.end()
+        self.answer(1, Ending.NOT_SENT)
+        self.end()
+        self.until(0.1)
+        self.shelves({7: 0.0}, whole=False)
+        self.policy.list_begins(False, False)
+        self.policy.shelf_listed(7, 0, 1, True, 0.0)
+        self.policy.list_ended()
+        self.end()
+        self.kept("gone_without_a_drain")
+
     def test_lost_answer(self) -> None:
-        """An answer that never comes holds its shelf back for a pause, not until its cut-off; it counts as a
-        time-out of the shelf only where nothing sent later was answered."""
+        """An answer that never comes holds its shelf back neither while later ones come nor at its end."""
         self.start()
-        for id in (1, 2):
-            self.take(id)
+        self.take(1)
         self.end()
-        self.answer(2)  # what was sent with it was answered; 1 never is
+        self.until(0.05)
+        self.take(2)
         self.end()
-        self.until(0.35)
-        self.take(3)
+        self.answer(2)  # what was sent later was answered; 1 never is
         self.end()
         self.until(0.4)
-        self.answer(3)
-        self.take(4)
-        self.take(5)
+        for id in (3, 4):
+            self.take(id)
         self.end()
-        self.until(2.0)
+        for id in (3, 4):
+            self.answer(id)
+        self.until(1.9)
         self.answer(1, Ending.TIMED_OUT)
-        self.take(6)
-        self.take(7)
+        self.health()
+        for id in (5, 6):
+            self.take(id)
         self.end()
         self.kept("lost_answer")
 
+    def test_silent_shelf(self) -> None:
+        """One more forward after each pause while nothing is answered; time-outs are no times it takes."""
+        self.start()
+        for at in (0.0, 0.3, 0.6, 0.9, 1.2, 1.5, 1.8):
+            self.until(at)
+            self.take(int(at * 10), within=9.0)
+            self.end()
+        self.until(2.0)
+        self.answer(0, Ending.TIMED_OUT)
+        self.health()
+        self.kept("silent_shelf")
+
+    def test_health(self) -> None:
+        """The lowest rate; what is called off or not sent says nothing; which misses ask for a rest."""
+        self.start(profiles=(PLAIN, SLOW))
+        self.take(9)
+        self.end()
+        self.until(0.01)
+        self.answer(9)
+        for id in range(9):
+            self.take(id, volume=f"v{id}", profile=1, within=20.0)
+            self.end()
+            self.until(1.0 + id)
+            self.answer(id)
+            self.health()
+            self.end()
+        self.health()
+        for id, how in enumerate((Ending.BROKEN, Ending.CALLED_OFF, Ending.BROKEN, Ending.NOT_SENT,
+                                  Ending.BROKEN, Ending.BROKEN, Ending.UNREACHED), 20):
+            self.until(12.0 + 3.0 * id)
+            self.take(id, volume=f"v{id}", profile=1, within=20.0)
+            self.end()
+            self.answer(id, how, finished=True)
+            self.health()
+        self.kept("health")
+
+    def test_shelf_that_is_hardly_cold(self) -> None:
+        """It lacks a tenth of its speed for a second: the wait and the first rate are in that measure."""
+        self.start(cold=ColdRule(80.0, 3.0, 1.0, 0.9))
+        self.until(5.0)
+        self.shelves({1: 5.0})
+        self.take(1)
+        self.end()
+        self.until(5.2)
+        self.health()
+        self.kept("hardly_cold")
+
     def test_key_turns(self) -> None:
         """One at a time by key; after a time-out the key rests."""
         self.start(profiles=(ONCE,), key_rest=0.5)
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -1,5 +1,6 @@
 """The virtual network does what TCP and processes do: windows, cuts, resets, kills, pauses, clocks."""
 
+import errno
 import logging
 import unittest
 from collections.abc import Callable, Coroutine
@@ -202,3 +203,31 @@
         transport.at(transport.now(), lambda: [][0])
         with self.assertRaises(IndexError):
             await transport.until_finished()
+
+
+class Accepting(unittest.IsolatedAsyncioTestCase):
+    async def test_where_no_descriptor_is_left_it_goes_on_as_soon_as_there_is(self) -> None:
+        transport, served = RealTransport(), []
+
+        async def serve(stream: Stream) -> None:
+            served.append(stream)
+
+        listener = transport.listen("127.0.0.1", 0, serve)
+        self.addCleanup(listener.close)
+        listening = listener._sockets[0]
+
+        class Full:
+            def fileno(self) -> int:
+                return listening.fileno()
+
+            def accept(self) -> Any:
+                raise OSError(errno.EMFILE, "Too many open files")
+
+        listener._accept(Full(), 1)  # type: ignore[arg-type]
+        self.assertIsNone(transport.failed)
+        listener._read(listening)
+        stream = await transport.connect("127.0.0.1", listener.port, 1.0)
+        while not served:
+            await transport.sleep(0.01)
+        for each in (stream, *served):
+            each.close()
