A shelf with a line gets one slot a head: many heads' slots no longer add up there

At fault: _judge moved the bound only by waits over three tenths of the shortest promise, as the rate, so each head kept two to four slots at shelves with a line of a second. Change: a wait over a tenth of the shortest promise shows a line, and the bound falls to one.

--- a/gorsethread/lab/crowd.py
+++ b/gorsethread/lab/crowd.py
@@ -14,6 +14,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from itertools import accumulate
 from typing import Any, NamedTuple
 
@@ -127,8 +128,8 @@
     leads, at = [(0.0, c.randrange(len(heads)))], 0.0
     while (at := at + c.uniform(6.8, 25.0)) < scene.seconds:
         leads.append((at, c.randrange(len(heads))))
-    return Store(plan, (1.0, 1.5, 3.0)[plan] * c.uniform(0.85, 1.15), _some(c, 3, scene.shelves), heads, leads,
-                 (0.0, 0.0, 1.0))
+    usual = (1.0, 1.5, 3.0)[plan] * c.uniform(0.85, 1.15)
+    return Store(plan, usual, _some(c, 3, scene.shelves), heads, leads, (0.0, 0.0, 1.0))
 
 
 def _asks(scene: Scene, number: int, s: Store, c: Chance) -> list[Ask]:
@@ -143,7 +144,8 @@
         lead = next(head for begins, head in reversed(s.leads) if begins <= at)
         head = s.heads[lead if c.random() < 0.7 else c.randrange(len(s.heads))]
         units = sizes[_pick(c, chances)]
-        work = units * UNIT_WORK * c.uniform(0.6, 1.4)
+        # Two draws: a spread of 0.7 of the mean, as works of one size have.
+        work = 0.5 * units * UNIT_WORK * (c.expovariate(1.0) + c.expovariate(1.0))
         found.append(Ask(at, head, number, _pick(c, list(MIX)), units, s.shards[c.randrange(len(s.shards))],
                          work))
     return found
@@ -156,7 +158,6 @@
         self.world, self.number, self.speed = world, number, speed
         self.line: list[_Sent] = []
         self.running = 0
-        self.waits_until = 0.0  # work in hand, in seconds of both cores, as a sum kept at each change
 
     @property
     def behind(self) -> float:
@@ -174,7 +175,7 @@
                 continue
             self.running += 1
             f.begun = True
-            self.world.at(self.world.now + f.ask.work / self.speed, lambda f=f: self._done(f))
+            self.world.at(self.world.now + f.ask.work / self.speed, partial(self._done, f))
 
     def _done(self, f: "_Sent") -> None:
         if not f.freed:
@@ -310,7 +311,7 @@
         self.machines = [_Machine(self, n, speed) for n, speed in enumerate(day.speeds)]
         self.heads = [_Head(self, n, policy) for n in range(day.scene.heads)]
         for id, ask in enumerate(day.asks):
-            self.at(ask.at, lambda id=id, ask=ask: self.heads[ask.head].take(id, ask))
+            self.at(ask.at, partial(self.heads[ask.head].take, id, ask))
         if told is not None:
             self._tell(told, every)
 
@@ -394,7 +395,8 @@
     for ask, elapsed in world.served:
         in_time = elapsed <= PROFILES[ask.profile].promised
         late += not in_time
-        got[(ask.volume, int(ask.at))].append((value(ask), 1.0 if in_time else LATE_WORTH[ask.profile], ask.units))
+        part = 1.0 if in_time else LATE_WORTH[ask.profile]
+        got[(ask.volume, int(ask.at))].append((value(ask), part, ask.units))
     wanted: dict[int, float] = defaultdict(float)
     earned: dict[int, float] = defaultdict(float)
     by_second: dict[int, list[float]] = defaultdict(lambda: [0.0, 0.0])
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -24,6 +24,7 @@
 # come that could raise it, and each that took long by its own work cuts it again.
 LOWEST_RATE = 0.1
 WAIT_PART = 0.3  # of the shortest promise: the longest wait at a shelf that is not crowded
+LINE_PART = 0.1  # of the shortest promise: a wait that shows a line at the shelf
 SILENT_PAUSE = 12.0  # usual times of a shelf that fell silent, until it gets one more forward
 BREAKS_MOST = 3  # connections broken in turn from which a shelf needs no rest
 DRAIN_PART = 0.75  # of the grace: a send may still have to wait for a connection
@@ -415,7 +416,7 @@
                 s.rest_until = self.now + min(2.0, 0.1 * 2.0**min(s.misses, 9))
             return
         s.misses = s.misses + 1 if how is Ending.TIMED_OUT else 0
-        part = 1.0  # of what was sent, how much the shelf could take in good time
+        wait, part = 0.0, 1.0  # part: of what was sent, how much the shelf could take in good time
         if how is Ending.TURNED_AWAY:
             part = 0.5
             self.overload_until = self.now + 1.0
@@ -427,6 +428,12 @@
                 s.unit_time = min(1.02 * s.unit_time, elapsed / max(t.units, 1.0))
             wait = elapsed - 2.0 * s.unit_time * t.units if s.unit_time < float("inf") else elapsed
             part = WAIT_PART * self.quickest / max(wait, 0.001)
+        in_line = how is Ending.HONOURED and wait > LINE_PART * self.quickest
+        if in_line:
+            # Guards against many heads' slots adding up: a shelf with a line is busy without a second one of
+            # this head's, which would only wait there, where no head can put what is dearer first. Hurts
+            # where work of one size differs much.
+            s.bound = 1.0
         if part < 1.0:
             # Answers to what was sent before the last cut say nothing of the cut.
             if self.now - elapsed >= s.cut_at:
@@ -434,7 +441,7 @@
                 self._cut(s, self.first_rate * (1.0 if late else 2.0), max(0.2 if late else 0.5, part))
         elif how is Ending.HONOURED:
             s.rate = min(FREE_RATE, s.rate * 2.0 ** min(1.0, self.now - s.grown_at))
-            if len(s.out) + 1 >= int(s.bound):
+            if not in_line and len(s.out) + 1 >= int(s.bound):
                 s.bound = min(HIGHEST_BOUND, s.bound + 0.5 / s.bound)
         s.grown_at = self.now
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -163,6 +163,26 @@
             self.health()
         self.kept("health")
 
+    def test_shelf_with_a_line(self) -> None:
+        """An answer that waited a little, in good time: one slot, until answers come at once."""
+        self.start(profiles=(SLOW,))
+        self.take(1, within=30.0)
+        self.end()
+        self.until(0.1)
+        self.answer(1)
+        self.take(2, within=30.0)
+        self.end()
+        self.until(0.3 + 9.0 * 0.1 + 0.1)
+        self.answer(2)
+        for id in (3, 4):
+            self.take(id, within=30.0)
+        self.end()
+        self.health()
+        self.until(1.4)
+        self.answer(3)
+        self.end()
+        self.kept("shelf_with_a_line")
+
     def test_shelf_that_is_hardly_cold(self) -> None:
         """It lacks a tenth of its speed for a second: the wait and the first rate are in that measure."""
         self.start(cold=ColdRule(80.0, 3.0, 1.0, 0.9))
