No slot behind a forward that waits in a line; inside a volume by value of a unit

Seen: with one slot at shelves that have a line, a shelf of which nothing is known yet still gets four forwards a head, and one large transaction holds a head's only slot there while several small ones run out of their promise. Change: _comes_in_time in _free_slots, and it notes when silence begins; _turn by value of a unit.

--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -35,7 +35,7 @@
 
 def _turn(t: Transaction) -> tuple[bool, float, float, int]:
     """Order inside a volume: what can keep its promised time, then by value, the nearest promise first."""
-    return (t.late, -t.profile.value, t.promised_by, t.order)
+    return (t.late, -t.profile.value / max(t.units, 1.0), t.promised_by, t.order)
 
 
 class Policy:
@@ -380,8 +380,20 @@
             if self.now < due:
                 self.look_at = min(self.look_at, due)
             return 1 if self.now >= due else 0
+        if s.out and not self._comes_in_time(s):
+            return 1 - len(s.out)
         return max(1, int(s.bound)) - len(s.out)
 
+    def _comes_in_time(self, s: Shelf) -> bool:
+        """Guards against slots at a shelf of which no answer has told yet, or told of long ago, that it has a
+        line: the first forward that is out there waits in it already, and a further one would behind it."""
+        first = self._oldest(s)
+        by = first + WAIT_PART * self.quickest + (2.0 * s.unit_time if s.unit_time < float("inf") else 0.0)
+        if self.now > by:
+            # Nothing may come that asks again; from then on it counts as silent.
+            self.look_at = min(self.look_at, max(first, s.answered_at) + self.quickest + LOOK_AGAIN)
+        return self.now <= by
+
     def _silent(self, s: Shelf) -> bool:
         """Guards against a hung shelf holding slots: one forward at a time until it answers. One that goes
         on answering is not silent; a forward passed over by the answer to a later one is late by itself."""
