--- a/gorsethread/cli/faults.py
+++ b/gorsethread/cli/faults.py
@@ -13,6 +13,7 @@
 from gorsethread.faults.runs import (
     Summary,
     drawn,
+    play,
     play_many,
     shrink,
     timeline,
@@ -20,8 +21,9 @@
     zero_of,
 )
 from gorsethread.faults.script import KINDS, BadScript, Script, read_script
-from gorsethread.faults.states import STATES
-from gorsethread.faults.world import misfits, play
+from gorsethread.faults.states import STATES, WEB_STATES
+from gorsethread.faults.webmutants import WEB_MUTANTS
+from gorsethread.faults.world import misfits
 from gorsethread.lab.scripted import beside, unplayable
 from gorsethread.sitefile import site_pb2 as pb
 from gorsethread.transport.sampling import wall_seconds
@@ -35,6 +37,7 @@
 What = Annotated[str, typer.Argument(help="A seed, or the path of a script.")]
 Planted = Annotated[str, typer.Option(help="Plant this defect in every head (see 'faults mutants').")]
 AtOnce = Annotated[int, typer.Option(help="Worlds side by side; 0: as many as there are cores.")]
+Web = Annotated[bool, typer.Option("--web", help="Heads on the operators' platform, not the NVMe front.")]
 JsonPath = Annotated[str, typer.Option("--json", help="Write the result here; - for standard output.")]
 
 
@@ -46,12 +49,12 @@
     return range(int(first), int(last or first) + 1)
 
 
-def _script(site: pb.Site, what: str) -> Script:
+def _script(site: pb.Site, what: str, web: bool = False) -> Script:
     if what.isdigit():
-        return drawn(site, int(what))
+        return drawn(site, int(what), web)
     try:
         script = read_script(Path(what).read_text())
-        if no := misfits(site, script):
+        if no := misfits(site, script, web):
             raise BadScript(no)
         return script
     except OSError as error:
@@ -62,9 +65,13 @@
     raise typer.Exit(2)
 
 
-def _mutant(name: str) -> str:
+def _mutants_of(web: bool) -> list[str]:
+    return list(WEB_MUTANTS) if web else list(MUTANTS)
+
+
+def _mutant(name: str, web: bool = False) -> str:
     """The one defect whose name has this in it."""
-    found = [m for m in MUTANTS if name in m] if name else [""]
+    found = [m for m in _mutants_of(web) if name in m] if name else [""]
     if len(found) != 1:
         typer.echo(f"--mutant: {name!r} is in the names of {len(found)} defects; see 'faults mutants'",
                    err=True)
@@ -75,25 +82,26 @@
 @app.command()
 def run(site: SitePath = DEFAULT_SITE,
         seeds: Annotated[str, typer.Option(help="First and last.")] = "0..199", at_once: AtOnce = 0,
-        mutant: Planted = "", json_path: JsonPath = "") -> None:
+        mutant: Planted = "", web: Web = False, json_path: JsonPath = "") -> None:
     """Plays the worlds of many seeds. Status 0: every rule held in each, and nothing was left behind."""
-    known, wanted, planted = site_at(site), _seeds(seeds), _mutant(mutant)
+    known, wanted, planted = site_at(site), _seeds(seeds), _mutant(mutant, web)
     console = Console(stderr=json_path == "-")
     summary, began = Summary(), wall_seconds()
-    for played in play_many(known, wanted, at_once, planted):
+    for played in play_many(known, wanted, at_once, planted, web):
         summary.add(played)
         if played.reasons and len(summary.failed) <= SHOWN_MOST:
             console.print(f"seed {played.seed}: {', '.join(played.reasons)}", markup=False)
             console.print(played.first, markup=False, highlight=False)
     wall = wall_seconds() - began
-    reached = len(KINDS) * len(STATES) - len(summary.unreached())
+    pairs = len(KINDS) * len(WEB_STATES if web else STATES)
+    unreached = summary.unreached(web)
     console.print(f"{summary.worlds} worlds, {summary.taken} transactions: {len(summary.failed)} failed. "
                   f"{summary.virtual / wall:.0f} virtual seconds a real one, "
-                  f"{summary.virtual / summary.cost:.0f} a second of one core; {reached} of "
-                  f"{len(KINDS) * len(STATES)} pairs of fault and state met")
+                  f"{summary.virtual / summary.cost:.0f} a second of one core; {len(unreached)} of at most "
+                  f"{pairs} pairs of fault and state not met")
     write_json({"worlds": summary.worlds, "taken": summary.taken, "failed": [vars(p) for p in summary.failed],
             "virtual_seconds": summary.virtual, "wall_seconds": wall, "cpu_seconds": summary.cost,
-            "pairs": dict(sorted(summary.states.items())), "unreached": summary.unreached()}, json_path)
+            "pairs": dict(sorted(summary.states.items())), "unreached": unreached}, json_path)
     raise typer.Exit(1 if summary.failed else 0)
 
 
@@ -109,16 +117,17 @@
 
 
 @app.command()
-def replay(what: What, site: SitePath = DEFAULT_SITE, mutant: Planted = "", json_path: JsonPath = "",
+def replay(what: What, site: SitePath = DEFAULT_SITE, mutant: Planted = "", web: Web = False,
+           json_path: JsonPath = "",
            every: Annotated[bool, typer.Option(
                "--all", help="Every step that shelves and clients saw, not just of what broke.")] = False,
            ) -> None:
     """Plays one world twice, checks that it was the same history, and tells it. Status 0: every rule held."""
     known = site_at(site)
-    script, change = _script(known, what), MUTANTS.get(_mutant(mutant))
+    script, planted = _script(known, what, web), _mutant(mutant, web)
     console = Console(stderr=json_path == "-")
     console.print(str(script), markup=False, highlight=False)
-    outcome, again = play(known, script, change), play(known, script, change)
+    outcome, again = (play(known, script, planted, web) for _ in range(2))
     zero = zero_of(outcome)
     if every:
         hidden = ("t", "who", "e", "start")
@@ -140,22 +149,22 @@
 
 
 @app.command("shrink")
-def shrink_one(what: What, site: SitePath = DEFAULT_SITE, mutant: Planted = "",
+def shrink_one(what: What, site: SitePath = DEFAULT_SITE, mutant: Planted = "", web: Web = False,
                out: Annotated[str, typer.Option(help="Write the script here too.")] = "") -> None:
     """Cuts a failing world down to the few faults and volumes that matter; the script comes on standard
     output. Status 2: it does not fail."""
-    known, planted = site_at(site), _mutant(mutant)
+    known, planted = site_at(site), _mutant(mutant, web)
     console = Console(stderr=True)
     try:
-        small = shrink(known, _script(known, what), planted,
-                       lambda line: console.print(line, markup=False, highlight=False))
+        small = shrink(known, _script(known, what, web), planted,
+                       lambda line: console.print(line, markup=False, highlight=False), web)
     except ValueError as error:
         typer.echo(f"{what}: {error}", err=True)
         raise typer.Exit(2) from None
     sys.stdout.write(str(small))
     if out:
         Path(out).write_text(str(small))
-    outcome = play(known, small, MUTANTS.get(planted))
+    outcome = play(known, small, planted, web)
     for line in timeline(outcome, zero_of(outcome), 1):
         console.print(line, markup=False, highlight=False, soft_wrap=True)
 
@@ -185,10 +194,10 @@
 def mutants(site: SitePath = DEFAULT_SITE,
             most: Annotated[int, typer.Option(help="Seeds to try for each.")] = 0, at_once: AtOnce = 0,
             only: Annotated[str, typer.Option(help="Those with this in their name.")] = "",
-            json_path: JsonPath = "") -> None:
+            web: Web = False, json_path: JsonPath = "") -> None:
     """Lists the defects that can be planted; with --most, says how many seeds each takes to be caught.
     Status 1: one was not."""
-    chosen = [name for name in MUTANTS if only in name]
+    chosen = [name for name in _mutants_of(web) if only in name]
     if not most:
         for name in chosen:
             typer.echo(name)
@@ -197,7 +206,7 @@
     table = Table("planted defect", "first seed that shows it", "as")
     caught: dict[str, Any] = {}
     for name in chosen:
-        played = until_caught(known, name, most, at_once)
+        played = until_caught(known, name, most, at_once, web)
         caught[name] = None if played is None else {"seed": played.seed, "reasons": played.reasons}
         told = ("NONE", "") if played is None else (str(played.seed), ", ".join(played.reasons))
         console.print(f"{name}: {told[0]} {told[1]}", markup=False, highlight=False)
--- a/gorsethread/faults/draw.py
+++ b/gorsethread/faults/draw.py
@@ -12,11 +12,13 @@
 
 
 class Draw:
-    """seed: all of the script. seconds, volumes of the site: how long it is, and who may surge."""
+    """seed: all of the script. seconds, volumes of the site: how long it is, and who may surge. web: for
+    heads on the operators' platform, whose machines have one Unix clock and no disk."""
 
     def __init__(self, seed: int, volumes: Sequence[int], tenants: Sequence[str],
-                 seconds: float = 12.0) -> None:
-        self.chance = Draws(f"script {seed}")
+                 seconds: float = 12.0, web: bool = False) -> None:
+        self.chance = Draws(f"{'web ' if web else ''}script {seed}")
+        self.troubles = WEB_TROUBLES if web else TROUBLES
         self.seed, self.volumes, self.tenants, self.seconds = seed, volumes, tenants, seconds
         c = self.chance
         self.heads, self.shelves = c.choice((1, 2, 3, 3, 4, 8)), c.choice((2, 4, 6, 6, 8))
@@ -25,10 +27,11 @@
 
     def script(self) -> Script:
         c = self.chance
-        kinds = [k for k in TROUBLES if c.random() < KIND_PART] or [c.choice(list(TROUBLES))]
+        known = self.troubles
+        kinds = [k for k in known if c.random() < KIND_PART] or [c.choice(list(known))]
         for kind in kinds:
             for _ in range(c.choice((1, 1, 2, 3))):
-                TROUBLES[kind](self)
+                known[kind](self)
         clocks = {}
         if c.random() < 0.3:
             clocks = {f"head {n}": Clock(round(c.uniform(-900.0, 900.0), 3), c.choice((0.0, 2e-5, -2e-5)))
@@ -173,6 +176,21 @@
     def wall(self) -> None:
         self.acts.append(Act(self._at(), "wall", self._head(), by=round(self.chance.uniform(-50, 50), 3)))
 
+    def term(self) -> None:
+        head = self._head()
+        if head not in self.away:
+            self.away.add(head)
+            self._add("term", head, 0.2, 1.5)
+
+    def reload(self) -> None:
+        self.acts.append(Act(self._at(), "reload", self._head()))
+
+    def spoil(self) -> None:
+        self._add("spoil", self._shelf(), 0.5, 4.0, by=self.chance.uniform(0.02, 0.5))
+
+    def rude(self) -> None:
+        self._add("rude", self._head(), 0.5, 4.0)
+
 
 TROUBLES: dict[str, Callable[[Draw], None]] = {
     "half the heads": Draw.half_the_heads, "shelf dies": Draw.shelf_dies, "crash": Draw.crash,
@@ -183,3 +201,6 @@
     "surge": Draw.surge,
     "slow connects": Draw.slow_connects, "disk": Draw.disk, "wall clock": Draw.wall,
 }
+WEB_TROUBLES = {name: trouble for name, trouble in TROUBLES.items() if name not in ("disk", "wall clock")} | {
+    "term": Draw.term, "reload": Draw.reload, "spoil": Draw.spoil, "rude": Draw.rude,
+}
--- a/gorsethread/faults/runs.py
+++ b/gorsethread/faults/runs.py
@@ -11,11 +11,14 @@
 from gorsethread.faults.draw import Draw
 from gorsethread.faults.mutants import MUTANTS
 from gorsethread.faults.script import KINDS, Script
-from gorsethread.faults.states import STATES
-from gorsethread.faults.world import START_UP, Outcome, play
+from gorsethread.faults.states import STATES, WEB_STATES
+from gorsethread.faults.webmutants import WEB_MUTANTS
+from gorsethread.faults.webworld import WebWorld
+from gorsethread.faults.world import START_UP, Outcome, World
 from gorsethread.sitefile import site_pb2 as pb
 from gorsethread.transport.sampling import cpu_seconds
 
+NOT_ON_THE_PLATFORM = ("disk", "wall")
 SHRINKS_MOST = 120  # worlds played to cut one down
 
 
@@ -33,16 +36,23 @@
     states: dict[str, int] = field(default_factory=dict)
 
 
-def drawn(site: pb.Site, seed: int) -> Script:
-    return Draw(seed, [v.number for v in site.volume], [t.name for t in site.tenant]).script()
+def drawn(site: pb.Site, seed: int, web: bool = False) -> Script:
+    return Draw(seed, [v.number for v in site.volume], [t.name for t in site.tenant], web=web).script()
 
 
-def play_one(raw_site: bytes, mutant: str, seed: int) -> Played:
+def play(site: pb.Site, script: Script, mutant: str = "", web: bool = False) -> Outcome:
+    """Plays a script once, in a world of its own. web: with heads on the operators' platform."""
+    if web:
+        return WebWorld(site, script, WEB_MUTANTS.get(mutant)).play()
+    return World(site, script, MUTANTS.get(mutant)).play()
+
+
+def play_one(raw_site: bytes, mutant: str, web: bool, seed: int) -> Played:
     """In a process of the pool. A world that raises, or waits for ever, failed too."""
     site = pb.Site.FromString(raw_site)
     began = cpu_seconds()
     try:
-        outcome = play(site, drawn(site, seed), MUTANTS.get(mutant))
+        outcome = play(site, drawn(site, seed, web), mutant, web)
     except Exception as error:
         return Played(seed, [f"raised {type(error).__name__}"], "", 0, 0.0, cpu_seconds() - began,
                       repr(error))
@@ -53,9 +63,10 @@
                   cpu_seconds() - began, first or "; ".join(outcome.defects[:1]), outcome.states)
 
 
-def play_many(site: pb.Site, seeds: Sequence[int], at_once: int = 0, mutant: str = "") -> Iterator[Played]:
+def play_many(site: pb.Site, seeds: Sequence[int], at_once: int = 0, mutant: str = "",
+              web: bool = False) -> Iterator[Played]:
     """In the order of the seeds; at_once 0: as many as there are cores."""
-    work = partial(play_one, site.SerializeToString(), mutant)
+    work = partial(play_one, site.SerializeToString(), mutant, web)
     fresh = multiprocessing.get_context("spawn")
     with ProcessPoolExecutor(at_once or os.cpu_count() or 1, mp_context=fresh) as pool:
         try:
@@ -84,16 +95,17 @@
         if played.reasons:
             self.failed.append(played)
 
-    def unreached(self) -> list[str]:
-        pairs = [f"{kind} | {state}" for kind in KINDS for state in STATES]
+    def unreached(self, web: bool = False) -> list[str]:
+        kinds = [kind for kind, k in KINDS.items() if not (k.web if not web else kind in NOT_ON_THE_PLATFORM)]
+        pairs = [f"{kind} | {state}" for kind in kinds for state in (WEB_STATES if web else STATES)]
         return [pair for pair in pairs if pair not in self.states]
 
 
-def until_caught(site: pb.Site, mutant: str, most: int, at_once: int = 0) -> Played | None:
+def until_caught(site: pb.Site, mutant: str, most: int, at_once: int = 0, web: bool = False) -> Played | None:
     """The first seed, from 0, whose world shows the planted defect; None where none of so many does."""
     step = 8 * (at_once or os.cpu_count() or 1)
     for begin in range(0, most, step):
-        for played in play_many(site, range(begin, min(most, begin + step)), at_once, mutant):
+        for played in play_many(site, range(begin, min(most, begin + step)), at_once, mutant, web):
             if played.reasons:
                 return played
     return None
@@ -153,16 +165,16 @@
     return replace(script, volumes=tuple(kept)) if len(kept) < len(volumes) else script
 
 
-def shrink(site: pb.Site, seed_or_script: Script, mutant: str, say: Callable[[str], None]) -> Script:
+def shrink(site: pb.Site, seed_or_script: Script, mutant: str, say: Callable[[str], None],
+           web: bool = False) -> Script:
     """ValueError where it does not fail at all. What counts is that one of the same reasons stays."""
-    change = MUTANTS.get(mutant)
-    wanted = set(play(site, seed_or_script, change).reasons)
+    wanted = set(play(site, seed_or_script, mutant, web).reasons)
     if not wanted:
         raise ValueError("this world shows nothing wrong")
     say("wrong: " + ", ".join(sorted(wanted)))
 
     def fails(candidate: Script) -> bool:
-        return bool(wanted & set(play(site, candidate, change).reasons))
+        return bool(wanted & set(play(site, candidate, mutant, web).reasons))
 
     # Fewer volumes first: all later worlds are the cheaper for it.
     script = fewer_volumes(seed_or_script, [v.number for v in site.volume], fails, say)
--- a/gorsethread/faults/script.py
+++ b/gorsethread/faults/script.py
@@ -32,6 +32,7 @@
     by: bool = False  # an amount
     lasts: bool = False  # a time after which it ends
     says: str = ""
+    web: bool = False  # only heads on the operators' platform meet it
 
 
 KINDS = {
@@ -60,6 +61,13 @@
                      says="takes that many seconds more to connect to"),
     "disk": Kind(("head",), lasts=True, says="its files can't be written"),
     "wall": Kind(("head",), by=True, says="its wall clock jumps by so many seconds"),
+    "term": Kind(("head",), lasts=True, web=True,
+                 says="is told to end, by SIGTERM, ends in order and comes back after that time"),
+    "reload": Kind(("head",), web=True,
+                   says="is told, by SIGHUP, that discovery is at another address"),
+    "spoil": Kind(("shelf",), by=True, lasts=True, web=True,
+                  says="that part of its answers can't be used, though it ran"),
+    "rude": Kind(("head",), lasts=True, web=True, says="clients that send nonsense come to it"),
 }
 
 
--- a/gorsethread/faults/states.py
+++ b/gorsethread/faults/states.py
@@ -1,11 +1,12 @@
 """In what states faults met the heads: the pairs that a run reached, and those it did not."""
 
 from collections.abc import Callable
+from typing import Any
 
-from gorsethread.head.program import Head
 from gorsethread.policy import FREE_RATE
 
-STATES: dict[str, Callable[[Head], bool]] = {
+States = dict[str, Callable[[Any], bool]]
+DECIDED: States = {
     "nothing open": lambda h: not h.driver.open,
     "forwards out": lambda h: any(s.out for s in h.driver.policy.shelves.values()),
     "first writes out": lambda h: bool(h.driver._placing),
@@ -19,11 +20,19 @@
     "a limit holds": lambda h: any(v.plan.limit and v.limit_store < 1.0
                                    for v in h.driver.policy.volumes.values()),
     "a further forward out": lambda h: any(n for s in h.driver.policy.shelves.values() for _, n in s.out),
+}
+STATES: States = DECIDED | {
     "a link is down": lambda h: any(link.association is None for link in h.driver.links.values()),
     "the list is not followed": lambda h: h.follower._stream is None,
 }
+WEB_STATES: States = DECIDED | {
+    "a connection comes up": lambda h: h.pool.held > len(h.pool.busy) + sum(
+        len(link.kept) for link in h.driver.links.values()),
+    "none is kept": lambda h: not h.pool.trust.holds(h.transport.now()),
+    "the list is not followed": lambda h: h.discovery._stream is None,
+}
 
 
-def met(heads: list[Head]) -> list[str]:
+def met(heads: list[Any], states: States) -> list[str]:
     """The states that some of these heads are in."""
-    return [name for name, holds in STATES.items() if any(holds(head) for head in heads)]
+    return [name for name, holds in states.items() if any(holds(head) for head in heads)]
--- /dev/null
+++ b/gorsethread/faults/webworld.py
@@ -0,0 +1,149 @@
+"""A site whose heads serve on the operators' platform, in one process on a virtual clock: HTTP clients,
+shelves and discovery round the live head as it is, the same scripts, rules and judges as the other front."""
+
+import json
+from typing import Any
+
+from gorsethread.faults.script import Act
+from gorsethread.faults.states import WEB_STATES
+from gorsethread.faults.world import Remembering, Silent, World
+from gorsethread.platform.config import read_order
+from gorsethread.platform.discovery import shelf_number
+from gorsethread.platform.program import KILL_AFTER, LONGEST_COUNTED, LiveHead
+from gorsethread.sitefile.reading import split_address
+from gorsethread.standins.web import (
+    HEADS_FROM,
+    RudeClient,
+    WebClient,
+    WebList,
+    WebShelf,
+    instance,
+    settings_of,
+)
+
+LIMITS = {"cores": 1.0, "memory_mb": 96, "sockets": 96}  # few enough sockets that a bad day meets the bound
+FAULTS = ("bad request", "rude")  # what stand-ins record and no honest head gives cause for
+OLD_ADDRESS_ENDS = 1.5  # seconds after SIGHUP
+
+
+class WebWorld(World):
+    """Play it once."""
+
+    states_known = WEB_STATES
+    by_stand_ins = (*World.by_stand_ins, "spoil")
+    lists, shelf_kind, client_kind = WebList, WebShelf, WebClient
+
+    def __init__(self, *arguments: Any) -> None:
+        super().__init__(*arguments)
+        self.told: dict[int, dict[int, str]] = {}  # by head: the state of each shelf, as it was told last
+        self._coming: dict[int, tuple[int, int]] = {}  # requests on their way to heads, by the network's ways
+
+    def saw(self, who: str, event: str, facts: dict[str, Any]) -> None:
+        if event in FAULTS:
+            self._defect(f"{event}: {' '.join(f'{k}={v}' for k, v in facts.items() if k != 'head')}"[:200])
+            return
+        if event == "arrived" and (facts["label"], facts["attempt"]) not in self.online.seen:
+            self._defect(f"sent what no client asked for: head {facts['head']}, label {facts['label']}")
+        if event == "told":
+            self.told.setdefault(facts["head"], {})[facts["shelf"]] = facts["state"]
+        if event == "crossed":
+            seen = self.online.seen[facts["label"], facts["attempt"]]
+            if seen.came and not self.online._out_of_reach(seen.sent, self.loop.time()):
+                self._defect(f"ended a connection under a request it had taken: head {seen.sent['head']}")
+        super().saw(who, event, facts)
+        if event in ("sent", "sent anew"):
+            self._coming[self.network.wrote] = facts["label"], facts["attempt"]
+
+    def _arrived(self, one: str, other: str, count: int, left: float, way: int) -> None:
+        super()._arrived(one, other, count, left, way)
+        # Requests of one client come on several connections: a head takes them in the order they are there.
+        if way in self._coming and other.startswith("head"):
+            label, attempt = self._coming.pop(way)
+            self.processes[other].gate(lambda: self.saw("day", "came", {"label": label, "attempt": attempt}))
+
+    # ---- heads
+
+    def _configure(self, number: int) -> str:
+        """Writes its configuration; the list it is told of is as this head last had it."""
+        me = next(h for h in self.site.head if h.number == number)
+        states = self.told.get(number, {})
+        known = [instance(s.number, s.address, s.shard, s.zone, states.get(s.number, "ready"), 0.0, number)
+                 for s in self.site.shelf if states.get(s.number) != "gone"]
+        host, _ = split_address(self.site.list.address)
+        order = {"name": f"n{number}", "listen": me.address, "discovery": f"{host}:{HEADS_FROM + number}",
+                 "seed": f"{self.script.seed * 1000 + number:016x}", "limits": LIMITS,
+                 "settings": settings_of(self.site),
+                 "known": {"generation": 1, "reset": True, "instances": known}}
+        path = f"config/{number}.json"
+        self.disk.files[path] = bytearray(json.dumps(order).encode())
+        return path
+
+    def _start_head(self, number: int) -> None:
+        name = f"head {number}"
+        process = self._start(name)
+        path = self._configure(number)
+        head = LiveHead(process, read_order(process.load(path), path), path, Silent())
+        self.heads[number] = head
+        process.on_reload(head.reload)
+        if self.change:
+            self.change(head)
+        head.start()
+
+    def _do_here(self, act: Act) -> None:
+        process, number = self.processes[act.whom], int(act.whom.split(" ")[1])
+        head = self.heads[number]
+        if not process.alive:
+            return
+        if act.kind == "reload":
+            process.reload()
+        elif act.kind == "term":
+            process.on_terminate(lambda: process.spawn(self._ending(act, head)))
+            process.terminate()
+            longest = min(max(p.cut_off for p in self.site.profile), LONGEST_COUNTED) + KILL_AFTER
+            self.loop.call_later(longest, self._killed, act, process)
+        elif act.kind == "rude":
+            rude = self._process("rude")
+            struck = next(h for h in self.site.head if h.number == number)
+            client = RudeClient(rude, self.site, Remembering(self, rude, "rude"))
+            rude.spawn(client.at(struck, rude.now() + act.seconds))
+
+    async def _ending(self, act: Act, head: Any) -> None:
+        await head.end()
+        if any(not t.answered for t in head.driver.open.values()):
+            self._defect(f"ended with transactions open: {act.whom}")
+        self.loop.call_soon(self._down, act, act.whom, "end")
+
+    def _killed(self, act: Act, process: Any) -> None:
+        if self.processes[act.whom] is process and process.alive:
+            by = self.loop.time() - self.zero
+            if not any(a.kind == "pause" and a.whom == act.whom and a.at < by and a.end > act.at
+                       for a in self.script.acts):
+                self._defect(f"did not end in time after SIGTERM: {act.whom}")
+            self._down(act, act.whom, "kill")
+
+    # ---- what must hold
+
+    def _follows(self, head: Any) -> bool:
+        return head.discovery._stream is not None
+
+    def _used(self, head: Any) -> set[int]:
+        names = {shelf_number(f"s-{s.number}"): s.number for s in self.site.shelf}
+        return {names[s.id] for s in head.driver.policy.shelves.values() if s.ready}
+
+    def _check_owners(self, number: int, head: Any) -> None:
+        """Each connection counted is one that is kept, carries a forward or comes up, and none carries a
+        forward that no transaction owns."""
+        pool, driver = head.pool, head.driver
+        kept = sum(len(link.kept) for link in driver.links.values())
+        if not 0 <= kept + len(pool.busy) <= pool.held <= pool.most:
+            self._defect(f"connections do not add up: head {number}: held {pool.held} of {pool.most}, kept "
+                         f"{kept}, busy {len(pool.busy)}")
+        for connection in pool.busy.values():
+            f = connection.out
+            t = driver.open.get(f.transaction) if f is not None else None
+            if f is not None and not f.over and (t is None or t.out.get(f.number) is not f):
+                self._defect(f"forward without an owner: head {number}, shelf {connection.link.host}")
+
+    def _check_accounts(self) -> None:
+        """None are kept on this front."""
+
--- a/gorsethread/standins/shelf.py
+++ b/gorsethread/standins/shelf.py
@@ -62,8 +62,7 @@
 
     def start(self) -> None:
         host, port = split_address(self.me.address)
-        self._listener = self.transport.listen(host, port, self.server.on_stream)
-        self.port = self._listener.port
+        self._listen(host, port)
         self.transport.spawn(self._register())
         for fault in self.script:
             self.transport.at(fault.at, lambda fault=fault: self._fault(fault))  # type: ignore[misc]
@@ -74,6 +73,10 @@
                           warm=self.warm)
         self.log.info("shelf serves", address=f"{host}:{self.port}", shard=self.me.shard)
 
+    def _listen(self, host: str, port: int) -> None:
+        self._listener = self.transport.listen(host, port, self.server.on_stream)
+        self.port = self._listener.port
+
     def stop(self) -> None:
         self._listener.close()
         self.server.stop("the shelf ends")
@@ -138,8 +141,10 @@
 
     def left(self, io: IoCommand) -> None:
         """An abort drops what has not begun; after a lost connection the work goes on, as a disk's would."""
-        if io.connection.queue.over:
-            return
+        if not io.connection.queue.over:
+            self._withdraw(io)
+
+    def _withdraw(self, io: IoCommand) -> None:
         if io in self.silent:
             self.silent.remove(io)
         elif not self.machine.withdraw(io):
@@ -151,10 +156,13 @@
             for repeat in repeats:
                 self._offer(repeat)
 
+    def _profile(self, io: IoCommand) -> pb.Profile:
+        c, volume = io.command, self.volumes[io.command.nsid]
+        return self.site.profile[self.sorter.profile(volume.plan, c.opcode, c.blocks * BLOCK, c.hints)]
+
     def _offer(self, io: IoCommand) -> None:
         c, now = io.command, self.transport.now()
-        volume = self.volumes[c.nsid]
-        profile = self.site.profile[self.sorter.profile(volume.plan, c.opcode, c.blocks * BLOCK, c.hints)]
+        profile = self._profile(io)
         if now < self.errors_until and self.chance.random() < self.error_part:
             ran = c.opcode == Opcode.WRITE and self.chance.random() < 0.5
             if ran:
--- a/gorsethread/witness/online.py
+++ b/gorsethread/witness/online.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from gorsethread.sitefile import site_pb2 as pb
-from gorsethread.witness.judge import FINAL, NEVER_RAN, SLACK, Break, Identity, Record, left_at
+from gorsethread.witness.judge import FINAL, MOMENT, NEVER_RAN, SLACK, Break, Identity, Record, left_at
 
 
 @dataclass(slots=True)
@@ -30,6 +30,12 @@
     over_at: float = float("inf")
     how: str = ""
     finals: int = 0
+    came: float = 0.0  # when it was whole at its head, where the network was watched
+
+    def before(self, other: "_Seen") -> bool:
+        if self.came and other.came:
+            return self.came < other.came - MOMENT
+        return self.order < other.order
 
 
 class OnlineWitness:
@@ -66,6 +72,9 @@
                 self._taken[r["head"]].append(r["t"])
             case "arrived":
                 self._arrived(r)
+            case "came" | "crossed":
+                if (seen := self.seen.get((r["label"], r["attempt"]))) is not None:
+                    seen.came = r["t"] if r["e"] == "came" else 0.0
             case "ended":
                 self._ended(r)
             case "answer" | "answered late":
@@ -207,7 +216,7 @@
         if before is None or before[0] is s or before[1].left < self._head_deaths.get(head, 0.0) <= mine.left:
             return
         earlier, its = before
-        if s.order < earlier.order:
+        if s.before(earlier):
             self._broken(mine.record["t"], 5, f"head {head} sent a key's transactions out of turn", label)
         if its.end is not None and its.end["t"] <= mine.left:
             return
