At a shelf with a line a head keeps its part of the design's four slots, a lone head all

At fault: _judge and _free_slots let every head fall to one slot, whatever part of the fleet it is. Change: it falls to the design's start of four over the heads of the settings, at least one; from four heads on nothing changes. Chance of lab/accounts comes from transport/.

--- a/gorsethread/cli/lab.py
+++ b/gorsethread/cli/lab.py
@@ -10,8 +10,9 @@
 from rich.console import Console
 from rich.table import Table
 
-from gorsethread.cli.options import SitePath, site_at
+from gorsethread.cli.options import SitePath, site_at, write_json
 from gorsethread.lab.accounts import experiment
+from gorsethread.lab.allseeing import VARIANTS, compared
 from gorsethread.lab.sockets import compare
 
 app = typer.Typer(name="lab", no_args_is_help=True, help="Experiments on loopback, with figures.")
@@ -73,3 +74,49 @@
     for name, told, seen in rows:
         table.add_row(name, str(told), str(seen), f"{told - seen:+d}")
     Console().print(table)
+
+
+def _numbers(text: str, name: str) -> list[int]:
+    try:
+        first, dots, last = text.partition("..")
+        found = list(range(int(first), int(last) + 1)) if dots else [int(part) for part in text.split(",")]
+    except ValueError:
+        found = []
+    if not found or min(found) < 1:
+        typer.echo(f"--{name}: {text!r} is not like 1..4 or 4,60,130", err=True)
+        raise typer.Exit(2)
+    return found
+
+
+@app.command()
+def crowd(heads: Annotated[str, typer.Option(help="Sizes of the fleet, as 4,60,130.")] = "4,60,130",
+          shelves: int = 40, seconds: float = 24.0, load: float = 0.45, surges: float = 0.45,
+          seeds: Annotated[str, typer.Option(help="First and last, as 1..4.")] = "1..4",
+          variants: Annotated[str, typer.Option(help="Some of: " + ", ".join(VARIANTS))] = ",".join(VARIANTS),
+          at_once: Annotated[int, typer.Option(help="Plays side by side; 0: as many as cores.")] = 0,
+          json_path: Annotated[str, typer.Option("--json", help="Write each play here; - for output.")] = "",
+          ) -> None:
+    """Many heads of thin, uneven traffic on few shelves: what the decisions alone make of it, and what of the
+    loss would go if heads knew more. Simulated; the same days for each variant, like ones for each size."""
+    names = variants.split(",")
+    if shelves < 1 or seconds < 2 or load <= 0 or surges < 0 or [n for n in names if n not in VARIANTS]:
+        typer.echo("--shelves is 1 or more, --seconds 2 or more, --load over 0, --surges 0 or more, "
+                   f"--variants some of {', '.join(VARIANTS)}", err=True)
+        raise typer.Exit(2)
+    day = {"shelves": shelves, "seconds": seconds, "load": load, "surges": surges}
+    scenes: list[dict[str, Any]] = [{"heads": h, **day, "seed": seed} for h in _numbers(heads, "heads")
+                                    for seed in _numbers(seeds, "seeds")]
+    found = list(compared(scenes, names, at_once))
+    table = Table("variant", "heads", "worth served", "least, most", "worst plan", "pushed back", "late",
+                  "forwards", "demand")
+    for name in names:
+        for h in _numbers(heads, "heads"):
+            got = [s for n, scene, s in found if n == name and scene["heads"] == h]
+            mean = {f: sum(getattr(s, f) for s in got) / len(got)
+                    for f in ("served", "worst_plan", "pushed_back", "late", "forwards", "demand")}
+            table.add_row(name, str(h), f"{mean['served']:.3f}",
+                          f"{min(s.served for s in got):.3f}, {max(s.served for s in got):.3f}",
+                          *(f"{mean[f]:.3f}" for f in ("worst_plan", "pushed_back", "late")),
+                          f"{mean['forwards']:.0f}", f"{mean['demand']:.2f}")
+    Console(stderr=json_path == "-").print(table)
+    write_json({"plays": [{"variant": n, **scene, **vars(s)} for n, scene, s in found]}, json_path)
--- a/gorsethread/lab/accounts.py
+++ b/gorsethread/lab/accounts.py
@@ -2,7 +2,6 @@
 against what the script did, in separate processes on loopback."""
 
 import asyncio
-import random
 import tempfile
 import tracemalloc
 from collections.abc import Callable
@@ -19,6 +18,7 @@
 from gorsethread.model import Outcome
 from gorsethread.sitefile import site_pb2 as pb
 from gorsethread.standins.client import Surge
+from gorsethread.transport.program import Draws
 from gorsethread.transport.real import RealTransport
 
 SCENARIOS = ("neither", "slow", "flood", "both")
@@ -104,7 +104,7 @@
 def footprint() -> dict[str, float]:
     """Bytes that the accounts hold: for an open transaction, a volume with a row, and 100,000 volumes."""
     # Durations like those of a quick shelf and a slow one, drawn once, as drawing is dear under tracemalloc.
-    chance = random.Random(1)
+    chance = Draws(1)
     passing = (Stage.HEAD, Stage.SLOTS, Stage.WAY_THERE, Stage.AT_SHELF, Stage.WORK, Stage.WAY_BACK)
     drawn = []
     for _ in range(1000):
--- /dev/null
+++ b/gorsethread/lab/allseeing.py
@@ -0,0 +1,115 @@
+"""Variants of the crowd experiment in which heads know what none of them can: how much of a loss would go."""
+
+import multiprocessing
+from collections import defaultdict
+from collections.abc import Callable, Iterator, Sequence
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from functools import partial
+from typing import Any
+
+from gorsethread.lab.crowd import UNIT_WORK, USABLE, Scene, Score, World, draw
+from gorsethread.model import Ending, Shelf, Transaction
+from gorsethread.policy import FREE_RATE, LOWEST_RATE, WAIT_PART, Policy
+
+ASKED_OF_LATE = 1.5  # seconds of demand that is told
+SPARE = 0.6  # of what a shelf can do, while its line is long
+LONG_LINE = 0.6  # seconds
+HOLD = 0.3  # of the shortest promise: the line from which on nothing more is sent
+STEP = 0.1  # seconds between two tellings
+
+
+class ByTold(Policy):
+    """Rates come from what is told; answers move the rest of a shelf's health as ever."""
+
+    def _judge(self, s: Shelf, how: Ending, elapsed: float, t: Transaction, sent: float) -> None:
+        rate, grown_at, cut_at = s.rate, s.grown_at, s.cut_at
+        super()._judge(s, how, elapsed, t, sent)
+        s.rate, s.grown_at, s.cut_at = rate, grown_at, cut_at
+
+
+def lines_told(world: World) -> None:
+    """Each head knows each shelf's line, as if an answer had just told it, and sends none into a long one."""
+    for head in world.heads:
+        p = head.policy
+        p.now = world.now
+        for s in p.shelves.values():
+            wait = world.machines[s.id].behind
+            part = WAIT_PART * p.quickest / max(wait, 0.001)
+            if part >= 1.0:
+                s.rate = min(FREE_RATE, s.rate * 2.0 ** min(1.0, world.now - s.grown_at))
+            elif world.now - WAIT_PART >= s.cut_at:
+                p._cut(s, p.first_rate, max(0.5, part))
+            s.grown_at = world.now
+            s.first_send = world.now + STEP if wait > HOLD * p.quickest else 0.0
+        p.changed = True
+        p.batch_ended()
+
+
+def demand_told(world: World) -> None:
+    """Each head knows what all asked of each shelf of late, and the rate at which it would just bear that."""
+    day, now = world.day, world.now
+    asked: dict[int, dict[int, float]] = defaultdict(lambda: defaultdict(float))
+    for ask in day.asks:
+        if now - ASKED_OF_LATE <= ask.at <= now:
+            asked[ask.shard][ask.volume] += ask.units / ASKED_OF_LATE
+    weights = [day.facts.plans[s.plan].weight for s in day.stores]
+    usual = world.heads[0].policy.usual
+    rates = {}
+    for n, machine in enumerate(world.machines):
+        bears = USABLE * 2.0 * machine.speed / UNIT_WORK * (SPARE if machine.behind > LONG_LINE else 1.0)
+        rates[n] = _rate(asked[n], bears, [w * usual for w in weights])
+    for head in world.heads:
+        p = head.policy
+        p.now = now
+        for s in p.shelves.values():
+            s.rate = rates[s.id]
+        p.changed = True
+        p.batch_ended()
+
+
+def _rate(asked: dict[int, float], bears: float, weights: list[float]) -> float:
+    """The rate for a unit of weight at which all that is let through is what the shelf bears."""
+    if sum(asked.values()) <= bears:
+        return FREE_RATE
+    low, high = LOWEST_RATE, FREE_RATE
+    for _ in range(20):
+        middle = 0.5 * (low + high)
+        if sum(min(units, weights[v] * middle) for v, units in asked.items()) > bears:
+            high = middle
+        else:
+            low = middle
+    return low
+
+
+@dataclass(frozen=True)
+class Variant:
+    says: str
+    policy: type[Policy] = Policy
+    told: Callable[[World], None] | None = None
+    heads: int = 0  # in place of the scene's; 0: as it says
+
+
+VARIANTS = {
+    "alone": Variant("each head by what it saw itself"),
+    "lines": Variant("told each shelf's line ten times a second", ByTold, lines_told),
+    "demand": Variant("told what all ask of each shelf, of the last seconds", ByTold, demand_told),
+    "one": Variant("one head in place of all", heads=1),
+}
+
+
+def _play(variant: str, scene: dict[str, Any]) -> Score:
+    v = VARIANTS[variant]
+    made = Scene(**{**scene, **({"heads": v.heads} if v.heads else {})})
+    return World(draw(made), v.policy, v.told, STEP).play()
+
+
+def compared(scenes: Sequence[dict[str, Any]], variants: Sequence[str],
+             at_once: int) -> Iterator[tuple[str, dict[str, Any], Score]]:
+    """Each variant on each scene, the same seeds for all, in a fixed order."""
+    jobs = [(name, scene) for name in variants for scene in scenes]
+    fresh = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(at_once or None, mp_context=fresh) as pool:
+        found = [pool.submit(partial(_play, name, scene)) for name, scene in jobs]
+        for (name, scene), one in zip(jobs, found, strict=True):
+            yield name, scene, one.result()
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -48,6 +48,7 @@
         self.quickest = min(p.promised for p in facts.profiles)
         # Holding units beyond the reserve costs less the less they earn, so a shelf's rate starts lower.
         self.first_rate = max(1.0, FREE_RATE * facts.share_worth**2)
+        self.kept_slots = max(1.0, FIRST_BOUND / facts.heads)  # at a shelf with a line
         self.usual = sum(p.usual / p.weight for p in facts.plans) / len(facts.plans)
         self.order = self.list_waits = 0
         self.spans = [0.0] * len(facts.profiles)  # the longest first try seen of each profile
@@ -381,7 +382,7 @@
                 self.look_at = min(self.look_at, due)
             return 1 if self.now >= due else 0
         if s.out and not self._comes_in_time(s):
-            return 1 - len(s.out)
+            return int(self.kept_slots) - len(s.out)
         return max(1, int(s.bound)) - len(s.out)
 
     def _comes_in_time(self, s: Shelf) -> bool:
@@ -442,10 +443,10 @@
             part = WAIT_PART * self.quickest / max(wait, 0.001)
         in_line = how is Ending.HONOURED and wait > LINE_PART * self.quickest
         if in_line:
-            # Guards against many heads' slots adding up: a shelf with a line is busy without a second one of
-            # this head's, which would only wait there, where no head can put what is dearer first. Hurts
-            # where work of one size differs much.
-            s.bound = 1.0
+            # Guards against many heads' slots adding up: a shelf with a line is busy without more of this
+            # head's, which would only wait there, where no head can put what is dearer first. Hurts where
+            # work of one size differs much.
+            s.bound = min(s.bound, self.kept_slots)
         if part < 1.0:
             # Answers to what was sent before the last cut say nothing of the cut.
             if self.now - elapsed >= s.cut_at:
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -30,6 +30,10 @@
         first, again = (World(draw(Scene(8, 6, 6.0, seed=5))).play() for _ in range(2))
         self.assertEqual(first, again)
 
+    def test_a_lone_head_keeps_its_shelves_busy(self) -> None:
+        """A line that is all its own asks for no fewer slots than the design's start."""
+        self.assertGreater(World(draw(Scene(1, 15, 16.0))).play().served, 0.83)
+
     def test_slots_of_many_heads_add_up_where_a_line_is_no_sign(self) -> None:
         """The loss of the standing test, and what the guard in the module is worth against it."""
         class NoLine(Policy):
