A test watches the head as the platform starts it for calls that the platform refuses

Need: 'run' never forks, starts a program, asks for a name or uses a Unix socket. An audit hook in the real program sees such calls while it serves, reloads and ends; planted ones are seen.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,7 +6,9 @@
 import subprocess
 import sys
 import tempfile
+import tomllib
 import unittest
+from pathlib import Path
 from typing import Any
 
 from gorsethread.http1.serving import Request
@@ -713,17 +715,40 @@
         self.assertEqual("\n", done.stdout, done.stderr)
 
 
+# What the platform's filter refuses, and names that would need DNS; the program runs on as it is.
+WATCHED = """
+import ipaddress, runpy, sys
+
+def saw(event, facts):
+    named = event in ("subprocess.Popen", "os.fork", "os.forkpty", "os.posix_spawn", "os.system", "os.exec",
+                      "pty.spawn", "socket.gethostbyname", "socket.gethostbyaddr", "ctypes.dlopen")
+    if event == "socket.getaddrinfo":
+        try:
+            ipaddress.ip_address(facts[0])
+        except ValueError:
+            named = True
+    if event in ("socket.bind", "socket.connect"):
+        named = not isinstance(facts[1], tuple)
+    if named:
+        print("REFUSED", event, facts, file=sys.stderr, flush=True)
+
+sys.addaudithook(saw)
+PLANTED
+runpy.run_module("gorsethread.platform", run_name="__main__")
+"""
+
+
 class WholeProgram(unittest.TestCase):
     """The real program as the platform starts it, on loopback."""
 
-    def program(self, listen: str) -> "subprocess.Popen[str]":
+    def program(self, listen: str, planted: str = "") -> "subprocess.Popen[str]":
         folder = self.enterContext(tempfile.TemporaryDirectory())
         settings = {**SETTINGS, "services": [{**s, "giveUp": 0.2} for s in SETTINGS["services"]]}
         nobody: dict[str, Any] = {"generation": 0, "reset": True, "instances": []}
         with open(f"{folder}/config.json", "w") as file:
             json.dump(order(listen=listen, discovery="127.0.0.1:9", settings=settings, known=nobody), file)
         started = self.enterContext(subprocess.Popen(
-            [sys.executable, "-m", "gorsethread.platform"], stderr=subprocess.PIPE, text=True,
+            [sys.executable, "-c", WATCHED.replace("PLANTED", planted)], stderr=subprocess.PIPE, text=True,
             env={"GW_CONFIG": f"{folder}/config.json"}))
         self.addCleanup(started.kill)
         return started
@@ -743,9 +768,24 @@
             self.assertTrue(client.recv(1000).startswith(b"HTTP/1.1 400 "))
         program.send_signal(signal.SIGTERM)
         program.send_signal(signal.SIGTERM)
-        self.assertIn("head ended", program.stderr.read())
+        said = program.stderr.read()
+        self.assertIn("head ended", said)
+        self.assertNotIn("REFUSED", said)
         self.assertEqual(0, program.wait(10))
 
+    def test_what_the_platform_refuses_would_be_seen(self) -> None:
+        planted = 'import os, socket; os.system("true"); socket.socket(socket.AF_UNIX).bind("\\0x"); sys.exit()'
+        program = self.program("127.0.0.1:1", planted)
+        said = program.communicate(timeout=20)[1]
+        self.assertIn("REFUSED os.system", said)
+        self.assertIn("REFUSED socket.bind", said)
+
+    def test_run_is_one_program_in_the_place_of_the_shell(self) -> None:
+        deploy = tomllib.loads((Path(__file__).parent.parent / "deploy" / "balancer.toml").read_text())
+        self.assertRegex(deploy["run"], r"^exec [^;&|<>$`]+$")
+        self.assertEqual([], [path for path in deploy["policy"] + deploy["node"] if not Path(
+            __file__).parent.parent.joinpath(path).exists()])
+
     def test_an_address_that_cant_be_had(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as taken:
             program = self.program(f"127.0.0.1:{taken.getsockname()[1]}")
