The fleet's view, its pure core: who lives and which life, by probes, suspicion and tables in pieces

Need: heads never learn who lives; shedding together, copies and parts of limits need it (issue 'A view of the fleet'). Begun here: membership/words (one order of words, 256-byte datagrams by msgspec) and membership/view (SWIM, suspicion that shortens, own health, tables in pieces), faults/fleet (worlds of it, judged against the truth), not wired to any head yet. A life that ended never comes back: whoever was held dead in error goes on as a new life, so what was lent to the old one stays over. Checked: the order of words by hypothesis, and state by state by minicheck (a flaw in it is found); seven planted defects caught. Found while building: a judge must not count as false what a pause of 30 s or a cut hides.

--- a/gorsethread/faults/script.py
+++ b/gorsethread/faults/script.py
@@ -33,6 +33,7 @@
     lasts: bool = False  # a time after which it ends
     says: str = ""
     web: bool = False  # only heads on the operators' platform meet it
+    fleet: bool = False  # only worlds of the fleet's view play it
 
 
 KINDS = {
@@ -67,6 +68,10 @@
                    says="is told, by SIGHUP, that discovery is at another address"),
     "spoil": Kind(("shelf",), by=True, lasts=True, web=True,
                   says="that part of its answers can't be used, though it ran"),
+    "lose": Kind(("head",), by=True, lasts=True, fleet=True,
+                 says="that part of its datagrams, both ways, is lost"),
+    "starve": Kind(("head",), by=True, lasts=True, fleet=True,
+                   says="does all that it does that many seconds late"),
     "rude": Kind(("head",), lasts=True, web=True, says="clients that send nonsense come to it"),
 }
 
--- a/gorsethread/faults/world.py
+++ b/gorsethread/faults/world.py
@@ -46,8 +46,8 @@
     named = [(str(act), *name.split(" ", 1)) for act in script.acts for name in (act.whom, act.to)
              if name.split(" ")[0] in there]
     named += [("volumes", "volume", str(n)) for n in script.volumes]
-    foreign = [f"{act}: only heads on the platform meet it" for act in script.acts
-               if KINDS[act.kind].web and not web]
+    foreign = [f"{act}: not for heads of this front" for act in script.acts
+               if KINDS[act.kind].web and not web or KINDS[act.kind].fleet]
     return foreign + [f"{place}: the site has no {kind} {which}" for place, kind, which in named
                       if which not in there[kind]]
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -774,7 +774,8 @@
         self.assertEqual(0, program.wait(10))
 
     def test_what_the_platform_refuses_would_be_seen(self) -> None:
-        planted = 'import os, socket; os.system("true"); socket.socket(socket.AF_UNIX).bind("\\0x"); sys.exit()'
+        planted = ('import os, socket; os.system("true"); socket.socket(socket.AF_UNIX).bind("\\0x"); '
+                   "sys.exit()")
         program = self.program("127.0.0.1:1", planted)
         said = program.communicate(timeout=20)[1]
         self.assertIn("REFUSED os.system", said)
--- /dev/null
+++ b/tests/test_view.py
@@ -0,0 +1,265 @@
+"""The fleet's view: the order of words, their wire, the core in worlds of faults, and its rule of lives
+checked state by state."""
+
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from minicheck import Protocol, check_safety
+
+from gorsethread.faults.fleet import FleetWorld, drawn
+from gorsethread.faults.script import read_script
+from gorsethread.membership import view as view_module
+from gorsethread.membership.view import View
+from gorsethread.membership.words import Kind, Message, State, Unreadable, Word, beats, read, write
+
+HOME = ("10.0.0.1", 1000)
+WORDS = st.builds(Word, st.just(3), st.integers(0, 3), st.integers(0, 3), st.sampled_from(list(State)),
+                  st.just(0), st.just(0), st.just("10.0.0.1"), st.just(1003), st.integers(0, 3))
+RAW = write(Message(Kind.PING, 1, 1, 0, 5, (Word(3, 1, 0, 0, 0, 0, *HOME, 1),)), 7)
+
+
+def word(name: int, life: int = 1, incarnation: int = 0, state: int = State.ALIVE, by: int = 0) -> Word:
+    return Word(name, life, incarnation, state, 0, 0, "10.0.0.1", 1000 + name, by)
+
+
+def view(name: int = 0, now: float = 0.0) -> View:
+    return View(word(name), (("10.0.0.1", 1000),), now, lambda: 0.5)
+
+
+class Words(unittest.TestCase):
+    @given(st.lists(WORDS, min_size=1, max_size=8), st.randoms(use_true_random=False))
+    def test_the_same_word_wins_in_any_order_and_however_often(self, words: list[Word], chance: Any) -> None:
+        def last(order: list[Word]) -> tuple[int, int, int]:
+            best: Word | None = None
+            for w in order:
+                best = w if beats(w, best) else best
+            assert best is not None
+            return best.life, best.state, 0 if best.over else best.incarnation
+
+        other = words + words[:3]
+        chance.shuffle(other)
+        self.assertEqual(last(words), last(other))
+
+    @given(st.lists(WORDS, min_size=1, max_size=8))
+    def test_what_is_over_stays_over_within_its_life(self, words: list[Word]) -> None:
+        v = view()
+        over: set[int] = set()
+        for w in words:
+            v.heard(("10.0.0.1", 1001), Message(Kind.ACK, 1, 0, 0, 0, (w,)))
+            if w.over:
+                over.add(w.life)
+            held = v.words[3]
+            self.assertFalse(held.life in over and not held.over, (held, over))
+
+    @given(st.binary(max_size=300))
+    @settings(max_examples=200)
+    def test_noise_is_told_from_messages(self, raw: bytes) -> None:
+        for data in (raw, RAW[:len(raw) % len(RAW)], RAW[:5] + raw):
+            if data != RAW:
+                try:
+                    read(data, 7)
+                except Unreadable:
+                    continue
+                self.assertEqual(data, write(read(data, 7), 7))
+
+    def test_other_fleets_versions_and_sizes_are_refused(self) -> None:
+        for raw, why in ((RAW, "another fleet"), (RAW + bytes(300), "over the bound"), (b"", "malformed"),
+                         (RAW[:1] + b"\x02" + RAW[2:], "another version")):
+            with self.assertRaises(Unreadable) as caught:
+                read(raw, 8 if why == "another fleet" else 7)
+            self.assertEqual(why, str(caught.exception))
+
+    def test_messages_are_filled_and_never_over_the_bound(self) -> None:
+        v = view()
+        for n in range(1, 300):
+            v._hear(word(n, life=2**44 + n, incarnation=n)._replace(host="127.127.127.127", machine=10**6))
+        for _ in range(200):
+            v._ping(("10.0.0.1", 1))
+        sizes = [len(write(m, 2**32 - 1)) for _, m in v.out]
+        self.assertLessEqual(max(sizes), 256)
+        self.assertGreater(min(sizes), 150)
+        named = {w.name for _, m in v.out for w in m.words}
+        self.assertEqual(set(range(300)), named, "the whole table goes in pieces")
+
+
+class Own(unittest.TestCase):
+    def tell(self, v: View, w: Word, sender: int = 1) -> None:
+        v.heard(("10.0.0.1", 1000 + sender), Message(Kind.ACK, sender, 0, 0, 0, (w,)))
+
+    def test_a_suspicion_is_refuted_and_a_death_ends_the_life(self) -> None:
+        v = view()
+        self.tell(v, word(0, state=State.SUSPECT, by=1))
+        self.assertEqual((1, 1), (v.me.life, v.me.incarnation))
+        self.tell(v, word(0, state=State.DEAD, by=1))
+        self.assertEqual((2, 0, State.ALIVE), (v.me.life, v.me.incarnation, v.me.state))
+
+    def test_another_process_under_its_name_is_found(self) -> None:
+        v = view()
+        self.tell(v, word(0, life=9))
+        self.assertEqual((10, 1), (v.me.life, v.doubles))
+        v.heard(HOME, Message(Kind.PING, 0, 0, 0, 0, ()))
+        self.assertEqual(2, v.doubles)
+
+    def test_more_names_than_the_fleet_has_are_refused(self) -> None:
+        v = View(word(0), (), 0.0, lambda: 0.5, most=3)
+        for n in range(1, 9):
+            self.tell(v, word(n))
+        self.assertEqual((3, 6), (len(v.words), v.refused))
+
+    def test_a_head_that_hears_nobody_accuses_nobody(self) -> None:
+        v = view()
+        for n in range(1, 6):
+            self.tell(v, word(n))
+        for tick in range(1, 400):
+            v.tick(0.1 * tick)
+        self.assertTrue(v.apart)
+        self.assertEqual(6, len(v.alive))
+
+    def test_nonsense_without_end_is_not_all_answered(self) -> None:
+        v = view()
+        for _ in range(500):
+            v.heard(("10.0.0.1", 1001), Message(Kind.PING, 1, 0, 0, 0, ()))
+        self.assertLess(len(v.out), 40)
+
+
+def deaf_to_own_death(v: View) -> None:
+    v._heard_of_me = lambda w: None  # type: ignore[method-assign]
+
+
+def never_asks_the_dead(v: View) -> None:
+    v._ask_the_dead = lambda: None  # type: ignore[method-assign]
+
+
+def accuses_at_once(v: View) -> None:
+    v._lasts = lambda s: 0.0  # type: ignore[method-assign]
+
+
+def never_ends_suspicion(v: View) -> None:
+    v._suspicions_end = lambda: None  # type: ignore[method-assign]
+
+
+def tells_only_itself(v: View) -> None:
+    v._piece = lambda begin, asker: ((v.me,), 0)  # type: ignore[method-assign]
+
+
+def answers_no_probe(v: View) -> None:
+    honest = v.heard
+    v.heard = lambda source, m: None if m.kind == Kind.PING else honest(source, m)  # type: ignore
+
+
+def probes_nobody(v: View) -> None:
+    v._draw_turn = lambda: None  # type: ignore[method-assign]
+
+
+# The defect, and the script in which it shows.
+PLANTED: dict[Callable[[View], None], str] = {
+    deaf_to_own_death: "heads 8\n5 cut room-0 <-> room-1 for 40\n",
+    never_asks_the_dead: "heads 8\n5 cut room-0 <-> room-1 for 60\n",
+    accuses_at_once: "heads 12\n5 lose head-1 by 0.3 for 60\n5 lose head-2 by 0.3 for 60\n",
+    never_ends_suspicion: "heads 6\n5 vanish head-1 for 3000\n",
+    tells_only_itself: "heads 30\n5 kill head-1 for 1\n5 kill head-2 for 1\n5 kill head-3 for 1\n",
+    answers_no_probe: "heads 6\n5 lose head-1 by 0.1 for 1\n",
+    probes_nobody: "heads 6\n5 vanish head-1 for 3000\n",
+}
+
+
+class Fleets(unittest.TestCase):
+    def test_drawn_worlds_settle_and_hold_nobody_dead_in_error(self) -> None:
+        for seed in range(20):
+            script = drawn(seed, 0 if seed % 4 else 12)
+            if script.heads <= 20:
+                with self.subTest(seed=seed):
+                    self.assertEqual([], FleetWorld(script).play().reasons)
+
+    def test_planted_defects_are_caught_and_the_honest_core_is_not_accused(self) -> None:
+        for defect, text in PLANTED.items():
+            script = read_script(f"seed 3\n{text}")
+            calm = 120.0
+            with self.subTest(defect=defect.__name__):
+                self.assertEqual([], FleetWorld(script, calm=calm).play().reasons, "the honest core")
+                self.assertNotEqual([], FleetWorld(script, defect, calm).play().reasons)
+
+    def test_bytes_do_not_grow_with_the_fleet(self) -> None:
+        small, large = (FleetWorld(read_script(f"seed 1\nheads {n}\n1 kill head-0 for 1\n"), calm=30.0).play()
+                        for n in (6, 48))
+        self.assertEqual([], small.reasons + large.reasons)
+        self.assertLess(large.bytes_a_head_a_second, 2.0 * small.bytes_a_head_a_second + 200.0)
+
+
+class Lives(unittest.TestCase):
+    """Two observers and the head they hold words of, every order of lost, late and doubled tellings, a crash
+    and a restart. A state: the head's own (life, incarnation, up), and what each observer believes."""
+
+    def check(self, believes: Callable[[Word, Word | None], bool]) -> dict[str, Any]:
+        def transitions(s: tuple[Any, ...]) -> list[tuple[str, tuple[Any, ...]]]:
+            life, inc, up, a, b, said, dead_a, dead_b = s
+            found = []
+
+            def told(who: str, w: Word, s_: tuple[Any, ...]) -> None:
+                held, dead = (a, dead_a) if who == "a" else (b, dead_b)
+                known = Word(3, *held, 0, 0, "h", 1, 0) if held else None
+                if believes(w, known):
+                    new = (w.life, w.incarnation, int(w.state))
+                    now_dead = dead | {w.life} if w.over else dead
+                    now = (new, b) if who == "a" else (a, new)
+                    over = (now_dead, dead_b) if who == "a" else (dead_a, now_dead)
+                    found.append((f"{who} hears {new}", (life, inc, up, *now, said | {new}, *over)))
+
+            for one in said:
+                for who in "ab":
+                    told(who, Word(3, *one, 0, 0, "h", 1, 0), s)
+            for who, held in (("a", a), ("b", b)):
+                if held and held[2] == State.ALIVE:
+                    told(who, Word(3, held[0], held[1], State.SUSPECT, 0, 0, "h", 1, 0), s)
+                elif held and held[2] == State.SUSPECT:
+                    told(who, Word(3, held[0], held[1], State.DEAD, 0, 0, "h", 1, 0), s)
+            rest = (a, b, said, dead_a, dead_b)
+            if up:
+                found.append(("crash", (life, inc, False, *rest)))
+                for w in said:
+                    if w[0] == life and w[2] >= State.LEFT and life < 2:
+                        born = (life + 1, 0, int(State.ALIVE))
+                        found.append(("held dead", (life + 1, 0, True, a, b, said | {born}, dead_a, dead_b)))
+                    elif w[0] == life and w[2] == State.SUSPECT and w[1] >= inc and inc < 1:
+                        more = (life, inc + 1, int(State.ALIVE))
+                        found.append(("refutes", (life, inc + 1, True, a, b, said | {more}, dead_a, dead_b)))
+            elif life < 2:
+                born = (life + 1, 0, int(State.ALIVE))
+                found.append(("starts", (life + 1, 0, True, a, b, said | {born}, dead_a, dead_b)))
+            return found
+
+        first = (1, 0, int(State.ALIVE))
+        protocol = Protocol(
+            name="lives", candidate=False,
+            fields=("life", "inc", "up", "a", "b", "said", "dead_a", "dead_b"),
+            initial=(1, 0, True, first, first, frozenset({first}), frozenset(), frozenset()),
+            transitions=transitions,
+            invariants={"a dead life stays dead": lambda d: not any(
+                held[0] in dead and held[2] < State.LEFT
+                for held, dead in ((d["a"], d["dead_a"]), (d["b"], d["dead_b"])))})
+        result: dict[str, Any] = check_safety(protocol)
+        return result
+
+    def test_every_order_keeps_a_dead_life_dead(self) -> None:
+        result = self.check(beats)
+        self.assertTrue(result["properties"]["a dead life stays dead"]["holds"], result)
+
+    def test_a_flaw_in_the_order_is_found(self) -> None:
+        def flawed(one: Word, other: Word | None) -> bool:
+            return other is None or (one.life, one.incarnation, one.state) > (
+                other.life, other.incarnation, other.state)
+
+        self.assertFalse(self.check(flawed)["properties"]["a dead life stays dead"]["holds"])
+
+
+class Bounds(unittest.TestCase):
+    def test_the_core_keeps_to_its_tables(self) -> None:
+        v = view()
+        for n in range(1, 2000):
+            v._hear(word(n))
+            v._relayed[n] = HOME, 0, 0.0
+        self.assertLessEqual(len(v.words), v.most)
+        self.assertLessEqual(len(v.history), view_module.HISTORY)
