--- a/gorsethread/membership/view.py
+++ b/gorsethread/membership/view.py
@@ -35,14 +35,16 @@
 
 HELPERS = 3  # asked to probe one that did not answer
 SLOWEST = 8  # of the own health: from here on it is as bad as it gets
-TOLD_TIMES = 3.0  # times the logarithm of the fleet: how often a new word is sent on
+TOLD_TIMES = 1.5  # times the logarithm of the fleet: how often a new word is sent on
 SUSPICION = 4.0  # periods times the logarithm of the fleet: the shortest a suspicion lasts
+LAST_ASKED = 3.0  # times the patience, for an answer to the last question
 LONGEST_SUSPICION = 3.0  # times the shortest, while nobody else says the same
 CONFIRMED = 3  # others that say the same shorten a suspicion to its shortest
 APART = 4.0  # periods without a word from anyone
 STARVED = 3.0  # periods that a tick may be late before this head holds that it stood still
-DEAD_EVERY = 3.0  # periods between two pings to one that is held dead or has left
-JOINING, JOINS_FOR = 5.0, 20.0  # times the usual pace until the whole table has come once; periods at most
+DEAD_EVERY = 3.0  # periods between two pings to one that is held dead, has left or was never met
+JOINING, JOINS_FOR = 4.0, 20.0  # times the usual pace while views differ; periods at most, saved up again
+AGREED = 5  # of those heard last, by which it is told whether views differ
 ANSWERED = 30.0  # messages a second that are read: what peers' own paces bring, and some more
 HISTORY = 256  # changes kept for people
 RELAYED = 64  # pings on others' behalf
@@ -66,6 +68,7 @@
     incarnation: int
     since: float
     by: set[int] = field(default_factory=set)
+    asked: float = 0.0  # when this head asked it for the last time, before it holds it dead
 
 
 @dataclass(slots=True)
@@ -104,12 +107,14 @@
         self._whole = False
         self._now = self._ticked = self._heard = now
         self._next = now
-        self._joins_until = now + JOINS_FOR * pace.period
+        self._gossip_at = now
+        self._hurries = JOINS_FOR * JOINING  # how many more times it may; grows again by one a period
         self._dead_at = now + DEAD_EVERY * pace.period
-        self._contact = 0
+        self._contact = int(draw() * max(1, len(contacts)))  # else all would come to the same one first
         self._store = ANSWERED
         self._agree: dict[int, int] = {}  # by name: the digest it told last; as many as names
         self._names: list[int] = [me.name]  # in order
+        self._by_address: dict[Address, int] = {}  # who is said to be there; as many as names
         self._sizes: dict[int, int] = {me.name: size_of(me)}  # bytes of each word
         self._alive: list[Word] | None = None  # made anew after each change, as the digest
         self._digest = 0
@@ -170,9 +175,11 @@
         if now >= self._next:
             if p is not None and not p.answered:
                 self._no_answer(p)
-            hurry = not self._whole and now < self._joins_until
-            self._next = now + (self.pace.period / JOINING if hurry else slow)
+            self._next = now + slow
             self._probe_next()
+        if now >= self._gossip_at:
+            self._gossip_at = now + self.pace.period / JOINING
+            self._gossip()
         if now >= self._dead_at:
             self._dead_at = now + DEAD_EVERY * self.pace.period
             self._ask_the_dead()
@@ -190,7 +197,8 @@
             return
         for w in m.words:
             self._hear(w)
-        self._agree[m.sender] = m.digest
+        self._agree.pop(m.sender, None)
+        self._agree[m.sender] = m.digest  # the latest last
         if m.kind == Kind.PING:
             words, after = self._piece(m.cursor, m.sender)
             self._send(source, Kind.ACK, m.seq, words, after)
@@ -250,6 +258,9 @@
             self.history.append(Change(self._now, w))
         self.words[w.name] = w
         self._sizes[w.name], self._alive = size_of(w), None
+        if known is not None and known.address != w.address:
+            self._by_address.pop(known.address, None)
+        self._by_address[w.address] = w.name
         if known is None:
             insort(self._names, w.name)
         self._news[w.name] = 0
@@ -276,7 +287,11 @@
         for name, s in list(self._suspicions.items()):
             if self.apart:
                 s.since = self._now  # whoever hears nobody knows nothing of others
-            elif self._now >= s.since + self._lasts(s):
+            elif self._now >= s.since + self._lasts(s) and not s.asked:
+                # Guards against hearsay from where it is not heard: this head itself asks it once more.
+                s.asked = self._now
+                self._ping(self.words[name].address)
+            elif s.asked and self._now >= s.asked + LAST_ASKED * self.pace.patience:
                 self._believe(self.words[name]._replace(state=State.DEAD, by=self.me.name))
 
     def _stood_still(self, gap: float) -> None:
@@ -293,7 +308,22 @@
         name = self._draw_turn()
         if name is not None:
             self._probe = _Probe(name, self._ping(self.words[name].address), self._now)
-        if not self._whole or name is None:
+        if name is None:
+            self._ping_contact()
+
+    def _gossip(self) -> None:
+        """While views differ more is told, for a bounded time: the table of a joiner, or of many that came at
+        once, would go round at the usual pace for minutes."""
+        self._hurries = min(JOINS_FOR * JOINING, self._hurries + 1.0 / JOINING)
+        last = list(self._agree.values())[-AGREED:]
+        differ = not self._whole or 2 * sum(digest != self.digest for digest in last) > len(last)
+        if not differ or self._hurries < 1.0:
+            return
+        self._hurries -= 1.0
+        others = self._some(1, {self.me.name})
+        if others and (self._whole or self.draw() < 0.5):
+            self._ping(others[0].address)
+        else:
             self._ping_contact()
 
     def _draw_turn(self) -> int | None:
@@ -316,7 +346,7 @@
 
     def _ping(self, address: Address) -> int:
         self._seq += 1
-        words, self._cursor = self._piece(self._cursor, -1)
+        words, self._cursor = self._piece(self._cursor, self._by_address.get(address, -1))
         self._send(address, Kind.PING, self._seq, words, self._cursor if self._whole else self._wanted)
         return self._seq
 
@@ -356,10 +386,12 @@
             self._hear(w._replace(by=self.me.name))
 
     def _ask_the_dead(self) -> None:
-        """Guards against parts of a fleet that hold each other dead and never ask again."""
-        gone = [w for w in self.words.values() if w.over]
-        if gone:
-            self._ping(gone[int(self.draw() * len(gone))].address)
+        """Guards against parts of a fleet that hold each other dead, or never met, and never ask again."""
+        living = {w.address for w in self.alive}
+        away = [w.address for w in self.words.values() if w.over and w.address not in living]
+        away += [address for address in self.contacts if address not in living and address not in away]
+        if away:
+            self._ping(away[int(self.draw() * len(away))])
 
     def _some(self, number: int, but: set[int]) -> list[Word]:
         others = [w for w in self.alive if w.name not in but]
@@ -371,13 +403,13 @@
               target: int = -1) -> None:
         self.out.append((to, Message(kind, self.me.name, seq, cursor, self.digest, words, target)))
 
-    def _piece(self, begin: int, asker: int) -> tuple[tuple[Word, ...], int]:
+    def _piece(self, begin: int, other: int) -> tuple[tuple[Word, ...], int]:
         """The own word, what is new, least told first, in half of the room, and then the table from a name
         on, as far as it fits; and the name after that."""
         room, chosen = MOST_BYTES - HEADER_MOST - self._sizes[self.me.name], {self.me.name: self.me}
-        if (w := self.words.get(asker)) is not None and w.over:
-            chosen[asker] = w  # it hears that it is held to be over, whatever else there is
-            room -= self._sizes[asker]
+        if (w := self.words.get(other)) is not None and w.state != State.ALIVE:
+            chosen[other] = w  # it hears what is held of it, whatever else there is
+            room -= self._sizes[other]
         half, enough = room // 2, math.ceil(TOLD_TIMES * self._logarithm())
         for name in sorted(self._news, key=lambda n: (self._news[n], n)):
             if name not in chosen:
