Datagrams of 256 bytes in the transport, real and virtual, with loss, delay, doubles and cuts

Need: the fleet's view is carried on them. A port reads 32 a turn of the loop; a refusal by the other side is no news of this one; the virtual side holds a bounded number for a paused process, as a system does.

--- a/gorsethread/transport/base.py
+++ b/gorsethread/transport/base.py
@@ -3,6 +3,8 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, Protocol
 
+MOST_DATAGRAM = 256  # bytes; the operators' platform carries no longer ones between heads
+
 
 class StreamClosed(Exception):
     """The stream has ended; the text says how."""
@@ -58,6 +60,18 @@
     def close(self) -> None: ...
 
 
+class Datagrams(Protocol):
+    """A port for single messages, which may be lost, late, doubled or out of order."""
+
+    port: int
+
+    def send(self, to: tuple[str, int], data: bytes) -> None:
+        """ValueError over MOST_DATAGRAM; nothing is said of one that does not arrive."""
+        ...
+
+    def close(self) -> None: ...
+
+
 class Blocks(Protocol):
     """A file of bytes that outlives the process, also one that is killed."""
 
@@ -102,6 +116,12 @@
         it; False closes it. OSError where the address can't be had."""
         ...
 
+    def datagrams(self, host: str, port: int,
+                  on_datagram: Callable[[bytes, tuple[str, int]], None]) -> Datagrams:
+        """Calls on_datagram with each message and where it came from. port 0 takes a free one. OSError where
+        the address can't be had."""
+        ...
+
     def on_terminate(self, act: Callable[[], None]) -> None:
         """Calls act each time the program is asked to end."""
         ...
--- a/gorsethread/transport/real.py
+++ b/gorsethread/transport/real.py
@@ -15,13 +15,14 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
 
-from gorsethread.transport.base import Chance, Stream, StreamClosed, Timer, Unreachable
+from gorsethread.transport.base import MOST_DATAGRAM, Chance, Stream, StreamClosed, Timer, Unreachable
 from gorsethread.transport.program import Draws, Program
 
 READ_SIZE = 65536
 BACKLOG = 512  # connections the system accepts ahead of us
 ACCEPTS = 32  # a turn of the loop, so that a flood of connections leaves room for those that are open
 ACCEPT_AGAIN = 0.05  # seconds
+DATAGRAMS = 32  # read a turn of the loop
 
 
 class RealStream:
@@ -138,6 +139,39 @@
             listening.close()
 
 
+class RealDatagrams:
+    def __init__(self, loop: asyncio.AbstractEventLoop, bound: socket.socket,
+                 on_datagram: Callable[[bytes, tuple[str, int]], None]) -> None:
+        self._loop, self._socket, self._on_datagram = loop, bound, on_datagram
+        self.port: int = bound.getsockname()[1]
+        loop.add_reader(bound.fileno(), self._read)
+
+    def _read(self) -> None:
+        # So many a turn of the loop, that a flood leaves room for all else.
+        for _ in range(DATAGRAMS):
+            try:
+                # One byte more than any may have: what is longer is seen as such.
+                data, source = self._socket.recvfrom(MOST_DATAGRAM + 1)
+            except BlockingIOError:
+                return
+            except OSError:
+                continue  # an earlier one found nobody there; that is no news of this port
+            self._on_datagram(data, source)
+            if self._socket.fileno() < 0:
+                return
+
+    def send(self, to: tuple[str, int], data: bytes) -> None:
+        if len(data) > MOST_DATAGRAM:
+            raise ValueError(f"a datagram of {len(data)} bytes")
+        with contextlib.suppress(OSError):  # the system is full, or knows no way there: it is lost
+            self._socket.sendto(data, to)
+
+    def close(self) -> None:
+        if self._socket.fileno() >= 0:
+            self._loop.remove_reader(self._socket.fileno())
+            self._socket.close()
+
+
 class FileBlocks:
     def __init__(self, path: str) -> None:
         self._file = os.open(path, os.O_RDWR | os.O_CREAT, 0o644)
@@ -225,6 +259,17 @@
         return RealListener(self, bind_sockets(port, host, family=socket.AF_INET, backlog=BACKLOG), on_stream,
                             admits)
 
+    def datagrams(self, host: str, port: int,
+                  on_datagram: Callable[[bytes, tuple[str, int]], None]) -> RealDatagrams:
+        bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            bound.setblocking(False)
+            bound.bind((host, port))
+        except OSError:
+            bound.close()
+            raise
+        return RealDatagrams(self._loop, bound, on_datagram)
+
     def chance(self, name: str) -> Chance:
         return Draws(f"{self._seed}/{name}")
 
--- a/gorsethread/transport/virtual.py
+++ b/gorsethread/transport/virtual.py
@@ -14,7 +14,7 @@
 
 import xxhash
 
-from gorsethread.transport.base import Stream, StreamClosed, Unreachable
+from gorsethread.transport.base import MOST_DATAGRAM, Stream, StreamClosed, Unreachable
 from gorsethread.transport.program import Draws, Program
 
 BEGINS = 1000.0  # seconds on every machine's clock when a world begins
@@ -22,6 +22,7 @@
 FIRST_PORT = 50_000
 SYN_AGAIN = 0.5  # seconds until a lost connection request is sent again, doubling
 NEVER_EARLY = 2e-9  # seconds; more than the loop's resolution and the rounding of clocks
+HELD_MOST = 256  # datagrams and other things due that wait for a paused process
 RESEND = 0.2  # seconds until data lost in a cut is sent again after it has healed, at most
 
 
@@ -75,6 +76,10 @@
     window: int = 262_144  # bytes on the way and unread before the sender has to keep them
     segment: int = 16_384  # the most that arrives at once
     split: float = 0.1  # part of the reads that bring only a piece of what is there
+    lost: float = 0.0  # parts of the datagrams that are lost, doubled, late
+    doubled: float = 0.0
+    late: float = 0.0
+    late_most: float = 0.5  # seconds
 
 
 class Network:
@@ -86,6 +91,7 @@
         self.machines: dict[tuple[str, int], str] = {}  # who last listened there
         self.vanished: set[str] = set()  # whose machine is gone without a word
         self.cuts: dict[tuple[str, str], int] = {}  # how many cuts lie on that way; emptied as they heal
+        self.ports: dict[tuple[str, int], VirtualDatagrams] = {}  # emptied as they close
         self.slow_connects: dict[str, float] = {}  # seconds more to connect to it; emptied with the fault
         self.pipes: dict[int, Pipe] = {}  # every way of every connection, by number; emptied as they end
         self._stalled: dict[tuple[str, str], dict[int, Pipe]] = {}
@@ -381,6 +387,45 @@
             del self.transport.network.listeners[self._address]
 
 
+class VirtualDatagrams:
+    """A port for datagrams; each finds its own way, so they overtake each other."""
+
+    def __init__(self, transport: "VirtualTransport", host: str, port: int,
+                 on_datagram: Callable[[bytes, tuple[str, int]], None]) -> None:
+        self.transport, self.port, self.on_datagram = transport, port, on_datagram
+        self._address = (host, port)
+        transport.network.ports[self._address] = self
+
+    def send(self, to: tuple[str, int], data: bytes) -> None:
+        if len(data) > MOST_DATAGRAM:
+            raise ValueError(f"a datagram of {len(data)} bytes")
+        network, w, mine = self.transport.network, self.transport.network.weather, self.transport.name
+        other = network.ports.get(to)
+        if other is None or not self.transport.alive:
+            return
+        chance = network.chance(f"datagrams {mine} {other.transport.name}")
+        for _ in range(2 if chance.random() < w.doubled else 1):
+            if chance.random() < w.lost or not network.reaches(mine, other.transport.name):
+                continue
+            delay = chance.uniform(w.least_delay, w.most_delay)
+            delay += chance.uniform(0.0, w.late_most) if chance.random() < w.late else 0.0
+            network.loop.call_later(delay, self._arrive, to, data)
+
+    def _arrive(self, to: tuple[str, int], data: bytes) -> None:
+        network, mine = self.transport.network, self.transport.name
+        other = network.ports.get(to)
+        if other is None or not network.reaches(mine, other.transport.name):
+            return
+        network.saw(mine, other.transport.name, "datagram", len(data), xxhash.xxh3_64_intdigest(data))
+        held = other.transport
+        if not held.paused or len(held._held) < HELD_MOST:  # else the system drops it
+            held.gate(lambda: other.on_datagram(data, self._address))
+
+    def close(self) -> None:
+        if self.transport.network.ports.get(self._address) is self:
+            del self.transport.network.ports[self._address]
+
+
 class Disk:
     """The files of all processes, by path; they outlive kills. broken: processes that can't write now."""
 
@@ -417,6 +462,7 @@
         self._held: list[Callable[[], None]] = []  # due while it is paused; emptied as it goes on
         self._tasks: dict[int, asyncio.Task[None]] = {}  # emptied as they end
         self._listeners: list[VirtualListener] = []
+        self._ports: list[VirtualDatagrams] = []
         self._spawned = 0
         self._on_terminate: Callable[[], None] = self.finish
         self._on_reload: Callable[[], None] = self.kill  # what a program that names nothing gets
@@ -459,6 +505,8 @@
         self._held.clear()
         for listener in self._listeners:
             listener.close()
+        for port in self._ports:
+            port.close()
         for task in list(self._tasks.values()):
             task.cancel()
 
@@ -545,6 +593,16 @@
         self._listeners.append(listener)
         return listener
 
+    def datagrams(self, host: str, port: int,
+                  on_datagram: Callable[[bytes, tuple[str, int]], None]) -> VirtualDatagrams:
+        port = port or self.network.port()
+        if (host, port) in self.network.ports:
+            raise OSError(f"{host}:{port} is in use")
+        self.network.vanished.discard(self.name)
+        made = VirtualDatagrams(self, host, port, on_datagram)
+        self._ports.append(made)
+        return made
+
     def on_terminate(self, act: Callable[[], None]) -> None:
         self._on_terminate = act
 
