Real processes keep a view of the fleet through a relay of faults, judged from outside

Need: the view has to be proven by processes of the program with faults between them. head/fleet carries the core; lab/fleet starts agents on loopback, leads every datagram through a relay that loses, delays, doubles, reorders and cuts, kills, stops and restarts them by a script, and asks each for its view; 'fleet show' asks one. What is malformed, of another fleet or from no peer's address is counted and changes nothing. Off in 'run': no head loads it.

--- a/gorsethread/cli/lab.py
+++ b/gorsethread/cli/lab.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 import sys
+import tempfile
+from dataclasses import replace
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -11,9 +13,14 @@
 from rich.table import Table
 
 from gorsethread.cli.options import SitePath, site_at, write_json
+from gorsethread.faults.script import BadScript, read_script
 from gorsethread.lab.accounts import experiment
 from gorsethread.lab.allseeing import VARIANTS, compared
+from gorsethread.lab.fleet import RealFleet, unplayable
+from gorsethread.lab.processes import Processes
 from gorsethread.lab.sockets import compare
+from gorsethread.sitefile import site_pb2 as pb
+from gorsethread.transport.real import RealTransport, run
 
 app = typer.Typer(name="lab", no_args_is_help=True, help="Experiments on loopback, with figures.")
 
@@ -120,3 +127,48 @@
                           f"{mean['forwards']:.0f}", f"{mean['demand']:.2f}")
     Console(stderr=json_path == "-").print(table)
     write_json({"plays": [{"variant": n, **scene, **vars(s)} for n, scene, s in found]}, json_path)
+
+
+@app.command()
+def fleet(processes: Annotated[int, typer.Option(help="How many; a script's own number is not taken.")] = 12,
+          seed: int = 1,
+          script: Annotated[str, typer.Option(help="Its path; else one that fits the short form.")] = "",
+          json_path: Annotated[str, typer.Option("--json", help="Write the result here; - for output.")] = "",
+          ) -> None:
+    """Real processes that keep a view of the fleet, through a relay that loses, delays, doubles and cuts,
+    killed and stopped by a script, and judged from outside. Status 0: all views were the truth in time."""
+    if processes < 2:
+        typer.echo("--processes is 2 or more", err=True)
+        raise typer.Exit(2)
+    try:
+        text = Path(script).read_text() if script else SHORT
+        known = replace(read_script(f"heads {processes}\n{text}"), heads=processes, seed=seed)
+        if no := unplayable(known):
+            raise BadScript(no)
+    except OSError as error:
+        typer.echo(f"{script}: {error.strerror}", err=True)
+        raise typer.Exit(2) from None
+    except BadScript as bad:
+        for fault in bad.faults:
+            typer.echo(f"{script or 'the short form'}: {fault}", err=True)
+        raise typer.Exit(2) from None
+    console = Console(stderr=True)
+    found: dict[str, Any] = {}
+
+    async def work(transport: RealTransport) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            children = Processes(Path(folder), pb.Site())
+            say = lambda line: console.print(line, markup=False, highlight=False)  # noqa: E731
+            found.update(vars(await RealFleet(transport, children, known, say).play()))
+
+    run(work, seed)
+    sys.stdout.write("" if json_path == "-" else json.dumps(found, indent=1) + "\n")
+    write_json(found, json_path)
+    raise typer.Exit(0 if found["settled"] else 1)
+
+
+SHORT = """
+1 kill head-0 for 1
+1.1 kill head-1 for 1
+20 cut room-0 <-> room-1 for 6
+"""
--- a/gorsethread/cli/main.py
+++ b/gorsethread/cli/main.py
@@ -14,7 +14,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from gorsethread.cli import accounts, faults, lab
+from gorsethread.cli import accounts, faults, fleet, lab
 from gorsethread.cli.options import SitePath, site_at, write_json
 from gorsethread.head.program import Head
 from gorsethread.lab import bench as benches
@@ -45,6 +45,7 @@
 app.add_typer(accounts.app)
 app.add_typer(lab.app)
 app.add_typer(faults.app)
+app.add_typer(fleet.app)
 
 
 class LogForm(str, Enum):
--- a/gorsethread/membership/view.py
+++ b/gorsethread/membership/view.py
@@ -209,6 +209,13 @@
         elif m.kind == Kind.NACK and (p := self._probe) is not None and p.seq == m.seq:
             p.nacks += 1
 
+    def show(self, begin: int) -> Message:
+        """For an operator: the own word, and the table from a name on, with what this head says of itself."""
+        words, after = self._table(begin)
+        said = sum(held << bit for bit, held in enumerate(
+            (self.settled, self.apart, self.minority, self.leaving)))
+        return Message(Kind.SHOWN, self.me.name, said, after, self.digest, words)
+
     def leave(self) -> None:
         """In order: the others hear it from this head itself, a few of them at once."""
         self.leaving = True
@@ -420,6 +427,13 @@
             self._news[name] += 1
             if self._news[name] >= enough:
                 del self._news[name]
+        return self._table(begin, room, chosen)
+
+    def _table(self, begin: int, room: int = MOST_BYTES - HEADER_MOST,
+               chosen: dict[int, Word] | None = None) -> tuple[tuple[Word, ...], int]:
+        """More words from a name on, as far as they fit, and the name after them; 0 at the table's end."""
+        if chosen is None:
+            chosen, room = {self.me.name: self.me}, room - self._sizes[self.me.name]
         at = bisect_left(self._names, begin)
         after = begin
         for name in self._names[at:] + self._names[:at]:
--- a/gorsethread/membership/words.py
+++ b/gorsethread/membership/words.py
@@ -61,6 +61,11 @@
     ACK = 1
     ASK = 2  # to ping another, on the asker's behalf
     NACK = 3  # that other did not answer the one asked
+    SHOW = 4  # an operator asks for the view from a name on; changes nothing
+    SHOWN = 5  # a piece of it; seq holds what the head says of itself (OWN)
+
+
+OWN = ("settled", "apart", "minority", "leaving")  # one bit each, the first the lowest
 
 
 class Message(NamedTuple):
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,100 @@
+"""The view carried: real processes through a relay under faults, what a head does not hear, its command."""
+
+import asyncio
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from gorsethread.faults.script import read_script
+from gorsethread.head.fleet import FleetSide
+from gorsethread.lab.asking import ask
+from gorsethread.lab.fleet import FLEET, RealFleet, unplayable
+from gorsethread.lab.processes import Processes
+from gorsethread.logs import log_for, start_logs
+from gorsethread.membership.words import Kind, Message, State, Word, write
+from gorsethread.sitefile import site_pb2 as pb
+from gorsethread.transport.real import RealTransport
+from gorsethread.transport.virtual import Disk, Network, VirtualLoop, VirtualTransport
+
+SCRIPT = """seed 3
+heads 7
+0.5 kill head-0 for 0.5
+0.6 vanish head-1 for 0.5
+0.7 term head-2 for 1
+0.8 pause head-3 for 3
+14 cut room-0 <-> room-1 for 3
+"""
+
+
+class Real(unittest.IsolatedAsyncioTestCase):
+    async def test_processes_under_faults_come_to_one_view(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            fleet = RealFleet(RealTransport(3), Processes(Path(folder), pb.Site()), read_script(SCRIPT),
+                              lambda line: None)
+            result = await fleet.play()
+        self.assertEqual((True, 0, 0, []), (result.settled, result.false_deaths, result.missed_deaths,
+                                            result.reasons))
+        self.assertEqual(3, len(result.settle_seconds))
+        self.assertLess(result.bytes_a_head_a_second, 1500)
+
+    async def test_the_judge_sees_a_fleet_that_never_comes_together(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            transport = RealTransport(3)
+            fleet = RealFleet(transport, Processes(Path(folder), pb.Site()), read_script("heads 2\n"),
+                              lambda line: None)
+            fleet.relay.cuts.update([(0, 1), (1, 0)])
+            await asyncio.gather(*(fleet._start(n) for n in range(2)))
+            await fleet._settle(6.0, "a cut that stays")
+            fleet.script = read_script("heads 2\n")
+            await fleet.processes.end_all()
+            fleet.relay.close()
+        self.assertEqual(1, fleet.result.views_differ)
+        self.assertGreater(fleet.result.false_deaths, 0)
+
+    def test_scripts_and_addresses_that_cant_be_used(self) -> None:
+        foreign = read_script("1 slow shelf-0 by 2 for 1\n2 starve head-0 by 1 for 1\n")
+        self.assertEqual(2, len(unplayable(foreign)))
+        for arguments, said in ((("fleet", "show", "--head", "nowhere"), "no host:port"),
+                                (("fleet", "show", "--head", "127.0.0.1:9"), "no answer"),
+                                (("lab", "fleet", "--processes", "1"), "2 or more"),
+                                (("lab", "fleet", "--script", "/nowhere"), "No such file")):
+            done = subprocess.run([sys.executable, "-m", "gorsethread", *arguments], capture_output=True,
+                                  text=True, timeout=60)
+            self.assertEqual((2, True), (done.returncode, said in done.stderr), done.stderr)
+
+
+class Virtual(unittest.TestCase):
+    def test_what_is_foreign_is_counted_and_changes_nothing_and_an_operator_is_answered(self) -> None:
+        start_logs(True, "critical")
+        loop = VirtualLoop()
+        self.addCleanup(loop.close)
+        network, sides = Network(loop, 4), []
+        addresses = [("127.0.0.1", 100 + n) for n in range(3)]
+        for n in range(3):
+            process = VirtualTransport(network, Disk(), f"head {n}")
+            side = FleetSide(process, Word(n, 0, 0, State.ALIVE, 0, 0, *addresses[n], n), addresses[n],
+                             tuple(addresses), frozenset(addresses), FLEET, log_for())
+            side.start()
+            sides.append(side)
+        stranger = VirtualTransport(network, Disk(), "stranger")
+        port = stranger.datagrams("127.0.0.9", 1, lambda data, source: None)
+        death = Word(1, 2**50, 0, State.DEAD, 0, 0, *addresses[1], 2)
+        told = Message(Kind.ACK, 2, 1, 0, 0, (death,))
+        for data in (b"noise", write(told, FLEET), write(told, FLEET + 1), write(told, FLEET)[:20]):
+            loop.call_later(8.0, port.send, addresses[0], data)
+        task = loop.create_task(ask(stranger, addresses[0], FLEET))
+        loop.call_later(9.0, lambda: None)
+        shown = loop.run_until_complete(task)
+        self.assertEqual(0, shown.me.name if shown.me else -1)
+        over = loop.create_future()
+        loop.call_later(10.0, over.set_result, None)
+        loop.run_until_complete(over)
+        self.assertEqual({"malformed": 2, "from no peer": 1, "another fleet": 1}, dict(sides[0].wrong))
+        self.assertEqual([True] * 3, [side.view.settled for side in sides])
+        sides[2].stop()
+        last = loop.create_future()
+        loop.call_later(5.0, last.set_result, None)
+        loop.run_until_complete(last)
+        self.assertEqual([State.LEFT] * 2, [side.view.words[2].state for side in sides[:2]])
