A cold shelf's part is lent by one head to those that have work for it

At fault is the even part in _cold_left: 9 units in 3 s over 60 heads is 0.15 of a unit a head, under any transaction, though all together may send 9. Ruled out: raising the part (rule 4 binds the sum), turns by the clock (heads' clocks are not one).

Change: where the even part is smaller than a transaction and heads may send messages, a head named by a hash of the shard over the fixed list lends what the shelf bears, in order of asking, for 0.4 of the shortest promise from the asking by the asker's clock; it counts each part for that and the span, and is silent for as long after its own start. Lost, late, doubled or false messages lose a part and never make a second.

--- a/gorsethread/benchlink/__main__.py
+++ b/gorsethread/benchlink/__main__.py
@@ -47,6 +47,9 @@
     def wake(self, delay: float, name: str) -> None:
         self.said.append({"verb": "arm", "delay": delay, "keyBack": name})
 
+    def tell(self, head: int, words: str) -> None:
+        self.said.append({"verb": "notify", "addressee": head, "raw": words})
+
     def follow_list(self) -> None:
         self.said.append({"verb": "subscribe", "active": True})
 
@@ -133,7 +136,9 @@
                 policy.shelf_listed(s["shelf"], s["rackZone"], s.get("pod", -1),
                                     s["condition"] == "Ready", s.get("since", 0.0))
             policy.list_ended()
-        elif verb not in ("ackFirst", "probeResult", "peer"):
+        elif verb == "peer":
+            policy.peer_told(e["originPeer"], e["raw"])
+        elif verb not in ("ackFirst", "probeResult"):
             raise Malformed(f"unknown verb {verb!r}")
 
 
--- a/gorsethread/head/driver.py
+++ b/gorsethread/head/driver.py
@@ -71,6 +71,8 @@
         self._cut_off_timer: Timer | None = None
         self._cut_off_at = NEVER
         self.policy = Policy(self, facts, seed)
+        # Carries messages to other heads, where a front has a way to them.
+        self.teller: Callable[[int, str], None] | None = None
         self.recorder: Callable[[tuple[Any, ...]], None] | None = None  # sees events and acts, for replays
         self.accounts: Accounts | None = None
         self._fresh: list[Open] = []  # taken since the last batch, which empties it
@@ -131,6 +133,9 @@
     def list_refused(self) -> None:
         self.happened("list_refused")
 
+    def peer_told(self, origin: int, words: str) -> None:
+        self.happened("peer_told", origin, words)
+
     def _work(self) -> None:
         self._due = False
         self._now = self.transport.now()
@@ -320,6 +325,13 @@
             self.recorder(("act", "wake", delay, name))
         self.transport.at(self._now + delay, lambda: self.happened("woken", name))
 
+    def tell(self, head: int, words: str) -> None:
+        if self.recorder:
+            self.recorder(("act", "tell", head, words))
+        self.counts["told"] += 1
+        if self.teller is not None:
+            self.teller(head, words)
+
     def follow_list(self) -> None:
         if self.recorder:
             self.recorder(("act", "follow_list"))
--- /dev/null
+++ b/gorsethread/head/messages.py
@@ -0,0 +1,57 @@
+"""Carries what the decisions of one head tell another's: datagrams both ways, with a bound on how many.
+Decides nothing; what is not of this fleet or from no peer is counted and changes nothing."""
+
+from collections import Counter
+from collections.abc import Callable
+from zlib import crc32
+
+from gorsethread.membership.words import Address, Kind, Message, Unreadable, read, write
+from gorsethread.transport.base import Transport
+
+SENT_MOST = 400  # messages a second; decisions that ask for more are not carried
+WORDS_MOST = 200  # characters of a message
+
+
+class Messages:
+    """me: this head's place among the addresses, which are all heads' as the others' datagrams come from and
+    go to them. told: what hears them."""
+
+    def __init__(self, transport: Transport, listen: Address, addresses: tuple[Address, ...], me: int,
+                 told: Callable[[int, str], None]) -> None:
+        self.transport, self.listen, self.addresses = transport, listen, addresses
+        self.me, self.told = me, told
+        self.fleet = crc32(repr(addresses).encode())  # of another list, numbers may mean other heads
+        self.numbers = {address: n for n, address in enumerate(addresses)}
+        self.counts: Counter[str] = Counter()  # by reason; as many as there are reasons
+        self._room, self._filled = float(SENT_MOST), transport.now()
+
+    def start(self) -> None:
+        """OSError where its address can't be had."""
+        self._port = self.transport.datagrams(*self.listen, self._came)
+
+    def stop(self) -> None:
+        self._port.close()
+
+    def tell(self, head: int, words: str) -> None:
+        now = self.transport.now()
+        self._room = min(float(SENT_MOST), self._room + (now - self._filled) * SENT_MOST)
+        self._filled = now
+        if self._room < 1.0 or not 0 <= head < len(self.addresses) or len(words) > WORDS_MOST:
+            self.counts["not carried"] += 1
+            return
+        self._room -= 1.0
+        self.counts["sent"] += 1
+        self._port.send(self.addresses[head], write(Message(Kind.TOLD, self.me, 0, 0, 0, (), said=words),
+                                                    self.fleet))
+
+    def _came(self, data: bytes, source: Address) -> None:
+        try:
+            message = read(data, self.fleet)
+        except Unreadable as error:
+            self.counts[str(error)] += 1
+            return
+        if self.numbers.get(source) != message.sender or message.sender == self.me:
+            self.counts["from no peer"] += 1
+        elif message.kind == Kind.TOLD:
+            self.counts["heard"] += 1
+            self.told(message.sender, message.said)
--- a/gorsethread/host.py
+++ b/gorsethread/host.py
@@ -24,5 +24,8 @@
     def wake(self, delay: float, name: str) -> None:
         """Have the policy's woken(name) called after a delay."""
 
+    def tell(self, head: int, words: str) -> None:
+        """A message to another head, by its number: slow, perhaps never there, 200 characters at most."""
+
     def follow_list(self) -> None:
         """Ask to be told the list of shelves and its changes; the answer may be a refusal."""
--- a/gorsethread/membership/words.py
+++ b/gorsethread/membership/words.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-VERSION = 1
+VERSION = 2
 MOST_BYTES = 256
 HEADER_MOST = 48  # bytes of a message without its words
 
@@ -62,6 +62,7 @@
     ASK = 2  # to ping another, on the asker's behalf
     NACK = 3  # that other did not answer the one asked
     SHOW = 4  # an operator asks for the view from a name on; changes nothing
+    TOLD = 6  # words of one head's decisions to another's
     SHOWN = 5  # a piece of it; seq holds what the head says of itself (OWN)
 
 
@@ -71,7 +72,7 @@
 class Message(NamedTuple):
     """seq: which ping it belongs to. target: the head to ping, of an ASK (-1: none). cursor: in a PING the
     name from which on the sender would hear the table, in an ACK the name from which on it goes on. digest:
-    of the sender's view."""
+    of the sender's view. said: what a TOLD carries."""
 
     kind: int
     sender: int
@@ -80,6 +81,7 @@
     digest: int
     words: tuple[Word, ...]
     target: int = -1
+    said: str = ""
 
 
 class Unreadable(Exception):
@@ -96,6 +98,7 @@
     digest: int
     target: int
     words: list[tuple[int, int, int, int, int, int, str, int, int]]
+    said: str
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -111,7 +114,7 @@
     """ValueError over the bound: who fills a message keeps to it by size_of()."""
     m = message
     raw = _encode(_Wire(VERSION, fleet, m.kind, m.sender, m.seq, m.cursor, m.digest, m.target,
-                        list(m.words)))
+                        list(m.words), m.said))
     if len(raw) > MOST_BYTES:
         raise ValueError(f"{len(raw)} bytes of a message")
     return raw
@@ -134,4 +137,4 @@
             w.state not in list(State) or min(w.name, w.life, w.incarnation, w.zone, w.machine) < 0
             or not 0 < w.port < 65536 for w in words):
         raise Unreadable("out of bounds")
-    return Message(m.kind, m.sender, m.seq, m.cursor, m.digest, words, m.target)
+    return Message(m.kind, m.sender, m.seq, m.cursor, m.digest, words, m.target, m.said)
--- a/gorsethread/model.py
+++ b/gorsethread/model.py
@@ -107,6 +107,8 @@
     largest_units: float
     share_worth: float
     repeats_marked: bool
+    index: int = 0  # of this head among all
+    may_tell: bool = False  # whether heads may send each other messages
 
 
 @dataclass(slots=True, eq=False)
@@ -143,6 +145,11 @@
     misses: int = 0
     out: dict[tuple[int, int], float] = field(default_factory=dict)
     cold_sent: deque[tuple[float, float]] = field(default_factory=deque)
+    asked: str = ""  # which asking for a lent part is out
+    asked_units: float = 0.0
+    asked_at: float = -float("inf")
+    lent: float = 0.0  # units lent to this head and not sent yet
+    lent_until: float = 0.0
     last_send: float = 0.0  # after it was told to drain
     answered_at: float = 0.0  # when it answered last
     answered_of: float = 0.0  # when the latest of the forwards it has answered had been sent
--- a/gorsethread/platform/config.py
+++ b/gorsethread/platform/config.py
@@ -2,7 +2,7 @@
 
 import json
 import math
-from dataclasses import dataclass, fields
+from dataclasses import dataclass, fields, replace
 from typing import Any
 
 import msgspec
@@ -33,7 +33,8 @@
 @dataclass(frozen=True)
 class Order:
     """One head's orders. dial_within, idle: seconds, of connections to shelves; longest: how many seconds a
-    client waits at most."""
+    client waits at most. peers: every head's address by its number, this one's too, where heads may send each
+    other messages; else none."""
 
     name: str
     listen: Address
@@ -46,6 +47,8 @@
     dial_within: float
     idle: float
     longest: float
+    peer_listen: Address | None = None
+    peers: tuple[Address, ...] = ()
 
 
 def address_of(value: Any, place: str) -> Address:
@@ -111,6 +114,8 @@
         raise Unusable("settings: no profile or no plan")
     for part in (facts, facts.cold, *facts.profiles, *facts.plans, *([facts.budget] if facts.budget else ())):
         _check_figures(part)
+    peer_listen, peers = _peers(given, facts)
+    facts = replace(facts, may_tell=bool(peers))
     naming = Naming(
         {s["name"].encode(): n for n, s in enumerate(settings["services"])},
         {g["name"].encode(): n for n, g in enumerate(settings["grades"])},
@@ -123,4 +128,18 @@
         float(_field(settings, "permissions.dialTimeout", int, float)),
         float(_field(settings, "permissions.connIdle", int, float)),
         float(max(s.get("giveUp", 0.0) for s in settings["services"])),
+        peer_listen, peers,
     )
+
+
+def _peers(given: Any, facts: StartFacts) -> tuple[Address | None, tuple[Address, ...]]:
+    """None where the settings allow no messages or no addresses are told. A number that means another head at
+    each of two heads would do harm, so a list that does not fit the settings is refused."""
+    if not facts.may_tell or "peers" not in given or "peer_listen" not in given:
+        return None, ()
+    peers = tuple(address_of(p, f"peers.{n}") for n, p in enumerate(_field(given, "peers", list)))
+    if len(peers) != facts.heads or len(set(peers)) != len(peers):
+        raise Unusable(f"peers: {len(set(peers))} different addresses for {facts.heads} heads")
+    if type(facts.index) is not int or not 0 <= facts.index < facts.heads:
+        raise Unusable(f"settings.index: {facts.index!r} is no number of one of {facts.heads} heads")
+    return address_of(given["peer_listen"], "peer_listen"), peers
--- a/gorsethread/platform/program.py
+++ b/gorsethread/platform/program.py
@@ -4,6 +4,7 @@
 
 from gorsethread.head.driver import Driver
 from gorsethread.head.linktable import LinkTable
+from gorsethread.head.messages import Messages
 from gorsethread.platform.clients import ClientSide
 from gorsethread.platform.config import Order, Unusable, read_order
 from gorsethread.platform.discovery import Discovery
@@ -48,10 +49,17 @@
         self.discovery.pool = self.pool
         self.clients = ClientSide(transport, self.driver, order.naming, int(order.sockets * CLIENTS_PART),
                                   log)
+        self.messages: Messages | None = None
+        if order.peer_listen is not None:
+            self.messages = Messages(transport, order.peer_listen, order.peers, order.facts.index,
+                                     self.driver.peer_told)
+            self.driver.teller = self.messages.tell
         self.ended = False
 
     def start(self) -> None:
         """OSError where its address can't be had."""
+        if self.messages is not None:
+            self.messages.start()
         self.discovery.start(self.order.known)
         self._listener = self.transport.listen(*self.order.listen, self.clients.on_stream,
                                                self.clients.admits)
@@ -86,6 +94,8 @@
             await self.transport.sleep(0.02)
         self.ended = True
         self.discovery.stop()
+        if self.messages is not None:
+            self.messages.stop()
         for link in list(self.pool.links.values()):
             link.close()
         self._count("head ended")
@@ -103,7 +113,8 @@
 
     def _count(self, what: str) -> None:
         counts = {name.replace(" ", "_"): n for name, n in sorted(self.driver.counts.items())}
+        messages = dict(self.messages.counts) if self.messages is not None else {}
         self.log.info(what, open=len(self.driver.open), clients=len(self.clients.connections),
                       shelf_connections=self.pool.held, opened=self.pool.opened,
                       waiting=len(self.pool.waiting), wrong=self.clients.report(),
-                      spoilt=self.pool.report(), **counts)
+                      spoilt=self.pool.report(), messages=messages, **counts)
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -17,17 +17,16 @@
 
 FIRST_BOUND = 4.0  # the design's start and ceiling
 HIGHEST_BOUND = 32.0
-FURTHER_FORWARDS = 2
+FORWARDS_MOST = 3
 NEW = -1  # the shard of a new object, which any shelf may take
 FREE_RATE = 8.0  # times the usual rate of a unit of weight; from here on a shelf holds nothing back
-# Times the usual rate: from lower, a shelf overloaded for a moment stays idle for ten seconds, as few answers
-# come that could raise it, and each that took long by its own work cuts it again.
-LOWEST_RATE = 0.1
+LOWEST_RATE = 0.1  # from lower, a shelf overloaded for a moment rests for ten seconds for want of answers
 WAIT_PART = 0.3  # of the shortest promise: the longest wait at a shelf that is not crowded
 LINE_PART = 0.1  # of the shortest promise: a wait that shows a line at the shelf
 SILENT_PAUSE = 12.0  # usual times of a shelf that fell silent, until it gets one more forward
 BREAKS_MOST = 3  # connections broken in turn from which a shelf needs no rest
 DRAIN_PART = 0.75  # of the grace: a send may still have to wait for a connection
+LENT_PART = 0.4  # of the shortest promise: how long a lent part of a cold shelf holds, from the asking
 LOOK_AGAIN = 0.02  # seconds until a store or span that held something back is looked at again
 NEVER_RAN = (Ending.TURNED_AWAY, Ending.UNREACHED, Ending.NOT_SENT)
 MAY_STILL_RUN = (Ending.TIMED_OUT, Ending.BROKEN, Ending.CALLED_OFF)
@@ -40,8 +39,7 @@
 
 class Policy:
     def __init__(self, host: Host, facts: StartFacts, seed: int) -> None:
-        self.host = host
-        self.facts = facts
+        self.host, self.facts = host, facts
         self.chance = seed & (2**64 - 1)
         self.born = self.now = self.aged = host.clock()
         self.dearest = max(p.value for p in facts.profiles) or 1.0
@@ -49,6 +47,11 @@
         # Holding units beyond the reserve costs less the less they earn, so a shelf's rate starts lower.
         self.first_rate = max(1.0, FREE_RATE * facts.share_worth**2)
         self.kept_slots = max(1.0, FIRST_BOUND / facts.heads)  # at a shelf with a line
+        # An even part too small for a transaction rests at heads that have nothing for the shelf.
+        self.lends = facts.may_tell and facts.cold.units < facts.heads * facts.largest_units
+        self.lent_for = LENT_PART * self.quickest
+        self.lent_kept = facts.cold.span + self.lent_for
+        self.lent: dict[int, list[tuple[float, float]]] = {}  # by shard, as its home; emptied by _age
         self.usual = sum(p.usual / p.weight for p in facts.plans) / len(facts.plans)
         self.order = self.list_waits = 0
         self.spans = [0.0] * len(facts.profiles)  # the longest first try seen of each profile
@@ -60,17 +63,15 @@
         self.shelves: dict[int, Shelf] = {}  # emptied as shelves leave the list with nothing out
         self.held_by: dict[int, Shelf] = {}  # shard to the shelf that now holds it, made anew by each list
         self.wanted: dict[int, int] = {}  # how many wait, by shard; no more entries than shards
-        self.list_whole = False
+        self.list_whole, self.changed = False, True
         self.named: set[int] = set()
-        self.drained_at = float("inf")
         self.list_ask_at = 0.0 if facts.list_on_request else float("inf")
         self.lines: dict[str, deque[Transaction]] = {}  # emptied as keys fall idle and their rest ends
         self.key_rests: dict[str, float] = {}
         self.agenda: list[tuple[float, int, Transaction | str]] = []  # emptied as its times pass
-        self.alarm = self.look_at = float("inf")
+        self.alarm = self.look_at = self.drained_at = float("inf")
         self.taken: deque[float] = deque()  # both emptied as the budget's span passes
         self.further: deque[float] = deque()
-        self.changed = True
 
     # ---- what can happen
 
@@ -142,6 +143,20 @@
         if self.host.clock() >= self.alarm - 0.001:  # a clock may round a delay down
             self.alarm = float("inf")
 
+    def peer_told(self, origin: int, words: str) -> None:
+        """Of a cold shelf's part: "ask" or "lent", shard, which asking, units, age. Else passed over."""
+        self.now = self.host.clock()
+        try:
+            kind, named, number, units, age = words.split()
+            shard, wanted = int(named), (float(units), float(age))
+        except ValueError:
+            return
+        home, s = self._home(shard), self.held_by.get(shard)
+        if kind == "ask" and home == self.facts.index and self._lend(shard, *wanted):
+            self.host.tell(origin, f"lent {shard} {number} {units} {age}")
+        elif kind == "lent" and home == origin and s and s.asked == number:
+            self._borrow(s)
+
     def list_refused(self) -> None:
         self.now = self.host.clock()
         self.list_waits += 1
@@ -150,8 +165,7 @@
 
     def list_begins(self, whole: bool, remembered: bool) -> None:
         self.now = self.host.clock()
-        self.list_whole = whole
-        self.named = set()
+        self.list_whole, self.named = whole, set()
         if not remembered:
             self.list_waits = 0
 
@@ -163,9 +177,9 @@
             # Guards against all heads rushing to a shelf that just came back; costs half of what it lacks.
             cold = self.facts.cold
             missing = min(cold.span, cold.warm_after) * (1.0 - cold.first_part)
-            s.first_send = self.now + 0.5 * missing * self._random()
+            s.first_send = 0.0 if self.lends else self.now + 0.5 * missing * self._random()
             s.rate = max(1.0, FREE_RATE * cold.first_part)
-            s.bound, s.rest_until, s.misses, s.errors = FIRST_BOUND, 0.0, 0, 0.0
+            s.bound, s.rest_until, s.misses, s.errors, s.lent, s.asked = FIRST_BOUND, 0.0, 0, 0.0, 0.0, ""
             s.cold_sent.clear()
         if not ready:
             # Guards against a shard without a shelf until another holds it. Told again, it has gone.
@@ -248,7 +262,7 @@
                     if not room(s) or not (t.ran_at is None or self._may_go_to(t, s)) or (
                             shard == NEW and not t.forwards and self._has_enough(s, len(given[s.id]))):
                         continue
-                    if t.forwards or s.rate >= FREE_RATE or self._in_pace(t, s, used):
+                    if (t.forwards or s.rate >= FREE_RATE or self._in_pace(t, s, used)) and self._bears(t, s):
                         yield s.id, t
                     break
 
@@ -300,6 +314,7 @@
             self.look_at = min(self.look_at, self.now + LOOK_AGAIN)
             return
         if cold < float("inf"):
+            s.lent -= t.units
             s.cold_sent.append((self.now, t.units))
         if t.forwards == 0:
             if v.plan.limit:
@@ -331,8 +346,7 @@
     def _unhold(self, t: Transaction) -> None:
         if not t.waiting:
             return
-        t.waiting = False
-        v, lane = t.volume, t.volume.lanes[t.shard]
+        t.waiting, v, lane = False, t.volume, t.volume.lanes[t.shard]
         lane.remove(t)
         self.wanted[t.shard] -= 1
         if not lane:
@@ -364,17 +378,18 @@
                 if v.limit_store >= v.plan.limit_burst / v.heads:
                     del self.volumes[id]
         self.aged = self.now
+        self.lent = {n: log for n, log in self.lent.items() if log[-1][0] > self.now - self.lent_kept}
 
     # ---- (1) a shelf's bound and health
 
     def _free_slots(self, s: Shelf) -> int:
-        rests = max(s.first_send, s.rest_until, self.now + LOOK_AGAIN if self._cold_left(s) < 1.0 else 0.0)
+        waits = not self.lends and self._cold_left(s) < 1.0
+        rests = max(s.first_send, s.rest_until, self.now + LOOK_AGAIN if waits else 0.0)
         if self.now < rests:
             self.look_at = min(self.look_at, rests)
             return 0
         if self._silent(s) or s.misses:
-            # One more only as the last has been silent too, for twice as long each time: else one lost
-            # answer keeps a shelf of little traffic idle until its cut-off.
+            # One lost answer would keep a shelf of little traffic idle; each one more waits twice as long.
             last = next(reversed(s.out.values()), -float("inf"))
             pause = max(self.quickest, SILENT_PAUSE * s.time)
             due = last + pause * 2.0**min(len(s.out) + s.misses - 1, 6)
@@ -398,17 +413,16 @@
     def _silent(self, s: Shelf) -> bool:
         """Guards against a hung shelf holding slots: one forward at a time until it answers. One that goes
         on answering is not silent; a forward passed over by the answer to a later one is late by itself."""
-        oldest = self._oldest(s)
-        overdue = self._is_overdue(s, oldest)
-        if overdue and oldest >= s.cut_at:
+        overdue = self._is_overdue(s)
+        if overdue and self._oldest(s) >= s.cut_at:
             self._cut(s, self.first_rate, 0.5)
         return overdue
 
     def _oldest(self, s: Shelf) -> float:
         return next((at for at in s.out.values() if at >= s.answered_of), self.now)
 
-    def _is_overdue(self, s: Shelf, oldest: float) -> bool:
-        return self.now - max(oldest, s.answered_at) > self.quickest
+    def _is_overdue(self, s: Shelf) -> bool:
+        return self.now - max(self._oldest(s), s.answered_at) > self.quickest
 
     def _judge(self, s: Shelf, how: Ending, elapsed: float, t: Transaction, sent: float) -> None:
         if not s.ready and how in NEVER_RAN:
@@ -443,9 +457,8 @@
             part = WAIT_PART * self.quickest / max(wait, 0.001)
         in_line = how is Ending.HONOURED and wait > LINE_PART * self.quickest
         if in_line:
-            # Guards against many heads' slots adding up: a shelf with a line is busy without more of this
-            # head's, which would only wait there, where no head can put what is dearer first. Hurts where
-            # work of one size differs much.
+            # Guards against many heads' slots adding up: more of this head's would only wait in the line,
+            # where no head can put what is dearer first. Hurts where work of one size differs much.
             s.bound = min(s.bound, self.kept_slots)
         if part < 1.0:
             # Answers to what was sent before the last cut say nothing of the cut.
@@ -485,18 +498,58 @@
     # ---- (2) the cold ramp
 
     def _cold_left(self, s: Shelf) -> float:
-        """This head's part of the units a cold shelf always bears, less what it sent within the span."""
-        rule = self.facts.cold
-        age = self.now - s.since
+        """Of what a cold shelf always bears: the units lent to this head, or the rest of its even part."""
+        rule, age = self.facts.cold, self.now - s.since
         if s.since <= 0 or age >= rule.warm_after:
             s.cold_sent.clear()
             return float("inf")
+        if self.lends:
+            return s.lent if self.now < s.lent_until else 0.0
         if s.since <= self.born and self.now - self.born < rule.span:
             return 0.0  # an earlier life of this head may have spent the part
         while s.cold_sent and s.cold_sent[0][0] <= self.now - rule.span:
             s.cold_sent.popleft()
-        grown = 1.0 + (1.0 / rule.first_part - 1.0) * max(0.0, age - rule.span) / rule.warm_after
-        return rule.units * grown / self.facts.heads - sum(units for _, units in s.cold_sent)
+        return self._borne(age) / self.facts.heads - sum(units for _, units in s.cold_sent)
+
+    def _borne(self, age: float) -> float:
+        """Units within the span that all heads together may send to a shelf of that age."""
+        rule = self.facts.cold
+        grown = max(0.0, age - rule.span) / rule.warm_after
+        return rule.units * (1.0 + (1.0 / rule.first_part - 1.0) * grown)
+
+    def _home(self, shard: int) -> int:
+        """The head that lends what the shard's shelf bears while it is cold, the same one at every head."""
+        return int.from_bytes(blake2b(f"{shard}".encode(), digest_size=8).digest()) % self.facts.heads
+
+    def _lend(self, shard: int, units: float, age: float) -> bool:
+        """A lent part may be sent until lent_for after its asking, which was before now, then counts for the
+        span. Guards rule 4 through a restart too: an earlier life may just have lent it all."""
+        since = self.now - self.lent_kept
+        log = [entry for entry in self.lent.get(shard, ()) if entry[0] > since]
+        lends = (0.0 <= age < self.facts.cold.warm_after and 0.0 < units <= self.facts.largest_units
+                 and self.born <= since and units + sum(n for _, n in log) <= self._borne(age))
+        if lends:
+            self.lent[shard] = [*log, (self.now, units)]
+        return lends
+
+    def _borrow(self, s: Shelf) -> None:
+        s.lent, s.lent_until, s.asked, self.changed = s.asked_units, s.asked_at + self.lent_for, "", True
+
+    def _bears(self, t: Transaction, s: Shelf) -> bool:
+        """Whether the cold ramp lets it go; if not, asks the shelf's home, once at a time."""
+        if not self.lends or t.units <= self._cold_left(s):
+            return True
+        if not s.asked or self.now >= s.asked_at + self.lent_for:
+            # Differs from those of an earlier life, which may still be answered.
+            s.asked, s.asked_at, s.asked_units = f"{self.chance >> 32}/{self.now}", self.now, t.units
+            age, home = self.now - s.since, self._home(s.shard)
+            if home != self.facts.index:
+                self.host.tell(home, f"ask {s.shard} {s.asked} {t.units:g} {age:.3f}")
+            elif self._lend(s.shard, t.units, age):
+                self._borrow(s)
+                return True
+        self.look_at = min(self.look_at, s.asked_at + self.lent_for)
+        return False
 
     # ---- (3) the limit store
 
@@ -558,8 +611,7 @@
     # ---- (5) further forwards
 
     def _may_go_again(self, t: Transaction, how: Ending) -> bool:
-        most = min(self.facts.most_forwards, 1 + FURTHER_FORWARDS)
-        if t.out or t.forwards >= most or self.now >= t.cut_off:
+        if t.out or t.forwards >= min(self.facts.most_forwards, FORWARDS_MOST) or self.now >= t.cut_off:
             return False
         if self.now < self.overload_until or not self._within_budget():
             return False
@@ -597,8 +649,7 @@
             self._next_in_line(t.key)
 
     def _next_in_line(self, key: str) -> None:
-        line = self.lines.get(key)
-        rest = self.key_rests.get(key, 0.0)
+        line, rest = self.lines.get(key), self.key_rests.get(key, 0.0)
         if rest > self.now:
             self._note(rest, key)
             return
@@ -611,8 +662,7 @@
     # ---- asked by the accounts
 
     def why_held(self, id: int) -> tuple[Held, int]:
-        """What kept a transaction back in the last search, and the shelf it is meant for (-1: none). Asking
-        changes no decision."""
+        """What kept a transaction back in the last search, and the shelf it is meant for (-1: none)."""
         t = self.transactions.get(id)
         if t is None or t.over or t.out:
             return Held.NOT, -1
@@ -624,14 +674,13 @@
         return (self._held_at(t, s) if s else Held.NO_SHELF), at
 
     def _held_at(self, t: Transaction, s: Shelf) -> Held:
-        v, oldest = t.volume, self._oldest(s)
-        if v.plan.limit and not t.forwards and v.limit_store < t.units:
+        if t.volume.plan.limit and not t.forwards and t.volume.limit_store < t.units:
             return Held.LIMIT
         if self.now < s.rest_until:
             return Held.REST
         if self.now < s.first_send or self._cold_left(s) < max(1.0, t.units):
             return Held.COLD
-        if s.out and (s.misses or self._is_overdue(s, oldest)):
+        if s.out and (s.misses or self._is_overdue(s)):
             return Held.SILENT
         if len(s.out) >= max(1, int(s.bound)):
             return Held.SLOTS
--- a/gorsethread/startfacts.py
+++ b/gorsethread/startfacts.py
@@ -55,4 +55,6 @@
         largest_units=facts["mostUnits"],
         share_worth=facts.get("shareWorth", 1.0),
         repeats_marked=bool(setup["clients"].get("marksRetry")),
+        index=setup.get("index", 0),
+        may_tell=bool(may.get("peerMessages")),
     )
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -67,7 +67,7 @@
 
     def test_other_fleets_versions_and_sizes_are_refused(self) -> None:
         for raw, why in ((RAW, "another fleet"), (RAW + bytes(300), "over the bound"), (b"", "malformed"),
-                         (RAW[:1] + b"\x02" + RAW[2:], "another version")):
+                         (RAW[:1] + b"\x01" + RAW[2:], "another version")):
             with self.assertRaises(Unreadable) as caught:
                 read(raw, 8 if why == "another fleet" else 7)
             self.assertEqual(why, str(caught.exception))
