The crowd experiment renews shelves, restarts heads and loses messages; lending is judged there

Change: lab crowd replaces part of its shelves by cold ones told of late, restarts heads, loses and doubles messages, and counts sends beyond what all heads may send together and shelves pushed over; variant "even" is the state before. Tests: 8 seeded worlds with no send beyond the part; four planted flaws (no silence after a start, a part that counts too short, a doubled answer that lends twice, every head a home) are each seen; words of any kind by hypothesis; two real heads' ports on the virtual clock; settings that do not fit.

--- a/gorsethread/cli/lab.py
+++ b/gorsethread/cli/lab.py
@@ -100,6 +100,9 @@
           shelves: int = 40, seconds: float = 24.0, load: float = 0.45, surges: float = 0.45,
           seeds: Annotated[str, typer.Option(help="First and last, as 1..4.")] = "1..4",
           variants: Annotated[str, typer.Option(help="Some of: " + ", ".join(VARIANTS))] = ",".join(VARIANTS),
+          renewed: Annotated[float, typer.Option(help="Part of the shelves replaced by cold ones.")] = 0.0,
+          restarted: Annotated[float, typer.Option(help="Part of the heads restarted meanwhile.")] = 0.0,
+          lost: Annotated[float, typer.Option(help="Part of the messages; as many come twice.")] = 0.0,
           at_once: Annotated[int, typer.Option(help="Plays side by side; 0: as many as cores.")] = 0,
           json_path: Annotated[str, typer.Option("--json", help="Write each play here; - for output.")] = "",
           ) -> None:
@@ -110,21 +113,29 @@
         typer.echo("--shelves is 1 or more, --seconds 2 or more, --load over 0, --surges 0 or more, "
                    f"--variants some of {', '.join(VARIANTS)}", err=True)
         raise typer.Exit(2)
-    day = {"shelves": shelves, "seconds": seconds, "load": load, "surges": surges}
+    if not all(0.0 <= part <= 1.0 for part in (renewed, restarted, lost)) or (
+            renewed and set(names) & {"lines", "demand"}):
+        typer.echo("--renewed, --restarted and --lost are parts from 0 to 1; 'lines' and 'demand' tell of "
+                   "shelves that stay", err=True)
+        raise typer.Exit(2)
+    day = {"shelves": shelves, "seconds": seconds, "load": load, "surges": surges, "renewed": renewed,
+           "restarted": restarted, "lost": lost}
     scenes: list[dict[str, Any]] = [{"heads": h, **day, "seed": seed} for h in _numbers(heads, "heads")
                                     for seed in _numbers(seeds, "seeds")]
     found = list(compared(scenes, names, at_once))
     table = Table("variant", "heads", "worth served", "least, most", "worst plan", "pushed back", "late",
-                  "forwards", "demand")
+                  "forwards", "demand", "messages", "beyond part", "fallen")
     for name in names:
         for h in _numbers(heads, "heads"):
             got = [s for n, scene, s in found if n == name and scene["heads"] == h]
             mean = {f: sum(getattr(s, f) for s in got) / len(got)
-                    for f in ("served", "worst_plan", "pushed_back", "late", "forwards", "demand")}
+                    for f in ("served", "worst_plan", "pushed_back", "late", "forwards", "demand",
+                              "messages")}
             table.add_row(name, str(h), f"{mean['served']:.3f}",
                           f"{min(s.served for s in got):.3f}, {max(s.served for s in got):.3f}",
                           *(f"{mean[f]:.3f}" for f in ("worst_plan", "pushed_back", "late")),
-                          f"{mean['forwards']:.0f}", f"{mean['demand']:.2f}")
+                          f"{mean['forwards']:.0f}", f"{mean['demand']:.2f}", f"{mean['messages']:.2f}",
+                          str(sum(s.over_part for s in got)), str(sum(s.fallen for s in got)))
     Console(stderr=json_path == "-").print(table)
     write_json({"plays": [{"variant": n, **scene, **vars(s)} for n, scene, s in found]}, json_path)
 
--- a/gorsethread/lab/allseeing.py
+++ b/gorsethread/lab/allseeing.py
@@ -28,6 +28,14 @@
         s.rate, s.grown_at, s.cut_at = rate, grown_at, cut_at
 
 
+class EvenParts(Policy):
+    """What a cold shelf bears is parted evenly, as where heads may send no messages."""
+
+    def __init__(self, *given: Any) -> None:
+        super().__init__(*given)
+        self.lends = False
+
+
 def lines_told(world: World) -> None:
     """Each head knows each shelf's line, as if an answer had just told it, and sends none into a long one."""
     for head in world.heads:
@@ -92,6 +100,7 @@
 
 VARIANTS = {
     "alone": Variant("each head by what it saw itself"),
+    "even": Variant("a cold shelf's part not lent but even", EvenParts),
     "lines": Variant("told each shelf's line ten times a second", ByTold, lines_told),
     "demand": Variant("told what all ask of each shelf, of the last seconds", ByTold, demand_told),
     "one": Variant("one head in place of all", heads=1),
--- a/gorsethread/lab/crowd.py
+++ b/gorsethread/lab/crowd.py
@@ -5,15 +5,18 @@
 lifts all of them for a while. Worth is counted as the operators do: by volume and second, units inside the
 volume's share by weight of what its shelves can do count in full, others little, late ones a part.
 
-Left out: sockets and their costs, handshakes, put-off writes, re-reads, thrash, zones, lists that change,
-clients that come again. Times are in the measure of a fleet slowed down, as on the operators' days at size.
+Part of the shelves may be replaced, each by a cold one that is told of late and falls over when all heads
+push it; heads may be restarted meanwhile, and their messages are late, lost or doubled.
+
+Left out: sockets and their costs, handshakes, put-off writes, re-reads, thrash, zones, clients that come
+again. Times are in the measure of a fleet slowed down, as on the operators' days at size.
 """
 
 import heapq
 from bisect import bisect_right
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from itertools import accumulate
 from typing import Any, NamedTuple
@@ -34,6 +37,12 @@
             Profile(2.9, Effect.IRREVERSIBLE, Group.ALL, 36.0, True, 3.0),
             Profile(10.9, Effect.REDOABLE, Group.ALL, 36.0, False, 1.0))
 CUT_OFFS = (14.6, 18.0, 36.5)
+COLD = ColdRule(6.0, 3.0, 13.0, 0.19)
+FALLS = 4.0  # times what a cold shelf can do in the span: so much sent in it pushes it over
+RENEWED_WITHIN = 7.0  # seconds, from the first third of the day on
+TOLD_AFTER = (0.4, 2.1)  # seconds until a head's list tells of a change
+MESSAGE = (0.025, 0.18)  # seconds between heads
+RESTART = 0.5  # seconds that a head is away
 PLAN_PARTS = (0.6, 0.27, 0.13)  # of the volumes
 SIZES = ((1, 0.53), (2, 0.25), (3, 0.1), (4, 0.045), (5, 0.03), (6, 0.015), (7, 0.01), (8, 0.02))
 
@@ -49,6 +58,10 @@
     surges: float = 0.45  # in the mean of the day, of what the shelves can do
     burst: float = 1.5
     seed: int = 1
+    renewed: float = 0.0  # part of the shelves that are replaced by cold ones
+    restarted: float = 0.0  # part of the heads, in the ten seconds after the first shelf's end
+    tells: bool = True  # whether heads may send each other messages
+    lost: float = 0.0  # part of the messages; as many come twice
 
 
 class Ask(NamedTuple):
@@ -103,8 +116,8 @@
     least = sum(s.usual / sizes[s.plan] for s in stores) / number
     plans = tuple(Plan(0.0, float(n + 1), 10.0 * least * size if n < 2 else 0.0, 48.0 if n < 2 else 0.0,
                        least * size) for n, size in enumerate(sizes))
-    facts = StartFacts(PROFILES, plans, scene.heads, False, 0.0, 1.0, ColdRule(6.0, 3.0, 13.0, 0.19), None,
-                       0.0, 4, 1.0, 8, 1.0, True)
+    facts = StartFacts(PROFILES, plans, scene.heads, False, 0.0, 1.0, COLD, None, 0.0, 4, 1.0, 8, 1.0, True,
+                       may_tell=scene.tells)
     asks = sorted(ask for n, s in enumerate(stores) for ask in _asks(scene, n, s, c))
     return Day(scene, facts, speeds, stores, asks)
 
@@ -152,12 +165,29 @@
 
 
 class _Machine:
-    """A shelf: two cores, one line in turn of arrival; what is called off stops."""
+    """A shelf: two cores, one line in turn of arrival; what is called off stops. since: its start; it warms
+    evenly from there. Sent too much while cold, it falls over and answers nothing more."""
 
-    def __init__(self, world: "World", number: int, speed: float) -> None:
-        self.world, self.number, self.speed = world, number, speed
+    def __init__(self, world: "World", number: int, speed: float, since: float = -1000.0) -> None:
+        self.world, self.number, self.full, self.since = world, number, speed, since
         self.line: list[_Sent] = []
         self.running = 0
+        self.fallen = False
+        self.pushed: deque[tuple[float, float]] = deque()  # when, seconds of work; of the last span
+
+    @property
+    def speed(self) -> float:
+        warmth = min(1.0, (self.world.now - self.since) / COLD.warm_after)
+        return self.full * (COLD.first_part + (1.0 - COLD.first_part) * warmth)
+
+    def _push(self, work: float) -> None:
+        now = self.world.now
+        if now - self.since < COLD.warm_after:
+            self.pushed.append((now, work))
+            while self.pushed[0][0] <= now - COLD.span:
+                self.pushed.popleft()
+            if sum(w for _, w in self.pushed) > FALLS * 2.0 * self.speed * COLD.span:
+                self.fallen = True
 
     @property
     def behind(self) -> float:
@@ -165,11 +195,12 @@
         return sum(f.ask.work for f in self.line if not f.over) / (2.0 * self.speed)
 
     def take(self, f: "_Sent") -> None:
+        self._push(f.ask.work)
         self.line.append(f)
         self._begin()
 
     def _begin(self) -> None:
-        while self.running < 2 and self.line:
+        while self.running < 2 and self.line and not self.fallen:
             f = self.line.pop(0)
             if f.over:
                 continue
@@ -218,16 +249,48 @@
     """The host of one policy."""
 
     def __init__(self, world: "World", number: int, policy: Callable[..., Policy]) -> None:
-        self.world = world
+        self.world, self.number, self.kind = world, number, policy
+        self.life = 0
+        self.told: dict[int, tuple[int, int, int, bool, float]] = {
+            n: (n, 0, n, True, 0.0) for n in range(world.day.scene.shelves)}  # entries as its list has them
+        self._begin()
+
+    def _begin(self) -> None:
+        scene = self.world.day.scene
         self.open: dict[int, _Held] = {}
-        self.policy = policy(self, world.day.facts, world.day.scene.seed * 1000 + number)
-        self.policy.list_begins(True, True)
-        for n in range(world.day.scene.shelves):
-            self.policy.shelf_listed(n, 0, n, True, 0.0)
+        self.life += 1
+        self.away = False
+        self.policy = self.kind(self, replace(self.world.day.facts, index=self.number),
+                                (scene.seed * 1000 + self.number) * 8 + self.life)
+        self._listed(list(self.told.values()), True)
+
+    def _listed(self, entries: list[tuple[int, int, int, bool, float]], whole: bool) -> None:
+        self.policy.list_begins(whole, whole)
+        for entry in entries:
+            self.policy.shelf_listed(*entry)
         self.policy.list_ended()
         self.policy.batch_ended()
 
+    def renewed(self, old: int, new: int, shard: int, since: float) -> None:
+        """Its list tells of a shelf's end and of the cold one in its place."""
+        self.told.pop(old)
+        self.told[new] = (new, 0, shard, True, since)
+        if not self.away:
+            self._listed([(old, 0, shard, False, 0.0), self.told[new]], False)
+
+    def killed(self) -> None:
+        for t in self.open.values():
+            if t.out is not None:
+                t.out.over = True
+                self.world.machines[t.out.shelf].drop(t.out)
+            self.world.ends["lost with a head"] += not t.answered
+        self.open, self.away = {}, True
+        self.world.at(self.world.now + RESTART, self._begin)
+
     def take(self, id: int, ask: Ask) -> None:
+        if self.away:
+            self.world.ends["found no head"] += 1
+            return
         store = self.world.day.stores[ask.volume]
         t = self.open[id] = _Held(ask, self.world.now + CUT_OFFS[ask.profile])
         self.policy.transaction_taken(id, ask.profile, store.plan, None, t.cut_off, f"v{ask.volume}",
@@ -266,6 +329,7 @@
         f = t.out = _Sent(self, transaction, t.forwards, t.ask, shelf, self.world.now)
         t.forwards += 1
         self.world.forwards += 1
+        self.world.forwarded(shelf, t.ask.units)
         self.world.at(self.world.now + WAY, lambda: self.world.machines[shelf].take(f))
 
     def recall(self, transaction: int, forward: int) -> None:
@@ -287,11 +351,20 @@
             del self.open[id]
 
     def wake(self, delay: float, name: str) -> None:
-        self.world.at(self.world.now + delay, lambda: self._woken(name))
+        self.world.at(self.world.now + delay, partial(self._woken, name, self.life))
 
-    def _woken(self, name: str) -> None:
-        self.policy.woken(name)
-        self.policy.batch_ended()
+    def _woken(self, name: str, life: int) -> None:
+        if not self.away and life == self.life:
+            self.policy.woken(name)
+            self.policy.batch_ended()
+
+    def tell(self, head: int, words: str) -> None:
+        self.world.tell(self.number, head, words)
+
+    def hear(self, origin: int, words: str) -> None:
+        if not self.away:
+            self.policy.peer_told(origin, words)
+            self.policy.batch_ended()
 
     def follow_list(self) -> None:
         pass
@@ -308,13 +381,52 @@
         self.forwards = 0
         self.ends: dict[str, int] = defaultdict(int)
         self.served: list[tuple[Ask, float]] = []
+        self.messages = 0
+        self.over_part = 0  # sends to a cold shelf beyond what all heads may together
+        self._cold: dict[int, deque[tuple[float, int]]] = defaultdict(deque)  # units of the span, by shelf
+        self._chance = Draws(f"{day.scene.seed}/messages")
         self.machines = [_Machine(self, n, speed) for n, speed in enumerate(day.speeds)]
         self.heads = [_Head(self, n, policy) for n in range(day.scene.heads)]
         for id, ask in enumerate(day.asks):
             self.at(ask.at, partial(self.heads[ask.head].take, id, ask))
+        self._draw_troubles()
         if told is not None:
             self._tell(told, every)
 
+    def _draw_troubles(self) -> None:
+        scene, c = self.day.scene, Draws(f"{self.day.scene.seed}/troubles")
+        begins = scene.seconds / 3.0
+        shards = sorted(range(scene.shelves), key=lambda n: c.random())[:round(scene.renewed * scene.shelves)]
+        for shard in shards:
+            self.at(begins + c.uniform(0.0, RENEWED_WITHIN), partial(self._renew, shard, c))
+        heads = sorted(range(scene.heads), key=lambda n: c.random())[:round(scene.restarted * scene.heads)]
+        for n in heads:
+            self.at(begins + c.uniform(0.0, 10.0), self.heads[n].killed)
+
+    def _renew(self, shard: int, c: Chance) -> None:
+        """The old one ends once no head sends there any more."""
+        new = len(self.machines)
+        self.machines.append(_Machine(self, new, self.day.speeds[shard], self.now))
+        for head in self.heads:
+            self.at(self.now + c.uniform(*TOLD_AFTER),
+                    partial(head.renewed, shard, new, shard, self.now))
+
+    def tell(self, origin: int, head: int, words: str) -> None:
+        self.messages += 1
+        c, lost = self._chance, self.day.scene.lost
+        for _ in range(2 if c.random() < lost else 1):
+            if c.random() >= lost:
+                self.at(self.now + c.uniform(*MESSAGE), partial(self.heads[head].hear, origin, words))
+
+    def forwarded(self, shelf: int, units: int) -> None:
+        age, sent = self.now - self.machines[shelf].since, self._cold[shelf]
+        if age < COLD.warm_after:
+            sent.append((self.now, units))
+            while sent[0][0] <= self.now - COLD.span:
+                sent.popleft()
+            grown = 1.0 + (1.0 / COLD.first_part - 1.0) * max(0.0, age - COLD.span) / COLD.warm_after
+            self.over_part += sum(u for _, u in sent) > COLD.units * grown + 1e-9
+
     def _tell(self, told: "Callable[[World], None]", every: float) -> None:
         told(self)
         if self.now < self.day.scene.seconds:
@@ -346,6 +458,10 @@
     forwards: int = 0
     demand: float = 0.0  # units asked over what the shelves can do
     half_waits: float = 0.0  # median time of what was honoured
+    fallen: int = 0  # cold shelves pushed over
+    over_part: int = 0  # sends to cold shelves beyond what all heads together may
+    messages: float = 0.0  # between heads, a transaction
+    ends: dict[str, int] = field(default_factory=dict)
     by_second: list[float] = field(default_factory=list)
 
 
@@ -412,4 +528,5 @@
         sum(earned.values()) / sum(wanted.values()), min(earned[p] / wanted[p] for p in wanted if wanted[p]),
         len(day.asks), world.ends["pushed back"] / len(day.asks), late / len(day.asks), world.forwards,
         sum(ask.units for ask in day.asks) / power, times[len(times) // 2] if times else 0.0,
-        [round(a / b, 2) for _, (a, b) in sorted(by_second.items())])
+        sum(m.fallen for m in world.machines), world.over_part, world.messages / len(day.asks),
+        dict(world.ends), [round(a / b, 2) for _, (a, b) in sorted(by_second.items())])
--- /dev/null
+++ b/tests/test_lending.py
@@ -0,0 +1,266 @@
+"""What a cold shelf bears is lent by one head: never more than all may send, whatever messages do."""
+
+import asyncio
+import json
+import unittest
+from dataclasses import replace
+from hashlib import blake2b
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gorsethread.benchlink.__main__ import Link
+from gorsethread.head.messages import SENT_MOST, Messages
+from gorsethread.lab.allseeing import EvenParts
+from gorsethread.lab.crowd import Scene, Score, World, draw
+from gorsethread.membership.words import Kind, Message, write
+from gorsethread.model import ColdRule, Shelf, StartFacts
+from gorsethread.platform.config import Order, Unusable, read_order
+from gorsethread.policy import Policy
+from gorsethread.transport.virtual import Disk, Network, VirtualLoop, VirtualTransport, Weather
+from tests.harness import FACTS
+from tests.harness import Scene as Bench
+from tests.live import SETTINGS, LiveRig, order
+from tests.test_same_decisions import setup_of
+
+COLD = ColdRule(9.0, 3.0, 13.0, 0.19)
+TROUBLED = Scene(24, 12, 18.0, renewed=0.8, restarted=0.5, lost=0.15)
+
+
+def played(policy: type[Policy], **scene: Any) -> Score:
+    return World(draw(replace(TROUBLED, **scene)), policy).play()
+
+
+class AtOnce(Policy):
+    """Planted: lends from its first moment, as if no earlier life had."""
+
+    def _lend(self, shard: int, units: float, age: float) -> bool:
+        born, self.born = self.born, -1e9
+        lends = super()._lend(shard, units, age)
+        self.born = born
+        return lends
+
+
+class Forgetful(Policy):
+    """Planted: a lent part counts for half of the span only."""
+
+    def __init__(self, *given: Any) -> None:
+        super().__init__(*given)
+        self.lent_kept = 0.5 * self.facts.cold.span
+
+
+class Twice(Policy):
+    """Planted: a doubled answer lends twice."""
+
+    def _borrow(self, s: Shelf) -> None:
+        asked = s.asked
+        super()._borrow(s)
+        s.asked = asked
+
+
+class Everyone(Policy):
+    """Planted: every head is the home of every shelf."""
+
+    def _home(self, shard: int) -> int:
+        return self.facts.index
+
+
+class Fleet(unittest.TestCase):
+    def test_all_heads_together_keep_to_what_a_cold_shelf_bears(self) -> None:
+        for seed in range(1, 9):
+            with self.subTest(seed):
+                found = played(Policy, seed=seed)
+                self.assertEqual((0, 0), (found.over_part, found.fallen))
+                self.assertGreater(found.messages, 0.05)
+
+    def test_each_planted_flaw_is_seen(self) -> None:
+        for flawed in (AtOnce, Forgetful, Twice, Everyone):
+            with self.subTest(flawed.__doc__):
+                self.assertTrue(any(played(flawed, seed=seed).over_part for seed in range(1, 9)))
+
+    def test_it_is_worth_more_than_even_parts(self) -> None:
+        day = {"heads": 60, "shelves": 20, "restarted": 0.0, "lost": 0.0}
+        lent, even = (sum(played(policy, seed=seed, **day).served for seed in (1, 2)) / 2
+                      for policy in (Policy, EvenParts))
+        self.assertGreater(lent, even + 0.04)
+
+    def test_where_no_message_comes_nothing_breaks(self) -> None:
+        found = played(Policy, lost=1.0)
+        self.assertEqual((0, 0), (found.over_part, found.fallen))
+        self.assertGreater(found.served, 0.2)
+
+
+class OneHead(Bench):
+    def begin(self, index: int = 0, heads: int = 60) -> None:
+        self.start(cold=COLD, heads=heads, may_tell=True, index=index)
+        self.host.now += 10.0
+        self.told: list[tuple[int, str]] = []
+        self.host.tell = lambda head, words: self.told.append((head, words))  # type: ignore[attr-defined]
+        self.shelves({1: 9.0})
+        self.end()
+
+    def test_it_asks_the_home_and_sends_once_it_is_lent(self) -> None:
+        home = Policy._home(self.made(), 1)
+        self.begin((home + 1) % 60)
+        self.take(1, units=2.0)
+        self.end()
+        ((head, words),) = self.told
+        self.assertEqual((home, "ask 1"), (head, words[:5]))
+        self.assertFalse(self.host.sent)
+        self.policy.peer_told((home + 1) % 60, words.replace("ask", "lent"))  # from who is not its home
+        self.policy.peer_told(home, "lent 1 another 2 1.000")
+        self.end()
+        self.assertFalse(self.host.sent)
+        self.policy.peer_told(home, words.replace("ask", "lent"))
+        self.end()
+        self.assertEqual([(1, 0)], list(self.host.sent))
+
+    def made(self) -> Policy:
+        self.start(cold=COLD, heads=60, may_tell=True)
+        return self.policy
+
+    def test_a_lent_part_that_comes_late_is_not_used(self) -> None:
+        home = Policy._home(self.made(), 1)
+        self.begin((home + 1) % 60)
+        self.take(1, units=2.0)
+        self.end()
+        self.host.now += self.policy.lent_for
+        self.policy.peer_told(home, self.told[0][1].replace("ask", "lent"))
+        self.end()
+        self.assertFalse(self.host.sent)
+        self.assertEqual(2, len(self.told))  # and asks anew
+
+    def test_a_lent_part_that_was_not_needed_ends(self) -> None:
+        home = Policy._home(self.made(), 1)
+        self.begin((home + 1) % 60)
+        self.take(1, units=2.0)
+        self.end()
+        self.policy.client_left(1)
+        self.policy.peer_told(home, self.told[0][1].replace("ask", "lent"))
+        self.host.now += self.policy.lent_for
+        self.take(2, units=2.0)
+        self.end()
+        self.assertEqual((2, []), (len(self.told), list(self.host.sent)))
+
+    def test_the_home_lends_what_is_borne_and_no_more(self) -> None:
+        home = Policy._home(self.made(), 1)
+        self.begin(home)
+        for n in range(20):
+            self.policy.peer_told((home + 1 + n) % 60, f"ask 1 {n} 2 1.5")
+        self.assertEqual(4, len(self.told))  # of 9 units
+        self.host.now += 3.0 + self.policy.lent_for + 0.001
+        self.policy.peer_told((home + 1) % 60, "ask 1 99 2 1.5")
+        self.assertEqual(5, len(self.told))
+
+    def test_a_home_is_silent_until_an_earlier_lifes_lending_has_passed(self) -> None:
+        home = Policy._home(self.made(), 1)
+        self.begin(home)
+        self.policy.born = self.host.now - 3.0
+        self.policy.peer_told((home + 1) % 60, "ask 1 1 2 1.5")
+        self.assertFalse(self.told)
+
+    def test_few_heads_have_even_parts_and_say_nothing(self) -> None:
+        self.begin(heads=1)
+        self.host.now += 3.0
+        self.take(1, units=2.0)
+        self.end()
+        self.assertEqual(([], [(1, 0)]), (self.told, list(self.host.sent)))
+
+    @given(st.text(max_size=60) | st.lists(st.sampled_from(
+        ["ask", "lent", "1", "-1", "nan", "inf", "1e400", "2", "0", "-3", "9" * 30, "1.5", "x/y"]),
+        max_size=7).map(" ".join))
+    def test_words_of_any_kind_break_nothing(self, words: str) -> None:
+        if not hasattr(self, "policy"):
+            self.begin(Policy._home(self.made(), 1))
+        self.policy.peer_told(5, words)
+        self.policy.batch_ended()
+        self.assertLessEqual(sum(units for log in self.policy.lent.values() for _, units in log),
+                             9.0 * max(1, len(self.policy.lent)) / 0.19)
+        self.policy.lent.clear()
+
+
+class Carried(unittest.TestCase):
+    def test_only_peers_of_this_fleet_are_heard_and_a_flood_is_not_carried(self) -> None:
+        loop = VirtualLoop()
+        self.addCleanup(loop.close)
+        network = Network(loop, 5, Weather())
+        addresses = tuple((f"head{n}", 7946) for n in range(3))
+        heard: list[tuple[int, str]] = []
+        made = [Messages(VirtualTransport(network, Disk(), f"head {n}"), addresses[n], addresses, n,
+                         lambda origin, words: heard.append((origin, words))) for n in range(3)]
+        for one in made:
+            one.start()
+        made[0].tell(1, "ask 1 2 3 4")
+        stranger = VirtualTransport(network, Disk(), "x").datagrams("x", 1, lambda data, source: None)
+        fleet = made[0].fleet
+        for sender, of in ((0, fleet), (2, fleet), (0, fleet + 1)):
+            stranger.send(addresses[1], write(Message(Kind.TOLD, sender, 0, 0, 0, (), said="no"), of))
+        stranger.send(addresses[1], b"\x93\x01")
+        loop.run_until_complete(asyncio.sleep(1.0))
+        self.assertEqual([(0, "ask 1 2 3 4")], heard)
+        self.assertEqual({"heard": 1, "from no peer": 2, "another fleet": 1, "malformed": 1},
+                         dict(made[1].counts))
+        for _ in range(3 * SENT_MOST):
+            made[0].tell(1, "ask")
+        made[0].tell(3, "ask")
+        made[0].tell(1, "a" * 300)
+        self.assertEqual((SENT_MOST, 2 * SENT_MOST + 2),
+                         (made[0].counts["sent"] - 1, made[0].counts["not carried"]))
+
+    def test_the_benchs_link_carries_both_ways(self) -> None:
+        link = Link()
+        facts = StartFacts(**{**FACTS, "cold": COLD, "heads": 60})
+        setup = json.loads(json.dumps(setup_of(facts)))
+        setup["permissions"]["peerMessages"] = True
+        setup["index"] = home = int.from_bytes(blake2b(b"1", digest_size=8).digest()) % 60
+        line = {"wall": 100.0, "heads": [{"i": "h", "happened": [
+            {"verb": "up", "setup": setup, "salt": 7}]}]}
+        link.batch(json.dumps(line))
+        asks = [{"verb": "peer", "originPeer": (home + 1) % 60, "raw": "ask 1 4/100.5 2 1.5"}]
+        reply = link.batch(json.dumps({"wall": 200.0, "heads": [{"i": "h", "happened": asks}]}))
+        self.assertIn({"verb": "notify", "addressee": (home + 1) % 60, "raw": "lent 1 4/100.5 2 1.5"},
+                      reply["heads"][0]["output"])
+
+
+class Heads(LiveRig):
+    def test_a_head_in_service_hears_and_answers_on_its_peers_port(self) -> None:
+        home = int.from_bytes(blake2b(b"1", digest_size=8).digest()) % 60
+        peers = [f"head{n}:7946" for n in range(60)]
+        settings = {**SETTINGS, "balancers": 60, "index": home,
+                    "permissions": {**SETTINGS["permissions"], "peerMessages": True}}
+        told: list[tuple[int, str]] = []
+        head = self.start(settings=settings, peers=peers, peer_listen=peers[home])
+        other = Messages(self.process("other"), ("head0" if home else "head1", 7946), head.order.peers,
+                         0 if home else 1, lambda origin, words: told.append((origin, words)))
+        other.start()
+
+        async def work() -> None:
+            await self.wait(5.0)
+            other.tell(home, "ask 1 7/1.5 2 0.5")
+            await self.wait(0.5)
+
+        self.play(work)
+        self.assertEqual([(home, "lent 1 7/1.5 2 0.5")], told)
+
+
+class Configured(unittest.TestCase):
+    def read(self, permitted: bool = True, index: Any = 0, **changed: Any) -> Order:
+        settings = {**SETTINGS, "index": index,
+                    "permissions": {**SETTINGS["permissions"], "peerMessages": permitted}}
+        return read_order(json.dumps(order(settings=settings, **changed)).encode(), "the/place")
+
+    def test_messages_need_the_settings_leave_and_addresses(self) -> None:
+        addresses = {"peer_listen": "127.0.0.1:7946", "peers": ["127.0.0.1:7946"]}
+        self.assertTrue(self.read(**addresses).facts.may_tell)
+        self.assertEqual((("127.0.0.1", 7946),), self.read(**addresses).peers)
+        self.assertFalse(self.read(False, **addresses).facts.may_tell)
+        self.assertFalse(self.read().facts.may_tell)
+
+    def test_a_list_of_peers_that_does_not_fit_is_named(self) -> None:
+        for index, peers, says in ((0, ["a:1", "b:2"], "2 different addresses for 1 heads"),
+                                   (0, ["x"], "peers.0"), (0, "a:1", "peers"), (1, ["a:1"], "settings.index"),
+                                   ("0", ["a:1"], "index")):
+            with self.subTest(peers=peers, index=index), self.assertRaises(Unusable) as caught:
+                self.read(index=index, peers=peers, peer_listen="a:1")
+            self.assertIn(says, str(caught.exception))
