What a cold shelf bears grows from its start, as its capacity does

Checked in lab crowd: of what is allowed 0.98 is lent and 0.90 sent, so neither asking nor waste is the loss; the allowed part itself is.

--- a/gorsethread/faults/coldpart.py
+++ b/gorsethread/faults/coldpart.py
@@ -61,7 +61,7 @@
         log.append((now, t.units))
         while log[0][0] <= now - self.rule.span:
             log.popleft()
-        grown = max(0.0, age - self.rule.span) / self.rule.warm_after
+        grown = age / self.rule.warm_after
         borne = self.rule.units * (1.0 + (1.0 / self.rule.first_part - 1.0) * grown)
         if sum(units for _, units in log) > SLACK * borne:
             self.broken(f"more than a cold shelf's part: shelf {s.id}, {age:.2f} s after its start")
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -513,8 +513,7 @@
     def _borne(self, age: float) -> float:
         """Units within the span that all heads together may send to a shelf of that age."""
         rule = self.facts.cold
-        grown = max(0.0, age - rule.span) / rule.warm_after
-        return rule.units * (1.0 + (1.0 / rule.first_part - 1.0) * grown)
+        return rule.units * (1.0 + (1.0 / rule.first_part - 1.0) * max(0.0, age) / rule.warm_after)
 
     def _home(self, shard: int) -> int:
         """The head that lends what the shard's shelf bears while it is cold, the same one at every head."""
