Operators read a head's past view and watch it; real heads of a site file under kills

Need: the view that heads of a site file keep could be shown only by address and fleet number, and only as it is. Change: fleet show, history, watch take the site file and the head's number; changes come in pieces of the same datagrams. Tests: four real heads, one killed and started anew, one ended in order, one killed for good, as two others see it.

--- a/gorsethread/head/fleet.py
+++ b/gorsethread/head/fleet.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from gorsethread.membership.view import Pace, View
-from gorsethread.membership.words import Address, Kind, Message, State, Unreadable, Word, read, write
+from gorsethread.membership.words import PAST, Address, Kind, Message, State, Unreadable, Word, read, write
 from gorsethread.transport.base import Transport
 
 TICKS = 10  # a period
@@ -36,7 +36,8 @@
         self._port = self.transport.datagrams(*self.listen, self._came)
         self.port = self._port.port
         self._tick()
-        self.log.info("fleet's view begins", name=self.view.me.name, life=self.view.me.life, port=self.port)
+        self.log.info("fleet's view begins", name=self.view.me.name, life=self.view.me.life, port=self.port,
+                      fleet=self.fleet)
 
     def stop(self) -> None:
         """In order: the others are told."""
@@ -61,7 +62,7 @@
             self.wrong[str(error)] += 1
             return
         if message.kind == Kind.SHOW:
-            self._show(message.cursor, source)
+            self._show(message, source)
         elif self.peers and source not in self.peers:
             self.wrong["from no peer"] += 1
         elif message.kind in self.also:
@@ -73,12 +74,14 @@
     def send(self, to: Address, message: Message) -> None:
         self._port.send(to, write(message, self.fleet))
 
-    def _show(self, begin: int, to: Address) -> None:
+    def _show(self, asked: Message, to: Address) -> None:
         if not to[0].startswith(LOOPBACK) or self._shown >= SHOWN_MOST:
             self.wrong["not shown"] += 1
             return
         self._shown += 1
-        self._port.send(to, write(self.view.show(begin), self.fleet))
+        past = asked.target == PAST
+        said = self.view.past(asked.cursor, self.transport.now()) if past else self.view.show(asked.cursor)
+        self.send(to, said)
 
     def _flush(self) -> None:
         out, self.view.out = self.view.out, []
--- a/gorsethread/lab/asking.py
+++ b/gorsethread/lab/asking.py
@@ -1,9 +1,10 @@
 """Asks heads for their view of the fleet, in the same datagrams, from this machine."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
-from gorsethread.membership.words import OWN, Address, Kind, Message, Unreadable, Word, read, write
+from gorsethread.membership.words import OWN, PAST, Address, Kind, Message, Unreadable, Word, read, write
 from gorsethread.transport.base import Transport
 
 AGAIN = 0.25  # seconds until a question is asked again
@@ -26,6 +27,26 @@
 
 async def ask(transport: Transport, head: Address, fleet: int, within: float = 2.0) -> Shown:
     """Its whole view, piece by piece. NoAnswer where it is not told within that many seconds."""
+    shown = Shown()
+    async for message in _pieces(transport, head, fleet, within, -1):
+        shown.me, shown.digest = message.words[0], message.digest
+        shown.own = tuple(name for bit, name in enumerate(OWN) if message.seq >> bit & 1)
+        shown.words.update({w.name: w for w in message.words})
+    return shown
+
+
+async def ask_past(transport: Transport, head: Address, fleet: int,
+                   within: float = 2.0) -> list[tuple[float, Word]]:
+    """The changes of its view that it keeps, oldest first: how many seconds ago, and what it then held."""
+    found = []
+    async for message in _pieces(transport, head, fleet, within, PAST):
+        ages = [int(age) / 10.0 for age in message.said.split(",") if age]
+        found += list(zip(ages, message.words[1:], strict=True))
+    return found
+
+
+async def _pieces(transport: Transport, head: Address, fleet: int, within: float,
+                  target: int) -> AsyncIterator[Message]:
     came: asyncio.Queue[Message] = asyncio.Queue()
 
     def on_datagram(data: bytes, source: Address) -> None:
@@ -33,10 +54,10 @@
             message = read(data, fleet)
         except Unreadable:
             return
-        if source == head and message.kind == Kind.SHOWN:
+        if source == head and message.kind == Kind.SHOWN and message.target == target:
             came.put_nowait(message)
 
-    port, shown, begin = transport.datagrams("127.0.0.1", 0, on_datagram), Shown(), 0
+    port, begin = transport.datagrams("127.0.0.1", 0, on_datagram), 0
     by = transport.now() + within
     try:
         for _ in range(PIECES_MOST):
@@ -44,17 +65,14 @@
             while message is None:
                 if transport.now() >= by:
                     raise NoAnswer(f"{head[0]}:{head[1]}: no answer in {within:g} s")
-                port.send(head, write(Message(Kind.SHOW, 0, 0, begin, 0, ()), fleet))
+                port.send(head, write(Message(Kind.SHOW, 0, 0, begin, 0, (), target), fleet))
                 try:
                     message = await asyncio.wait_for(came.get(), AGAIN)
                 except TimeoutError:
                     continue
-            shown.me, shown.digest = message.words[0], message.digest
-            shown.own = tuple(name for bit, name in enumerate(OWN) if message.seq >> bit & 1)
-            shown.words.update({w.name: w for w in message.words})
+            yield message
             if message.cursor <= begin:
-                return shown
+                return
             begin = message.cursor
     finally:
         port.close()
-    return shown
--- a/gorsethread/membership/view.py
+++ b/gorsethread/membership/view.py
@@ -24,6 +24,7 @@
 from gorsethread.membership.words import (
     HEADER_MOST,
     MOST_BYTES,
+    PAST,
     Address,
     Kind,
     Message,
@@ -216,6 +217,23 @@
             (self.settled, self.apart, self.minority, self.leaving)))
         return Message(Kind.SHOWN, self.me.name, said, after, self.digest, words)
 
+    def past(self, begin: int, now: float) -> Message:
+        """For an operator: changes kept, from one on, oldest first, and in tenths of a second how long ago
+        each was. One may fall out at the front while pieces are asked for; then it is not told."""
+        words, ages = [self.me], list[str]()
+        room = MOST_BYTES - HEADER_MOST - self._sizes[self.me.name]
+        kept = list(self.history)
+        for change in kept[begin:]:
+            age = str(max(0, int(10.0 * (now - change.at))))
+            room -= size_of(change.word) + len(age) + 1
+            if room < 0:
+                break
+            words.append(change.word)
+            ages.append(age)
+        after = begin + len(ages)
+        return Message(Kind.SHOWN, self.me.name, 0, after if ages and after < len(kept) else 0, self.digest,
+                       tuple(words), PAST, ",".join(ages))
+
     def leave(self) -> None:
         """In order: the others hear it from this head itself, a few of them at once."""
         self.leaving = True
--- a/gorsethread/membership/words.py
+++ b/gorsethread/membership/words.py
@@ -67,6 +67,7 @@
     SHOWN = 5  # a piece of it; seq holds what the head says of itself (OWN)
 
 
+PAST = 1  # the target of a SHOW and a SHOWN that are about changes kept, not about what holds
 NEWS_STATES = (0, 1, 2)  # of membership/news.py
 OWN = ("settled", "apart", "minority", "leaving")  # one bit each, the first the lowest
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,20 +1,24 @@
 """The view carried: real processes through a relay under faults, what a head does not hear, its command."""
 
 import asyncio
+import signal
 import subprocess
 import sys
 import tempfile
 import unittest
+from collections.abc import Callable
 from pathlib import Path
 
 from gorsethread.faults.script import read_script
 from gorsethread.head.fleet import FleetSide
-from gorsethread.lab.asking import ask
+from gorsethread.head.peers import fleet_of
+from gorsethread.lab.asking import NoAnswer, Shown, ask, ask_past
 from gorsethread.lab.fleet import FLEET, RealFleet, unplayable
-from gorsethread.lab.processes import Processes
+from gorsethread.lab.processes import Processes, resized
 from gorsethread.logs import log_for, start_logs
 from gorsethread.membership.words import Kind, Message, State, Word, write
 from gorsethread.sitefile import site_pb2 as pb
+from gorsethread.sitefile.reading import read_site, split_address
 from gorsethread.transport.real import RealTransport
 from gorsethread.transport.virtual import Disk, Network, VirtualLoop, VirtualTransport
 
@@ -39,6 +43,50 @@
         self.assertEqual(3, len(result.settle_seconds))
         self.assertLess(result.bytes_a_head_a_second, 1500)
 
+    async def test_heads_of_a_site_file_see_a_kill_a_new_life_and_an_end_in_order(self) -> None:
+        site = resized(read_site(Path(__file__).parent.parent / "deploy" / "site.txtpb"), 4, 2)
+        transport = RealTransport(3)
+
+        async def until(head: int, holds: Callable[[Shown], bool]) -> Shown:
+            address = split_address(site.head[head].peers)
+            by = transport.now() + 25.0
+            while True:
+                try:
+                    shown = await ask(transport, address, fleet_of(site), 1.0)
+                except NoAnswer:
+                    shown = Shown()
+                if holds(shown):
+                    return shown
+                self.assertLess(transport.now(), by, f"head {head}: {shown.words}")
+                await asyncio.sleep(0.2)
+
+        def states(shown: Shown) -> list[int]:
+            return [shown.words[n].state for n in sorted(shown.words)]
+
+        with tempfile.TemporaryDirectory() as folder:
+            processes = Processes(Path(folder), site)
+
+            async def start(number: int) -> None:
+                await processes.start(f"head {number}", "head", "--site", str(processes.site_path), "--head",
+                                      str(number), "--log", "json")
+
+            try:
+                await asyncio.gather(*(start(n) for n in range(4)))
+                before = await until(0, lambda s: states(s) == [State.ALIVE] * 4 and "settled" in s.own)
+                await processes.end("head 1", signal.SIGKILL)
+                await start(1)
+                again = await until(0, lambda s: s.words[1].life > before.words[1].life
+                                    and s.words[1].state == State.ALIVE)
+                await processes.end("head 2")
+                for head in (0, 3):
+                    await until(head, lambda s: s.words[2].state == State.LEFT
+                                and s.words[1].life == again.words[1].life)
+                await processes.end("head 3", signal.SIGKILL)
+                await until(0, lambda s: s.words[3].state == State.DEAD)
+            finally:
+                statuses = await processes.end_all()
+        self.assertEqual({"head 0": 0, "head 1": 0}, statuses)
+
     async def test_the_judge_sees_a_fleet_that_never_comes_together(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             transport = RealTransport(3)
@@ -58,6 +106,10 @@
         self.assertEqual(2, len(unplayable(foreign)))
         for arguments, said in ((("fleet", "show", "--head", "nowhere"), "no host:port"),
                                 (("fleet", "show", "--head", "127.0.0.1:9"), "no answer"),
+                                (("fleet", "history", "--head", "127.0.0.1:9"), "no answer"),
+                                (("fleet", "watch", "--head", "127.0.0.1:9", "--every", "0"), "0.1 or more"),
+                                (("fleet", "show", "--head", "9", "--site", "deploy/site.txtpb"), "no head"),
+                                (("fleet", "show", "--head", "0", "--site", "/nowhere"), "can't be read"),
                                 (("lab", "fleet", "--processes", "1"), "2 or more"),
                                 (("lab", "fleet", "--script", "/nowhere"), "No such file")):
             done = subprocess.run([sys.executable, "-m", "gorsethread", *arguments], capture_output=True,
@@ -98,3 +150,7 @@
         loop.call_later(5.0, last.set_result, None)
         loop.run_until_complete(last)
         self.assertEqual([State.LEFT] * 2, [side.view.words[2].state for side in sides[:2]])
+        past = loop.run_until_complete(ask_past(stranger, addresses[0], FLEET))
+        self.assertEqual([(c.word, round(sides[0].transport.now() - c.at)) for c in sides[0].view.history],
+                         [(word, round(age)) for age, word in past])
+        self.assertEqual((2, State.LEFT), (past[-1][1].name, past[-1][1].state))
