--- a/gorsethread/cli/lab.py
+++ b/gorsethread/cli/lab.py
@@ -19,6 +19,7 @@
 from gorsethread.lab.fleet import RealFleet, unplayable
 from gorsethread.lab.processes import Processes
 from gorsethread.lab.sockets import compare
+from gorsethread.lab.views import jobs_for, page, pooled
 from gorsethread.sitefile import site_pb2 as pb
 from gorsethread.transport.real import RealTransport, run
 
@@ -140,6 +141,44 @@
     write_json({"plays": [{"variant": n, **scene, **vars(s)} for n, scene, s in found]}, json_path)
 
 
+@app.command()
+def views(heads: Annotated[str, typer.Option(help="Sizes of the fleet.")] = "4,12,50,200",
+          seeds: Annotated[str, typer.Option(help="Drawn worlds to play, as 1..1000; none: 0.")] = "0",
+          at_once: Annotated[int, typer.Option(help="Worlds side by side; 0: as many as cores.")] = 0,
+          page_path: Annotated[str, typer.Option("--page", help="Write plots here, one HTML page.")] = "",
+          json_path: Annotated[str, typer.Option("--json", help="Write each world here; - for output.")] = "",
+          ) -> None:
+    """The fleet's view by size, beside heartbeats from all to all, and in drawn worlds. Simulated. Status 0:
+    in every drawn world all views were the truth in time, and nobody was held dead in error."""
+    sizes = _numbers(heads, "heads")
+    jobs = jobs_for(sizes, [] if seeds == "0" else _numbers(seeds, "seeds"))
+    if min(sizes) < 2:
+        typer.echo("--heads are 2 or more", err=True)
+        raise typer.Exit(2)
+    console = Console(stderr=True)
+    rows: list[dict[str, Any]] = []
+    worlds: list[dict[str, Any]] = []
+    for n, one in enumerate(pooled(jobs, at_once), 1):
+        (worlds if "seed" in one else rows).append(one)
+        if one.get("reasons"):
+            console.print(f"seed {one['seed']}: {', '.join(one['reasons'])}", highlight=False)
+        elif n % 100 == 0:
+            console.print(f"{n} of {len(jobs)}", highlight=False)
+    table = Table("kind", "heads", "lost", "noticed, s", "known to all, s", "bytes at rest", "in error")
+    for r in sorted(rows, key=lambda r: (r["kind"], r["lossy"], r["heads"])):
+        table.add_row(r["kind"], str(r["heads"]), str(r["lossy"]), f"{r['noticed']:.1f}",
+                      f"{r['spread']:.1f}", f"{r['rest_bytes']:.0f}", str(r["false_deaths"]))
+    console.print(table)
+    failed = [w for w in worlds if w["reasons"]]
+    if worlds:
+        console.print(f"{len(worlds)} worlds: {len(failed)} failed; the longest settled "
+                      f"{max(w['settled'] for w in worlds):.1f} s after its last fault", highlight=False)
+    if page_path:
+        Path(page_path).write_text(page(rows, worlds))
+    write_json({"sizes": rows, "worlds": sorted(worlds, key=lambda w: w["seed"])}, json_path)
+    raise typer.Exit(1 if failed else 0)
+
+
 @app.command()
 def fleet(processes: Annotated[int, typer.Option(help="How many; a script's own number is not taken.")] = 12,
           seed: int = 1,
--- a/gorsethread/faults/fleet.py
+++ b/gorsethread/faults/fleet.py
@@ -24,6 +24,7 @@
 HELD_MOST = 64  # datagrams that wait for a paused process; the system drops what is over
 ALL_HEADS = 512  # names of a fleet
 HARD = ("killed", "restarted", "cut off", "one way", "islands", "paused", "starved", "lossy", "quick")
+REST = 20.0  # seconds at the end of a world
 FOR_GOOD = 600.0  # seconds from which on what is gone does not come back in a world
 CALM = 15.0  # seconds without a fault at either, after which a death told of a head that lives is a false one
 
@@ -61,14 +62,18 @@
     bytes_a_head_a_second: float
     messages_a_head_a_second: float
     reasons: list[str]
+    rest_bytes: float = 0.0  # a head a second, of the last seconds, in which nothing happens
 
 
 class FleetWorld:
-    """script: acts on heads, and cuts between them. plant: changes each view as it is made. Play it once."""
+    """script: acts on heads, and cuts between them. plant: changes each view as it is made. make: what views
+    are, a View or a baseline of its shape. Play it once."""
 
     def __init__(self, script: Script, plant: Callable[[View], None] | None = None,
-                 calm: float | None = None) -> None:
-        self.script, self.plant = script, plant
+                 calm: float | None = None, make: Callable[..., Any] = View) -> None:
+        self.script, self.plant, self.make = script, plant, make
+        self.over_at: dict[tuple[int, int], list[float]] = {}  # by name and life: when each head held it over
+        self._sent_before = 0
         self.chance = Draws(f"fleet {script.seed}")
         self.now, self._order = 0.0, 0
         self._agenda: list[tuple[float, int, Callable[[], None]]] = []
@@ -94,7 +99,7 @@
         me = Word(number, life, 0, State.ALIVE, number % 2, number, *address, number)
         known = [("10.0.0.1", 1000 + n) for n in range(self.script.heads)]
         offset = c.uniform(-900.0, 900.0)
-        view = View(me, tuple(known), self.now + offset, c.random, Pace(), ALL_HEADS)
+        view = self.make(me, tuple(known), self.now + offset, c.random, Pace(), ALL_HEADS)
         if self.plant is not None:
             self.plant(view)
         node = self.nodes[number] = Node(number, view, offset, troubled=self.now)
@@ -136,6 +141,8 @@
                 break
             w = change.word
             if w.over:
+                if (node.number, w.name, w.life) not in self.dead:
+                    self.over_at.setdefault((w.name, w.life), []).append(self.now)
                 self.dead.add((node.number, w.name, w.life))
                 self._judge_death(node, w)
             elif (node.number, w.name, w.life) in self.dead:
@@ -239,6 +246,7 @@
         for act in sorted(self.script.acts):
             self.at(act.at, lambda act=act: self._do_act(act))  # type: ignore[misc]
         self.at(self.last + 0.5, self._look)
+        self.at(max(0.0, self.until - REST), self._rests)
         while self._agenda and self._agenda[0][0] <= self.until:
             self.now, _, act_ = heapq.heappop(self._agenda)
             act_()
@@ -251,9 +259,15 @@
             self.reasons.append("a dead life was alive again")
         total = self.script.heads * self.until
         after = self._settled_at - self.last
+        at_rest = sum(n.sent_bytes for n in self.nodes.values()) - self._sent_before
+        up = sum(n.up for n in self.nodes.values())
         return Judged(self.script.heads, after, self.false_deaths, missed, self.revived,
                       sum(n.sent_bytes for n in self.nodes.values()) / total,
-                      sum(n.sent for n in self.nodes.values()) / total, self.reasons)
+                      sum(n.sent for n in self.nodes.values()) / total, self.reasons,
+                      at_rest / max(1, up) / min(REST, self.until))
+
+    def _rests(self) -> None:
+        self._sent_before = sum(n.sent_bytes for n in self.nodes.values())
 
     def _truth(self) -> set[tuple[int, int]]:
         return {(n.number, n.view.me.life) for n in self.nodes.values() if n.up}
