--- a/gorsethread/faults/viewmutants.py
+++ b/gorsethread/faults/viewmutants.py
@@ -2,8 +2,9 @@
 a drawn one. Never part of a head that serves. Each changes one view as it is made."""
 
 from collections.abc import Callable
+from typing import Any
 
-from gorsethread.membership.view import View
+from gorsethread.membership.view import LAST_ASKED, View
 from gorsethread.membership.words import Address, Kind, Message, State, Word
 
 Plant = Callable[[View], None]
@@ -83,7 +84,7 @@
     v._heard_of_me = heard  # type: ignore[method-assign]
 
 
-@mutant("a lower life is believed", "0")
+@mutant("a lower life is believed", "9")
 def _older_life(v: View) -> None:
     honest = v._hear
 
@@ -137,7 +138,10 @@
     v._ping_for = ping_for  # type: ignore[method-assign]
 
 
-@mutant("asks no helpers and not once more", "heads 4\n5 cut head-0 <-> head-1 for 60\n")
-def _no_helpers(v: View) -> None:
-    v._ask_others = lambda p: None  # type: ignore[method-assign]
-    v._lasts = lambda s: 0.1  # type: ignore[method-assign]
+@mutant("holds dead without asking once more, and soon", LOSSY)
+def _asks_no_more(v: View) -> None:
+    def lasts(s: Any) -> float:
+        s.asks = LAST_ASKED
+        return 1.0
+
+    v._lasts = lasts  # type: ignore[method-assign]
--- a/gorsethread/membership/view.py
+++ b/gorsethread/membership/view.py
@@ -38,7 +38,7 @@
 SLOWEST = 8  # of the own health: from here on it is as bad as it gets
 TOLD_TIMES = 1.5  # times the logarithm of the fleet: how often a new word is sent on
 SUSPICION = 4.0  # periods times the logarithm of the fleet: the shortest a suspicion lasts
-LAST_ASKED = 3.0  # times the patience, for an answer to the last question
+LAST_ASKED = 3  # times that it is asked before it is held dead, a patience apart: one answer may be lost
 LONGEST_SUSPICION = 3.0  # times the shortest, while nobody else says the same
 CONFIRMED = 3  # others that say the same shorten a suspicion to its shortest
 APART = 4.0  # periods without a word from anyone
@@ -69,7 +69,8 @@
     incarnation: int
     since: float
     by: set[int] = field(default_factory=set)
-    asked: float = 0.0  # when this head asked it for the last time, before it holds it dead
+    asked: float = -math.inf  # when this head asked it last, before it holds it dead
+    asks: int = 0
 
 
 @dataclass(slots=True)
@@ -312,11 +313,13 @@
         for name, s in list(self._suspicions.items()):
             if self.apart:
                 s.since = self._now  # whoever hears nobody knows nothing of others
-            elif self._now >= s.since + self._lasts(s) and not s.asked:
+            elif self._now < max(s.since + self._lasts(s), s.asked + self.pace.patience):
+                continue
+            elif s.asks < LAST_ASKED:
                 # Guards against hearsay from where it is not heard: this head itself asks it once more.
-                s.asked = self._now
+                s.asked, s.asks = self._now, s.asks + 1
                 self._ping(self.words[name].address)
-            elif s.asked and self._now >= s.asked + LAST_ASKED * self.pace.patience:
+            else:
                 self._believe(self.words[name]._replace(state=State.DEAD, by=self.me.name))
 
     def _stood_still(self, gap: float) -> None:
