Lending is checked state by state; an asking has a number of its own in one instant too

Seen: an explicit-state check (minicheck) of the module's own methods, two heads that ask a home, every order of asking, lost, late and doubled words, sends and restarts: a head that asked, was lent, sent and asked again in one instant took the first answer, doubled, for the second. At fault is the number of an asking in _bears, made of the seed and the time alone. Change: the number is the time and a count.

--- a/gorsethread/faults/coldpart.py
+++ b/gorsethread/faults/coldpart.py
@@ -9,7 +9,7 @@
 
 SAME_START = 1.0  # seconds between two heads' ideas of when one start was
 HEARD_WITHIN = 0.5  # seconds from when the list's word is there until the decisions go by it
-SLACK = 1.01  # clocks of heads may run apart
+SLACK = 1.001  # clocks of heads may run apart
 
 
 class ColdPart:
@@ -59,7 +59,7 @@
                      now - age)
         log = self.sent.setdefault((s.id, start), deque())
         log.append((now, t.units))
-        while log[0][0] <= now - self.rule.span:
+        while log[0][0] <= now - self.rule.span / SLACK:
             log.popleft()
         grown = age / self.rule.warm_after
         borne = self.rule.units * (1.0 + (1.0 / self.rule.first_part - 1.0) * grown)
--- a/gorsethread/faults/mutants.py
+++ b/gorsethread/faults/mutants.py
@@ -411,6 +411,7 @@
 @mutant("module: each head takes all that a cold shelf bears for its own")
 def _whole_cold_part(head: Head) -> None:
     _facts(head, heads=1)
+    head.driver.policy.lends = False
 
 
 @mutant("module: no budget of further forwards")
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -538,8 +538,9 @@
         if not self.lends or t.units <= self._cold_left(s):
             return True
         if not s.asked or self.now >= s.asked_at + self.lent_for:
-            # Differs from those of an earlier life, which may still be answered.
-            s.asked, s.asked_at, s.asked_units = f"{self.chance >> 32}/{self.now}", self.now, t.units
+            # Differs from all before, also of an earlier life: these may still be answered.
+            self.order += 1
+            s.asked, s.asked_at, s.asked_units = f"{self.now}/{self.order}", self.now, t.units
             age, home = self.now - s.since, self._home(s.shard)
             if home != self.facts.index:
                 self.host.tell(home, f"ask {s.shard} {s.asked} {t.units:g} {age:.3f}")
