--- a/gorsethread/faults/mutants.py
+++ b/gorsethread/faults/mutants.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from typing import Any
 
+from gorsethread.faults.planting import kept_in, sometimes, told_as
 from gorsethread.head.carrying import Forward
 from gorsethread.head.driver import Open
 from gorsethread.head.links import ShelfLink
@@ -16,37 +17,7 @@
 Change = Callable[[Head], None]
 MOST_FORWARDS = 8  # forwards of one transaction; without an end such a world would hardly get on
 MUTANTS: dict[str, Change] = {}
-
-
-def mutant(name: str) -> Callable[[Change], Change]:
-    def keep(change: Change) -> Change:
-        MUTANTS[name] = change
-        return change
-
-    return keep
-
-
-def _told_as(head: Head, wrong: dict[Ending, Ending]) -> None:
-    """The policy hears another ending than the one there was."""
-    honest = head.driver.happened
-
-    def happened(method: str, *facts: Any) -> None:
-        if method == "forward_ended":
-            facts = (*facts[:2], wrong.get(facts[2], facts[2]), *facts[3:])
-        honest(method, *facts)
-
-    head.driver.happened = happened  # type: ignore[method-assign]
-
-
-def _some(every: int) -> Callable[[], bool]:
-    """True once in so many calls."""
-    count = [0]
-
-    def now() -> bool:
-        count[0] += 1
-        return count[0] % every == 0
-
-    return now
+mutant = kept_in(MUTANTS)
 
 
 def _facts(head: Head, **changed: Any) -> None:
@@ -98,7 +69,7 @@
 
 @mutant("driver: one forward's end in fifty is not told")
 def _loses_ends(head: Head) -> None:
-    honest, now = head.driver.happened, _some(50)
+    honest, now = head.driver.happened, sometimes(50)
 
     def happened(method: str, *facts: Any) -> None:
         if method != "forward_ended" or not now():
@@ -140,19 +111,19 @@
 
 @mutant("driver: a time-out is told as never sent")
 def _timed_out_never_ran(head: Head) -> None:
-    _told_as(head, {Ending.TIMED_OUT: Ending.NOT_SENT})
+    told_as(head, {Ending.TIMED_OUT: Ending.NOT_SENT})
 
 
 @mutant("driver: one wake in five is lost")
 def _loses_wakes(head: Head) -> None:
-    honest, now = head.driver.wake, _some(5)
+    honest, now = head.driver.wake, sometimes(5)
     head.driver.wake = lambda delay, name: (  # type: ignore[method-assign]
         None if now() else honest(delay, name))
 
 
 @mutant("driver: a push-back is not answered, one in five")
 def _loses_push_backs(head: Head) -> None:
-    honest, now = head.driver.push_back, _some(5)
+    honest, now = head.driver.push_back, sometimes(5)
 
     def push_back(transaction: int, return_after: float) -> None:
         t = head.driver.open.get(transaction)
@@ -167,7 +138,7 @@
 
 @mutant("driver: takes are counted twice, one in a hundred")
 def _miscounts(head: Head) -> None:
-    honest, now = head.driver.take, _some(100)
+    honest, now = head.driver.take, sometimes(100)
 
     def take(*arguments: Any, **named: Any) -> Open:
         if now():
@@ -193,12 +164,12 @@
 
 @mutant("links: a broken connection is told as not reached")
 def _broken_never_ran(head: Head) -> None:
-    _told_as(head, {Ending.BROKEN: Ending.UNREACHED})
+    told_as(head, {Ending.BROKEN: Ending.UNREACHED})
 
 
 @mutant("links: a failure is told as turned away")
 def _error_never_ran(head: Head) -> None:
-    _told_as(head, {Ending.ERROR: Ending.TURNED_AWAY})
+    told_as(head, {Ending.ERROR: Ending.TURNED_AWAY})
 
 
 @mutant("links: what is over is sent all the same once connected")
@@ -236,7 +207,7 @@
 
 @mutant("links: an answer's data goes to the read before it, one in twenty")
 def _mixes_answers(head: Head) -> None:
-    kept, now = [b""], _some(20)
+    kept, now = [b""], sometimes(20)
 
     def change(link: ShelfLink) -> None:
         honest = link._done
@@ -270,7 +241,7 @@
 
 @mutant("links: one answer in a hundred is dropped")
 def _drops_answers(head: Head) -> None:
-    now = _some(100)
+    now = sometimes(100)
 
     def change(link: ShelfLink) -> None:
         honest = link._done
@@ -303,7 +274,7 @@
 
 @mutant("codec: a completion is sent twice, one in a hundred")
 def _answers_twice(head: Head) -> None:
-    now = _some(100)
+    now = sometimes(100)
     honest = head.server.on_stream
 
     async def on_stream(stream: Any) -> None:
@@ -322,7 +293,7 @@
 
 @mutant("codec: a completion is lost, one in a hundred")
 def _loses_completions(head: Head) -> None:
-    now = _some(100)
+    now = sometimes(100)
     honest = head.server.on_stream
 
     async def on_stream(stream: Any) -> None:
@@ -335,7 +306,7 @@
 
 @mutant("codec: a write's first block is off by one, one in twenty")
 def _shifts_writes(head: Head) -> None:
-    honest, now = head.driver.take, _some(20)
+    honest, now = head.driver.take, sometimes(20)
 
     def take(client: Any, order: Any, **named: Any) -> Open:
         if order.data and now() and order.command.cdw10 % 64 > 1:
@@ -453,7 +424,7 @@
 def _line_stays(head: Head) -> None:
     policy = head.driver.policy
     honest = policy._next_in_line
-    now = _some(40)
+    now = sometimes(40)
     policy._next_in_line = lambda key: None if now() else honest(key)  # type: ignore[method-assign]
 
 
--- /dev/null
+++ b/gorsethread/faults/planting.py
@@ -0,0 +1,43 @@
+"""What planting a defect takes at each front: a register of names, and endings told wrongly."""
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from gorsethread.model import Ending
+
+Planted = TypeVar("Planted", bound=Callable[..., Any])
+
+
+def kept_in(register: dict[str, Planted]) -> Callable[[str], Callable[[Planted], Planted]]:
+    """A decorator that keeps a defect under its name."""
+    def mutant(name: str) -> Callable[[Planted], Planted]:
+        def keep(change: Planted) -> Planted:
+            register[name] = change
+            return change
+
+        return keep
+
+    return mutant
+
+
+def told_as(head: Any, wrong: dict[Ending, Ending]) -> None:
+    """The decisions hear another ending than the one there was. head: of either front."""
+    honest = head.driver.happened
+
+    def happened(method: str, *facts: Any) -> None:
+        if method == "forward_ended":
+            facts = (*facts[:2], wrong.get(facts[2], facts[2]), *facts[3:])
+        honest(method, *facts)
+
+    head.driver.happened = happened
+
+
+def sometimes(every: int) -> Callable[[], bool]:
+    """True once in so many calls."""
+    count = [0]
+
+    def now() -> bool:
+        count[0] += 1
+        return count[0] % every == 0
+
+    return now
--- a/gorsethread/faults/webmutants.py
+++ b/gorsethread/faults/webmutants.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from gorsethread.faults.planting import kept_in, told_as
 from gorsethread.http1 import asking, serving
 from gorsethread.model import Ending, Shelf
 from gorsethread.platform import shelves
@@ -15,26 +16,7 @@
 
 Change = Callable[[LiveHead], None]
 WEB_MUTANTS: dict[str, Change] = {}
-
-
-def mutant(name: str) -> Callable[[Change], Change]:
-    def keep(change: Change) -> Change:
-        WEB_MUTANTS[name] = change
-        return change
-
-    return keep
-
-
-def _told_as(head: LiveHead, wrong: dict[Ending, Ending]) -> None:
-    """The decisions hear another ending than the one there was."""
-    honest = head.driver.happened
-
-    def happened(method: str, *facts: Any) -> None:
-        if method == "forward_ended":
-            facts = (*facts[:2], wrong.get(facts[2], facts[2]), *facts[3:])
-        honest(method, *facts)
-
-    head.driver.happened = happened  # type: ignore[method-assign]
+mutant = kept_in(WEB_MUTANTS)
 
 
 def _on_links(head: LiveHead, change: Callable[[shelves.ShelfLink], None]) -> None:
@@ -68,17 +50,17 @@
 
 @mutant("shelves: a connection that ended under a request counts as never reached")
 def _broken_as_unreached(head: LiveHead) -> None:
-    _told_as(head, {Ending.BROKEN: Ending.UNREACHED})
+    told_as(head, {Ending.BROKEN: Ending.UNREACHED})
 
 
 @mutant("shelves: a spoilt answer counts as turned away")
 def _spoilt_as_turned_away(head: LiveHead) -> None:
-    _told_as(head, {Ending.ERROR: Ending.TURNED_AWAY})
+    told_as(head, {Ending.ERROR: Ending.TURNED_AWAY})
 
 
 @mutant("shelves: a time-out counts as never sent")
 def _timed_out_as_unsent(head: LiveHead) -> None:
-    _told_as(head, {Ending.TIMED_OUT: Ending.NOT_SENT})
+    told_as(head, {Ending.TIMED_OUT: Ending.NOT_SENT})
 
 
 @mutant("shelves: a forward called off leaves its connection in use")
