A planted leak that the state checker did not decide no longer counts as found

Seen on reading back: the test of planted leaks asked for a false result and took None, which the checker gives where it ran out of states. At fault was the size of the model: in whole steps a part that holds for one can't be sent late. Change: a part holds for two steps, the leak counts for the span alone, the test asks for False; so does the view's, which had found its flaw. The honest check asks that all states were reached.

--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -34,7 +34,7 @@
 from tests.test_same_decisions import setup_of
 
 COLD = ColdRule(9.0, 3.0, 13.0, 0.19)
-STATES_MOST = 200_000  # 101436 are reached in 4 steps of time; in 5 it is 489075, none of them bad either
+STATES_MOST = 200_000  # 93243 are reached in 5 steps of time; in 6 it is 333288, none of them bad either
 # Of one that asked for nothing yet: its life, how often it asked, and what it holds of the shelf.
 FRESH = (0, 0, "", -float("inf"), 0.0, 0.0, 0.0)
 TROUBLED = Scene(24, 12, 18.0, renewed=0.8, restarted=0.5, lost=0.15)
@@ -132,9 +132,9 @@
     late and doubled messages, sends, restarts of all three. Time goes in whole steps; one unit a span is
     borne."""
 
-    SPAN, LENT_FOR = 2, 1
+    SPAN, LENT_FOR = 2, 2
 
-    def check(self, plant: Callable[[Policy], None] = lambda policy: None, ends: int = 4) -> dict[str, Any]:
+    def check(self, plant: Callable[[Policy], None] = lambda policy: None, ends: int = 5) -> dict[str, Any]:
         profile = Profile(self.LENT_FOR / 0.4, Effect.REDOABLE, Group.ALL, 5.0, False, 1.0)
         facts = StartFacts(**{**FACTS, "profiles": (profile,), "heads": 3, "may_tell": True,
                               "cold": ColdRule(1.0, float(self.SPAN), 1e9, 1.0)})
@@ -229,7 +229,7 @@
             p._lend = lend  # type: ignore[method-assign]
 
         def too_short(p: Policy) -> None:
-            p.lent_kept -= 1.0
+            p.lent_kept = p.facts.cold.span
 
         def from_coming(p: Policy) -> None:
             def borrow(s: Shelf) -> None:
@@ -245,7 +245,7 @@
 
         for leak in (no_silence, too_short, from_coming, twice):
             with self.subTest(leak.__name__):
-                self.assertFalse(self.check(leak, 5)["properties"]["no more than is borne"]["holds"])
+                self.assertIs(False, self.check(leak)["properties"]["no more than is borne"]["holds"])
 
 
 class OneHead(Bench):
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -207,6 +207,7 @@
 
     def test_every_order_keeps_a_dead_life_dead(self) -> None:
         result = self.check(beats)
+        self.assertTrue(result["exhaustive"])
         self.assertTrue(result["properties"]["a dead life stays dead"]["holds"], result)
 
     def test_a_flaw_in_the_order_is_found(self) -> None:
@@ -214,7 +215,7 @@
             return other is None or (one.life, one.incarnation, one.state) > (
                 other.life, other.incarnation, other.state)
 
-        self.assertFalse(self.check(flawed)["properties"]["a dead life stays dead"]["holds"])
+        self.assertIs(False, self.check(flawed)["properties"]["a dead life stays dead"]["holds"])
 
 
 class Bounds(unittest.TestCase):
