Judges of cold parts share one formula; whom to tell is decided in the pure core

Seen on reading back: three judges wrote what a cold shelf bears each for itself; head/peers.py, which carries, chose whom news goes to; a trial reached into the transport's tasks; the crowd's scene had a setting that nothing used. Change: faults/coldpart.borne for all judges, kept apart from the module's own; Membership.whom_to_tell takes who lives, with a test; RealTransport.end; the setting is gone.

--- a/gorsethread/faults/coldpart.py
+++ b/gorsethread/faults/coldpart.py
@@ -12,6 +12,12 @@
 SLACK = 1.001  # clocks of heads may run apart
 
 
+def borne(rule: ColdRule, age: float) -> float:
+    """Units that all heads together may have sent within the span, at that age of a cold shelf: as the rule's
+    page has it, not as the module works it out."""
+    return rule.units * (1.0 + (1.0 / rule.first_part - 1.0) * age / rule.warm_after)
+
+
 class ColdPart:
     """rule: units that all heads may send within its span. broken: told of what was too much."""
 
@@ -61,7 +67,5 @@
         log.append((now, t.units))
         while log[0][0] <= now - self.rule.span / SLACK:
             log.popleft()
-        grown = age / self.rule.warm_after
-        borne = self.rule.units * (1.0 + (1.0 / self.rule.first_part - 1.0) * grown)
-        if sum(units for _, units in log) > SLACK * borne:
+        if sum(units for _, units in log) > SLACK * borne(self.rule, age):
             self.broken(f"more than a cold shelf's part: shelf {s.id}, {age:.2f} s after its start")
--- a/gorsethread/head/peers.py
+++ b/gorsethread/head/peers.py
@@ -91,10 +91,7 @@
     def _tell(self, news: list[News], fresh: bool) -> None:
         if self.stopped or self.side is None:
             return
-        # Those that the view holds alive; where it knows of none, any, as the view may be the one in error.
-        living = [w.name for w in self.side.view.alive if w.name in self.addresses and w.name != self.head]
-        self.core.peers = sorted(living) or sorted(n for n in self.addresses if n != self.head)
-        for peer in self.core.whom_to_tell(fresh):
+        for peer in self.core.whom_to_tell(fresh, [w.name for w in self.side.view.alive]):
             for begin in range(0, len(news), PIECE):
                 if self.news.takes(self.transport.now()):
                     self.side.send(self.addresses[peer], Message(
--- a/gorsethread/lab/crowd.py
+++ b/gorsethread/lab/crowd.py
@@ -21,6 +21,7 @@
 from itertools import accumulate
 from typing import Any, NamedTuple
 
+from gorsethread.faults.coldpart import borne
 from gorsethread.model import ColdRule, Effect, Ending, Group, Plan, Profile, StartFacts
 from gorsethread.policy import Policy
 from gorsethread.transport.base import Chance
@@ -60,7 +61,6 @@
     seed: int = 1
     renewed: float = 0.0  # part of the shelves that are replaced by cold ones
     restarted: float = 0.0  # part of the heads, in the ten seconds after the first shelf's end
-    tells: bool = True  # whether heads may send each other messages
     lost: float = 0.0  # part of the messages; as many come twice
 
 
@@ -117,7 +117,7 @@
     plans = tuple(Plan(0.0, float(n + 1), 10.0 * least * size if n < 2 else 0.0, 48.0 if n < 2 else 0.0,
                        least * size) for n, size in enumerate(sizes))
     facts = StartFacts(PROFILES, plans, scene.heads, False, 0.0, 1.0, COLD, None, 0.0, 4, 1.0, 8, 1.0, True,
-                       may_tell=scene.tells)
+                       may_tell=True)
     asks = sorted(ask for n, s in enumerate(stores) for ask in _asks(scene, n, s, c))
     return Day(scene, facts, speeds, stores, asks)
 
@@ -424,8 +424,7 @@
             sent.append((self.now, units))
             while sent[0][0] <= self.now - COLD.span:
                 sent.popleft()
-            grown = 1.0 + (1.0 / COLD.first_part - 1.0) * age / COLD.warm_after
-            self.over_part += sum(u for _, u in sent) > COLD.units * grown + 1e-9
+            self.over_part += sum(u for _, u in sent) > borne(COLD, age) + 1e-9
 
     def _tell(self, told: "Callable[[World], None]", every: float) -> None:
         told(self)
--- a/gorsethread/lab/lending.py
+++ b/gorsethread/lab/lending.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import contextlib
 import json
 import os
 import signal
@@ -13,8 +12,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from gorsethread.faults.coldpart import borne
 from gorsethread.lab.fleet import Relay
 from gorsethread.lab.processes import Processes
+from gorsethread.model import ColdRule
 from gorsethread.sitefile import site_pb2 as pb
 from gorsethread.sitefile.sizing import sized
 from gorsethread.standins.record import Recorder
@@ -96,11 +97,7 @@
 
     async def end(self) -> None:
         self.shelf.stop()
-        tasks = list(self.transport._tasks)
-        for task in tasks:
-            task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await asyncio.gather(*tasks, return_exceptions=True)
+        await self.transport.end()
 
 
 class Trial:
@@ -257,7 +254,8 @@
 
     def _judge_cold(self) -> None:
         """Of what came, by heads that had been told of the shelf's start and have lived since."""
-        cold = self.site.rules.cold
+        said = self.site.rules.cold
+        cold = ColdRule(said.units, said.span, said.warm_after, said.first_part)
         units = {(x["label"], x["attempt"]): x["units"] for x in self.records if x["e"] == "sent"}
         starts: dict[int, tuple[int, float]] = {}
         told: set[tuple[int, int]] = set()
@@ -280,7 +278,5 @@
                 log.append((x["t"], size))
                 while log[0][0] <= x["t"] - cold.span + self.jitter:
                     log.popleft()
-                grown = (age + self.jitter) / cold.warm_after
-                borne = cold.units * (1.0 + (1.0 / cold.first_part - 1.0) * grown)
-                if sum(n for _, n in log) > borne:
+                if sum(n for _, n in log) > borne(cold, age + self.jitter):
                     self.result.beyond += 1
--- a/gorsethread/membership/news.py
+++ b/gorsethread/membership/news.py
@@ -126,9 +126,10 @@
                 if o.state is not State.READY and s not in self.beyond and now - o.at <= KEPT_FOR]
         return mine + [b.news for _, b in sorted(self.beyond.items())]
 
-    def whom_to_tell(self, fresh: bool) -> list[int]:
-        """Peers, drawn: several where it is news, one where it mends what was lost."""
-        left = list(self.peers)
+    def whom_to_tell(self, fresh: bool, living: Iterable[int] = ()) -> list[int]:
+        """Peers, drawn: several where it is news, one where it mends what was lost. living: those whom the
+        view holds alive; where it knows of none it may be the one in error, and any peer is told."""
+        left = sorted(set(living) & set(self.peers)) or list(self.peers)
         chosen: list[int] = []
         while left and len(chosen) < (FANOUT if fresh else 1):
             chosen.append(left.pop(self.pick(len(left))))
--- a/gorsethread/transport/real.py
+++ b/gorsethread/transport/real.py
@@ -230,6 +230,13 @@
         self._tasks.add(task)
         task.add_done_callback(self._ended)
 
+    async def end(self) -> None:
+        """Ends all that was spawned, with the streams it holds, as if its process were gone."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     def _raised(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         """What a timer or another callback raised, which a loop would only log."""
         loop.default_exception_handler(context)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -53,6 +53,11 @@
         m = Membership(0, range(9), lambda n: n - 1)
         self.assertEqual(([8, 7, 6], [8]), (m.whom_to_tell(True), m.whom_to_tell(False)))
 
+    def test_those_who_live_are_told_and_all_where_nobody_is_known_to(self) -> None:
+        core = Membership(0, range(9), lambda n: 0)
+        self.assertEqual([4, 7], core.whom_to_tell(True, [0, 4, 7, 99]))
+        self.assertEqual([1, 2, 3], core.whom_to_tell(True, [0]))
+
     def test_ready_is_not_news(self) -> None:
         m = fresh()
         m.list_said(LIFE, 4, [(2, 1, "draining")], False, 1.0)
