A home lends by the shelf's age in its own list, whatever the asker says

At fault: _lend took the age from the words alone. Checked: a test that names 12.9 s of a shelf 1 s old got twenty parts of two units. Change: the lesser of that age and the own list's; where the list tells of no cold start, what a shelf bears at its start.

--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -522,10 +522,12 @@
     def _lend(self, shard: int, units: float, age: float) -> bool:
         """A lent part may be sent until lent_for after its asking, which was before now, then counts for the
         span. Guards rule 4 through a restart too: an earlier life may just have lent it all."""
-        since = self.now - self.lent_kept
-        log = [entry for entry in self.lent.get(shard, ()) if entry[0] > since]
+        log = [entry for entry in self.lent.get(shard, ()) if entry[0] > self.now - self.lent_kept]
+        # No word of another makes a shelf older than this head's own list has it.
+        own = self.now - s.since if (s := self.held_by.get(shard)) and s.since > 0.0 else 0.0
+        borne = self._borne(min(age, own) if own < self.facts.cold.warm_after else 0.0)
         lends = (0.0 <= age < self.facts.cold.warm_after and 0.0 < units <= self.facts.largest_units
-                 and self.born <= since and units + sum(n for _, n in log) <= self._borne(age))
+                 and self.now - self.born >= self.lent_kept and units + sum(n for _, n in log) <= borne)
         if lends:
             self.lent[shard] = [*log, (self.now, units)]
         return lends
@@ -538,8 +540,7 @@
         if not self.lends or t.units <= self._cold_left(s):
             return True
         if not s.asked or self.now >= s.asked_at + self.lent_for:
-            # Differs from all before, also of an earlier life: these may still be answered.
-            self.order += 1
+            self.order += 1  # no asking before has the same number, also of an earlier life
             s.asked, s.asked_at, s.asked_units = f"{self.now}/{self.order}", self.now, t.units
             age, home = self.now - s.since, self._home(s.shard)
             if home != self.facts.index:
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -310,6 +310,18 @@
         self.policy.peer_told((home + 1) % 60, "ask 1 99 2 0.0")
         self.assertEqual(5, len(self.told))
 
+    def test_a_false_age_lends_no_more_than_the_homes_own_list_bears_out(self) -> None:
+        home = Policy._home(self.made(), 1)
+        for listed, most in (({1: 9.0}, 11.9), ({}, 9.0)):
+            with self.subTest(listed=listed):
+                self.begin(home)
+                self.shelves(listed)
+                self.told.clear()
+                self.policy.lent.clear()
+                for n in range(20):
+                    self.policy.peer_told((home + 1 + n) % 60, f"ask 1 {n} 2 12.9")
+                self.assertEqual(int(most / 2), len(self.told))
+
     def test_a_home_is_silent_until_an_earlier_lifes_lending_has_passed(self) -> None:
         home = Policy._home(self.made(), 1)
         self.begin(home)
