Connections end by a half-close; what was read of a client is answered, also at the end

Discovery: an answer of the old address that arrives in the turn of the move is not believed; a process that was told no list asks for the whole one; refusals of the old address lengthen no pause of the new one.

--- a/gorsethread/platform/config.py
+++ b/gorsethread/platform/config.py
@@ -13,7 +13,7 @@
 from gorsethread.startfacts import Fields, Malformed, start_facts
 
 Address = tuple[str, int]
-NOBODY_KNOWN = {"generation": 0, "reset": True, "instances": []}
+NOBODY_KNOWN = {"generation": 0, "reset": False, "instances": []}  # no list at all, so none that is whole
 
 
 class Unusable(Trouble):
--- a/gorsethread/platform/discovery.py
+++ b/gorsethread/platform/discovery.py
@@ -55,7 +55,9 @@
         self.stopped = False
 
     def start(self, known: ListAnswer) -> None:
+        """known: the list as this process last had it; changes build on it only where it was whole."""
         self.version = known.generation
+        self._whole = not known.reset
         self._pass_on(known.instances, True, True)
 
     def follow(self) -> None:
@@ -67,6 +69,8 @@
     def moved(self, address: Address) -> None:
         """Discovery is at another address now: the watch goes on there at once."""
         self.address = address
+        # Refusals by the old service say nothing of the new one, and would lengthen the pause if it fails.
+        self.driver.listed([], False, False)
         if self._asking:
             self._moved = True
             self._end_call()
@@ -112,7 +116,7 @@
                 target += b"?since=%d&timeout_ms=%d" % (self.version, round(wait * 1000))
             host = f"{address[0]}:{address[1]}".encode()
             stream.write(asking.request(b"GET", target, [(b"host", host)], b""))
-            by = self.transport.now() + wait + ANSWER_WITHIN
+            by = asked + (0.0 if self._whole else wait) + ANSWER_WITHIN
             # Guards against a machine that vanished without a word: the head would be deaf to drains.
             timer = self.transport.at(by, stream.close)
             answer = None
@@ -121,6 +125,8 @@
                     answer = asking.feed(await stream.read())
             finally:
                 timer.cancel()
+            if address != self.address:
+                return  # the old service still spoke in the turn in which the watch was moved
             if not self._take(answer) and self.transport.now() < asked + SPACED:
                 # Guards against a service that answers at once with nothing new; the watch still goes on.
                 await self.transport.sleep(SPACED)
--- a/gorsethread/platform/program.py
+++ b/gorsethread/platform/program.py
@@ -1,5 +1,6 @@
 """Assembles the head in service and runs it to its end."""
 
+from dataclasses import replace
 from typing import Any
 
 from gorsethread.head.driver import Driver
@@ -77,7 +78,8 @@
             self.log.error("the new configuration can't be used; the old one stands", reason=str(error),
                            do=error.action)
             return
-        self.order = order
+        # All else stays as this process was started with: requests in flight were taken under it.
+        self.order = replace(self.order, discovery=order.discovery)
         self.log.info("configuration read again", discovery=f"{order.discovery[0]}:{order.discovery[1]}")
         if order.discovery != self.discovery.address:
             self.discovery.moved(order.discovery)
@@ -91,7 +93,7 @@
         await self.transport.sleep(max(STILL_COMING, lasts - LAST_ANSWERS))
         self.clients.ending = True
         self._listener.close()
-        while self.clients.connections:
+        while self.clients.holds_any():
             self.clients.close_idle()
             await self.transport.sleep(0.02)
         self.ended = True
--- a/gorsethread/transport/base.py
+++ b/gorsethread/transport/base.py
@@ -5,6 +5,7 @@
 
 from gorsethread.errors import Trouble
 
+READ_MOST = 65_536  # bytes that one read of a stream brings at the most
 MOST_DATAGRAM = 256  # bytes; the operators' platform carries no longer ones between heads
 
 
@@ -42,17 +43,29 @@
     def unsent(self) -> int: ...
 
     async def read(self) -> bytes:
-        """Some bytes, at least one; StreamClosed at the end or a reset."""
+        """Some bytes, at least one and at most READ_MOST; StreamClosed at the end or a reset."""
         ...
 
     def quiet(self) -> bool:
         """Nothing unread has come and the peer has not ended it, as far as this machine knows now."""
         ...
 
+    def peer_ended(self) -> bool:
+        """The peer has ended its sending, also where bytes it sent before are still unread here."""
+        ...
+
     def write(self, data: bytes) -> None:
         """Queues bytes; after the end they are dropped, and the next read raises."""
         ...
 
+    def end_sending(self) -> None:
+        """Sends what was written, then the end of this side (a half-close); the peer can still be read.
+
+        Guards against a close over unread bytes: the system answers these with a reset, which takes from the
+        peer what it has not read yet.
+        """
+        ...
+
     async def drained(self) -> None:
         """Returns once nothing written is unsent; StreamClosed if that can't come."""
         ...
--- a/gorsethread/transport/real.py
+++ b/gorsethread/transport/real.py
@@ -18,10 +18,18 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
 
-from gorsethread.transport.base import MOST_DATAGRAM, Chance, Stream, StreamClosed, Timer, Unreachable
+from gorsethread.transport.base import (
+    MOST_DATAGRAM,
+    READ_MOST,
+    Chance,
+    Stream,
+    StreamClosed,
+    Timer,
+    Unreachable,
+)
 from gorsethread.transport.program import Draws, Program
 
-READ_SIZE = 65536
+TCP_STATE_PEER_ENDED = (7, 8, 9, 11)  # CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING in the system's own numbers
 BACKLOG = 512  # connections the system accepts ahead of us
 ACCEPTS = 32  # a turn of the loop, so that a flood of connections leaves room for those that are open
 ACCEPT_AGAIN = 0.05  # seconds
@@ -35,6 +43,7 @@
         self._flushed: asyncio.Future[None] | None = None
         self._corked: list[bytes] = []  # what was written in this turn of the loop; emptied at its end
         self._corked_size = 0
+        self._sending_ended = False
         stream.set_nodelay(True)
 
     @property
@@ -44,7 +53,7 @@
 
     async def read(self) -> bytes:
         try:
-            return await self._stream.read_bytes(READ_SIZE, partial=True)
+            return await self._stream.read_bytes(READ_MOST, partial=True)
         except StreamClosedError as error:
             raise StreamClosed(str(error.real_error or "closed")) from None
 
@@ -60,8 +69,17 @@
             return False
         return False
 
-    def write(self, data: bytes) -> None:
+    def peer_ended(self) -> bool:
         if self._stream.closed():
+            return True
+        try:
+            state = self._stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        except OSError:
+            return False  # a system that does not tell: the end shows when it is read
+        return state in TCP_STATE_PEER_ENDED
+
+    def write(self, data: bytes) -> None:
+        if self._stream.closed() or self._sending_ended:
             return
         # One call of the system for all that a turn of the loop has to say to this peer.
         if not self._corked:
@@ -77,6 +95,21 @@
             self._flushed = self._stream.write(b"".join(corked))
             self._flushed.add_done_callback(_seen)
 
+    def end_sending(self) -> None:
+        if self._sending_ended or self._stream.closed():
+            return
+        self._sending_ended = True
+        self._flush()
+        if self._flushed is None or self._flushed.done():
+            self._shut_down()
+        else:
+            self._flushed.add_done_callback(lambda flushed: self._shut_down())
+
+    def _shut_down(self) -> None:
+        if not self._stream.closed():
+            with contextlib.suppress(OSError):  # the peer has reset it: the next read says so
+                self._stream.socket.shutdown(socket.SHUT_WR)
+
     async def drained(self) -> None:
         if self._stream.closed():
             raise StreamClosed("closed")
@@ -127,7 +160,7 @@
             if self._admits is not None and not self._admits():
                 accepted.close()
                 continue
-            stream = IOStream(accepted, read_chunk_size=READ_SIZE, max_buffer_size=4 * READ_SIZE)
+            stream = IOStream(accepted, read_chunk_size=READ_MOST, max_buffer_size=4 * READ_MOST)
             self._transport.spawn(self._serve(RealStream(stream, f"{address[0]}:{address[1]}")))
 
     async def _serve(self, stream: Stream) -> None:
@@ -305,8 +338,8 @@
 
     async def connect(self, host: str, port: int, within: float) -> Stream:
         try:
-            stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM), read_chunk_size=READ_SIZE,
-                              max_buffer_size=4 * READ_SIZE)
+            stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM), read_chunk_size=READ_MOST,
+                              max_buffer_size=4 * READ_MOST)
         except OSError as error:
             raise Unreachable(f"{host}:{port}: {error}") from None
         try:
--- a/gorsethread/transport/virtual.py
+++ b/gorsethread/transport/virtual.py
@@ -240,6 +240,8 @@
         self.unread = 0  # bytes of it; bounded by the window
         self._ended = ""  # why nothing more comes
         self._broken = False
+        self._sending_ended = False
+        self._end_sent = False  # the half-close is on its way
         self.closed = False
         self._reader: asyncio.Future[None] | None = None
         self._drain: list[asyncio.Future[None]] = []
@@ -273,9 +275,12 @@
     def quiet(self) -> bool:
         return not (self.closed or self._got or self._ended)
 
+    def peer_ended(self) -> bool:
+        return self.closed or bool(self._ended)
+
     def write(self, data: bytes) -> None:
         self.network.wrote = 0
-        if self.closed or self._ended or not self.owner.alive:
+        if self.closed or self._ended or self._sending_ended or not self.owner.alive:
             return
         self.network.wrote = self.out.number
         self._unsent += data
@@ -297,6 +302,9 @@
             self.out.send(bytes(self._unsent[:size]))
             del self._unsent[:size]
         if not self._unsent:
+            if self._sending_ended and not self._end_sent and not self.closed and not self._broken:
+                self._end_sent = True
+                self.out.send(b"")
             drain, self._drain = self._drain, []
             for waiting in drain:
                 self.owner.gate(lambda waiting=waiting: _settle(waiting))  # type: ignore[misc]
@@ -312,6 +320,11 @@
             if self._unsent:
                 raise StreamClosed(self._ended or "closed")
 
+    def end_sending(self) -> None:
+        if not self._sending_ended and not self.closed and self.owner.alive:
+            self._sending_ended = True
+            self._push()
+
     def close(self) -> None:
         """What the network has taken still goes out, then the end."""
         if self.closed or not self.owner.alive:
@@ -328,7 +341,7 @@
             self.out.lose()
             self.network.loop.call_later(self.network.weather.least_delay, self.other.broke,
                                          "connection reset")
-        else:
+        elif not self._end_sent:
             self.out.send(b"")
         self._wake()
 
--- /dev/null
+++ b/tests/crossing/test_clients.py
@@ -0,0 +1,216 @@
+"""Orders that cross between clients and the gateway: ends of connections, requests sent ahead, shutdown."""
+
+import signal
+import socket
+import time
+
+from tests.crossing.rig import HOST, CrossingTest, Gateway, Peer, Server, answer, has_read_all, until
+from tests.live import wish
+
+LARGE = bytes(range(256)) * 7800  # 2 MB: two of these are more than the system's buffers take at once
+SHORT_LIVED = {"services": [{"name": "read", "aim": 0.3, "giveUp": 0.6, "effect": "free", "worth": 2.0},
+                            {"name": "post", "aim": 0.4, "effect": "single_shot", "worth": 3.0}]}
+ALL_ANSWERED_BY = 0.6 + 0.7  # seconds after SIGTERM, from which it may be killed
+
+
+class SentAhead(CrossingTest):
+    """A client sends on before it has its answer."""
+
+    def test_requests_far_ahead_of_an_open_one_cost_nobody_an_answer(self) -> None:
+        backend = Server(self)
+        self.start(backend)
+        body = b"x" * 40_000
+        ids = [f"{n:x}" for n in range(0xa1, 0xa7)]
+        asker = self.ask(b"".join(wish(id, "read" if id == "a1" else "post", body=b"" if id == "a1" else body,
+                                       patience=9000) for id in ids))
+        peer = backend.accept()
+        self.assertIn("a1", peer.message().headers["req-id"])
+        # All of it, four times what is read ahead, has been sent before the first is answered.
+        peer.send(answer(200, b"ok"))
+        self.assertEqual(200, asker.message().status, "the open one keeps its answer")
+        for id in ids[1:]:
+            peer, request = backend.next_request()
+            self.assertIn(id, request.headers["req-id"])
+            peer.send(answer(200, b"ok"))
+            self.assertEqual(200, asker.message().status)
+
+    def test_a_client_that_leaves_behind_what_it_sent_ahead_is_noticed(self) -> None:
+        backend = Server(self)
+        self.start(backend)
+        asker = self.ask(wish("b1", patience=9000)
+                         + b"".join(wish(f"{n:x}", "post", body=b"x" * 40_000) for n in range(0xc1, 0xc5)))
+        peer = backend.accept()
+        peer.message()
+        closed_at = time.monotonic()
+        asker.close()
+        self.assertTrue(peer.ends(), "its attempt is called off")
+        self.assertLess(time.monotonic() - closed_at, 0.4)
+        self.assertTrue(backend.accepts_nothing(0.3), "what it had sent ahead is sent on after it left")
+
+    def test_answers_that_a_client_never_reads_are_bounded_and_all_come_in_the_end(self) -> None:
+        backend = Server(self)
+        self.start(backend)
+        number, body = 200, b"y" * 200_000
+        asker = self.client(receive_buffer=4096)
+        asker.send(b"".join(wish(f"{n + 1:x}", patience=9000) for n in range(number)))
+        served = 0
+        while served < number:
+            try:
+                peer, _ = backend.next_request(within=1.0)
+            except TimeoutError:
+                break
+            peer.send(answer(200, body))
+            served += 1
+        self.assertLess(served, number // 2, "its answers add up in the gateway's memory")
+        self.assertGreater(served, 1)
+        read = 0
+        while read < number:
+            while read < served:
+                self.assertEqual(body, asker.message().body, "what was answered comes as it is read")
+                read += 1
+            if served < number:
+                peer, _ = backend.next_request()
+                peer.send(answer(200, body))
+                served += 1
+
+
+class Ends(CrossingTest):
+    """The gateway ends a connection; the client is sending, or has not read all."""
+
+    def test_an_error_reaches_a_client_that_is_still_sending_its_body(self) -> None:
+        self.start(Server(self))
+        asker = self.ask(b"PUT /read/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: a\r\nContent-Length: 60000000\r\n\r\n"
+                         + b"x" * 150_000)
+        self.assertEqual(413, asker.message().status)
+        self.assertTrue(asker.ends(), "a reset, which takes from a client what it has not read yet")
+
+    def test_a_large_last_answer_comes_whole_to_a_client_that_reads_late(self) -> None:
+        backend = Server(self)
+        self.start(backend)
+        asker = self.client(receive_buffer=4096)
+        asker.send(wish("d1", patience=5000) + wish("d2", patience=5000, more="Connection: close\r\n"))
+        for _ in range(2):
+            peer, _ = backend.next_request()
+            peer.send(answer(200, LARGE))
+            until(lambda peer=peer: has_read_all(*peer.ports), "an answer that the gateway has read")
+        self.assertEqual([LARGE, LARGE], [asker.message().body, asker.message().body])
+        self.assertTrue(asker.ends())
+
+    def test_a_request_that_crosses_an_idle_connections_end_is_neither_sent_on_nor_reset(self) -> None:
+        backend = Server(self)
+        self.start(backend)
+        asker = self.client()
+        self.assertTrue(asker.ends(), "silent since it connected")
+        asker.send(wish("d2"))
+        self.assertTrue(asker.ends())
+        self.assertTrue(backend.accepts_nothing(0.3))
+
+
+class Shutdown(CrossingTest):
+    """SIGTERM, and what comes before, with and after it."""
+
+    def test_what_is_open_at_sigterm_is_answered_and_told_that_the_connection_ends(self) -> None:
+        backend = Server(self)
+        self.start(backend, **SHORT_LIVED)
+        asker = self.ask(wish("e1", patience=600))
+        peer = backend.accept()
+        peer.message()
+        self.gateway.signal(signal.SIGTERM)
+        self.gateway.logged("head ends")
+        peer.send(answer(200, b"last"))
+        self.assertEqual(b"last", asker.message().body)
+        self.assertEqual(0, self.gateway.process.wait(5))
+
+    def test_twice_and_together_with_a_reload_ends_once_and_in_order(self) -> None:
+        backend = Server(self)
+        self.start(backend, **SHORT_LIVED)
+        asker = self.ask(wish("e2", patience=600))
+        peer = backend.accept()
+        peer.message()
+        self.gateway.signal(signal.SIGSTOP)
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+            self.gateway.signal(number)
+        self.gateway.signal(signal.SIGCONT)
+        self.gateway.logged("head ends")
+        peer.send(answer(200, b"last"))
+        self.assertEqual(b"last", asker.message().body)
+        self.assertEqual(0, self.gateway.process.wait(5))
+        self.assertEqual(1, len(self.gateway.lines("head ended")))
+
+    def test_before_any_list_is_there_it_answers_and_ends(self) -> None:
+        silent = Server(self)  # takes connections and says nothing
+        backend = Server(self)
+        self.backends = [backend, Server(self)]
+        self.configuration = self.config(silent, [], **SHORT_LIVED)
+        self.gateway = Gateway(self, self.configuration)
+        asker = self.ask(wish("e3", patience=600))
+        self.gateway.signal(signal.SIGTERM)
+        self.assertIn(asker.message().status, (503, 504))
+        self.assertEqual(0, self.gateway.process.wait(5))
+
+    def test_half_a_request_at_the_end_gets_an_answer(self) -> None:
+        self.start(Server(self), **SHORT_LIVED)
+        asker = self.client()
+        told = time.monotonic()
+        self.gateway.signal(signal.SIGTERM)
+        self.gateway.logged("head ends")
+        asker.send(wish("e4", "post", body=b"hello")[:-3])
+        self.assertIn(asker.message().status, (408, 503))
+        self.assertTrue(asker.ends())
+        self.assertLess(time.monotonic() - told, ALL_ANSWERED_BY)
+        self.assertEqual(0, self.gateway.process.wait(5))
+
+    def test_all_that_was_read_behind_the_request_in_work_is_answered_while_it_ends(self) -> None:
+        backend = Server(self)
+        self.start(backend, **SHORT_LIVED)
+        asker = self.ask(wish("f1", patience=600))
+        peer = backend.accept()
+        peer.message()
+        self.gateway.signal(signal.SIGTERM)
+        self.gateway.logged("head ends")
+        # From here on the listener is closed, and each answer may be the last of its connection.
+        until(self._refused, "a listener that is closed")
+        asker.send(wish("f2", patience=600) + wish("f3", patience=600))
+        self._read_ahead(asker)
+        peer.send(answer(200, b"one"))
+        got = [asker.message()]
+        for _ in range(2):
+            peer, _ = backend.next_request()
+            peer.send(answer(200, b"more"))
+            got.append(asker.message())
+        self.assertEqual([200, 200, 200], [m.status for m in got])
+        self.assertEqual(["", "", "close"], [m.headers.get("connection", "") for m in got])
+        self.assertTrue(asker.ends())
+        self.assertEqual(0, self.gateway.process.wait(5))
+
+    def _refused(self) -> bool:
+        try:
+            socket.create_connection((HOST, self.gateway.port), 1.0).close()
+        except ConnectionRefusedError:
+            return True
+        return False
+
+    def _read_ahead(self, asker: Peer) -> None:
+        """Waits until the gateway has read all that the client sent."""
+        until(lambda: has_read_all(*asker.ports), "a gateway that has read what came")
+
+    def test_clients_that_go_on_sending_get_an_answer_to_all_but_what_crosses_the_end(self) -> None:
+        backend = Server(self)
+        self.start(backend, **SHORT_LIVED)
+        asker = self.client()
+        self.gateway.signal(signal.SIGTERM)
+        answered = 0
+        for n in range(100_000):
+            asker.send(wish(f"{0x1000 + n:x}", patience=300))
+            try:
+                peer, _ = backend.next_request(within=0.5)
+            except TimeoutError:
+                break  # it crossed the end of its connection, which is seen below
+            peer.send(answer(200, b"ok"))
+            got = asker.message()
+            answered += 1
+            if got.headers.get("connection") == "close":
+                break
+        self.assertGreater(answered, 10)
+        self.assertTrue(asker.ends())
+        self.assertEqual(0, self.gateway.process.wait(5))
