--- a/tests/crossing/rig.py
+++ b/tests/crossing/rig.py
@@ -224,6 +224,9 @@
         with self._changed:
             self.generation += 1
             self._news.append((self.generation, list(instances)))
+            told = {one["instanceId"] for one in instances}
+            self.instances = [one for one in self.instances if one["instanceId"] not in told]
+            self.instances += [one for one in instances if one["lifecycle"] != "gone"]
             self._changed.notify_all()
 
     def _serve(self) -> None:
--- /dev/null
+++ b/tests/crossing/test_discovery.py
@@ -0,0 +1,228 @@
+"""Orders that cross between the gateway and discovery: watches replaced, old ones that speak, refusals."""
+
+import asyncio
+import json
+import signal
+import socket
+import tempfile
+import time
+import unittest
+from pathlib import Path
+from typing import Any
+
+from gorsethread.logs import log_for, start_logs
+from gorsethread.model import ColdRule, StartFacts
+from gorsethread.platform.config import read_order
+from gorsethread.platform.program import LiveHead
+from gorsethread.policy import Policy
+from gorsethread.transport.real import RealTransport
+from tests.crossing.rig import HOST, CrossingTest, Discovery, Gateway, Peer, Server, answer
+from tests.harness import FACTS, PrintingHost
+from tests.live import LiveRig, NewsList, wish
+
+TOLD_AFTER = 6.0  # seconds after discovery can be reached, from which a change counts as told
+
+
+class DiscoveryTest(CrossingTest):
+    """The test is discovery, and says byte by byte what it says."""
+
+    def begin(self) -> Peer:
+        self.service = Server(self)
+        self.backends = [Server(self), Server(self)]
+        self.known = [self.instance(n, backend) for n, backend in enumerate(self.backends)]
+        self.configuration = self.config(self.service, self.known)
+        self.gateway = Gateway(self, self.configuration)
+        self.watch = self.service.accept()
+        self.target = self.watch.message().target
+        return self.watch
+
+    def said(self, generation: int, reset: bool, *instances: dict[str, Any]) -> bytes:
+        told = {"generation": generation, "reset": reset, "instances": instances}
+        return answer(200, json.dumps(told).encode())
+
+    def is_served(self, number: int) -> None:
+        """A request for the backend of that number reaches it and is answered."""
+        asker = self.ask(wish(f"a{number}", shard=number))
+        peer, _ = self.backends[number].next_request()
+        peer.send(answer(200, b"served"))
+        self.assertEqual(b"served", asker.message().body)
+
+
+class PlayedByHand(DiscoveryTest):
+    def test_a_watch_that_ends_in_the_middle_of_a_message_is_opened_anew_and_changes_nothing(self) -> None:
+        watch = self.begin()
+        half = self.said(2, True, self.known[1])
+        watch.send(half[:-5])
+        watch.close()
+        again = self.service.accept()
+        self.assertIn("since=1&", again.message().target, "of the half message nothing is believed")
+        self.is_served(0)
+
+    def test_an_answer_that_never_ends_is_given_up(self) -> None:
+        watch = self.begin()
+        began = time.monotonic()
+        watch.send(b"HTTP/1.1 200 X\r\nContent-Length: 100000\r\n\r\n")
+        again = self.service.accept()
+        again.message()
+        self.assertLess(time.monotonic() - began, TOLD_AFTER - 1.0)
+        # What the old watch says now is not heard: its connection has ended.
+        self.assertTrue(watch.ends())
+        again.send(self.said(2, False, self.instance(0, self.backends[0], "draining")))
+        self.gateway.logged('"list"', '"generation": 2')
+
+    def test_an_older_list_after_a_newer_is_not_believed_but_asked_for_whole(self) -> None:
+        watch = self.begin()
+        watch.send(self.said(5, False))
+        watch.message()
+        watch.send(self.said(4, False, self.instance(0, self.backends[0], "gone")))
+        again = self.service.accept()
+        self.assertNotIn("since", again.message().target)
+        self.is_served(0)
+        again.send(self.said(6, True, *self.known))
+        self.gateway.logged('"list"', '"generation": 6')
+        self.is_served(1)
+
+    def test_a_process_that_was_told_no_list_asks_for_the_whole_one(self) -> None:
+        service = Server(self)
+        self.backends = [Server(self), Server(self)]
+        config = self.config(service, [])
+        del config["known"]
+        self.gateway = Gateway(self, config)
+        target = service.accept().message().target
+        self.assertNotIn("since", target, "changes would build on a list that is none")
+
+    def test_a_backend_back_at_the_same_address_with_another_id_is_another(self) -> None:
+        for gone_first in (True, False):
+            with self.subTest(gone_first=gone_first):
+                watch = self.begin()
+                gone = {**self.known[0], "lifecycle": "gone"}
+                back = {**self.known[0], "instanceId": "s-new"}
+                watch.send(self.said(2, False, *((gone, back) if gone_first else (back, gone))))
+                self.gateway.logged('"list"', '"generation": 2')
+                self.is_served(0)
+
+    def test_a_reload_moves_the_watch_while_the_old_one_is_silent(self) -> None:
+        self.begin()
+        moved = Discovery(self, self.known, generation=7)
+        self.gateway.configure({**self.configuration, "discovery": moved.address})
+        told = time.monotonic()
+        self.gateway.signal(signal.SIGHUP)
+        moved.tell(self.instance(0, self.backends[0], "draining"))
+        self.gateway.logged('"list"', '"generation": 8')
+        self.assertLess(time.monotonic() - told, 1.0)
+        self.assertTrue(self.watch.ends())
+
+    def test_the_old_address_is_heard_before_the_move_or_not_at_all(self) -> None:
+        watch = self.begin()
+        moved = Discovery(self, self.known, generation=7)
+        self.gateway.configure({**self.configuration, "discovery": moved.address})
+        self.gateway.signal(signal.SIGSTOP)
+        watch.send(self.said(50, False, self.instance(0, self.backends[0], "gone")))
+        self.gateway.signal(signal.SIGHUP)
+        self.gateway.signal(signal.SIGCONT)
+        self.gateway.logged("configuration read again")
+        moved.tell(self.instance(1, self.backends[1], "draining"))
+        self.gateway.logged('"list"', '"s-1": "draining"')
+        reload = self.gateway.lines("configuration read again")[0]
+        self.assertFalse([n for n in self.gateway.lines('"list"', '"generation": 50') if n > reload])
+
+    def test_idle_clients_in_every_descriptor_keep_no_call_from_discovery(self) -> None:
+        watch = self.begin()
+        idle = []
+        for _ in range(300):
+            connection = socket.create_connection(("127.0.0.1", self.gateway.port), 5)
+            self.addCleanup(connection.close)
+            idle.append(connection)
+        watch.close()  # while it is away its watch ends; the next needs a descriptor
+        again = self.service.accept()
+        again.message()
+        again.send(self.said(2, False, self.instance(0, self.backends[0], "draining")))
+        self.gateway.logged('"list"', '"generation": 2')
+        self.is_served(1)
+
+
+class OldAddressInTheTurnOfTheMove(DiscoveryTest):
+    """In this process, whose loop lets a test choose what is done in one turn, and in which order."""
+
+    def test_an_answer_that_was_read_in_that_turn_is_not_believed(self) -> None:
+        old, new = Server(self), Server(self)
+        self.backends = [Server(self), Server(self)]
+        self.known = [self.instance(n, backend) for n, backend in enumerate(self.backends)]
+        path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "config.json"
+        path.write_text(json.dumps(self.config(old, self.known)))
+        start_logs(True, "critical")
+
+        async def work() -> None:
+            transport = RealTransport()
+            order = read_order(path.read_bytes(), str(path))
+            head = LiveHead(transport, order, str(path), log_for())
+            head.discovery.start(order.known)
+            await transport.sleep(0.1)
+            watch = old.accept()
+            watch.message()
+            # The loop reads what has come before it calls what is due, and wakes the reader in the next turn.
+            watch.send(self.said(50, False, self.instance(0, self.backends[0], "gone")))
+            transport.at(transport.now(), lambda: head.discovery.moved((HOST, new.port)))
+            await transport.sleep(0.1)
+            self.assertEqual(1, head.discovery.version)
+            self.assertEqual(2, len(head.discovery.known))
+            self.assertIn("since=1&", new.accept().message().target)
+            await transport.end()
+
+        asyncio.run(work())
+
+
+class Refusals(unittest.TestCase):
+    """The decisions alone: when is discovery asked again?"""
+
+    def policy(self, ask_within: float, heads: int, seed: int) -> tuple[Policy, PrintingHost]:
+        host = PrintingHost()
+        facts = StartFacts(**{**FACTS, "heads": heads, "list_on_request": True, "ask_within": ask_within,
+                              "cold": ColdRule(8.0, 2.0, 10.0, 0.25)})
+        return Policy(host, facts, seed), host
+
+    def test_however_often_it_refused_it_is_asked_in_time_once_it_can_be_reached(self) -> None:
+        for ask_within in (2.0, 10.0, 60.0, 600.0):
+            for heads in (1, 6, 200):
+                for refused in range(1, 40):
+                    policy, host = self.policy(ask_within, heads, 7 * refused + heads)
+                    for _ in range(refused):
+                        policy.list_refused()
+                    pause = policy.list_ask_at - host.now
+                    self.assertLessEqual(pause, TOLD_AFTER - 2.0, (ask_within, heads, refused))
+
+    def test_a_new_process_asks_in_time_however_long_a_list_may_stand(self) -> None:
+        for ask_within in (2.0, 10.0, 60.0, 600.0):
+            for seed in range(50):
+                policy, host = self.policy(ask_within, 200, seed)
+                self.assertLessEqual(policy.list_ask_at - host.now, 2.0)
+
+    def test_a_first_refusal_leaves_time_for_the_answer_of_a_watch_that_fell_silent(self) -> None:
+        """A silence shows after 4 s; what it hides counts as told after 6."""
+        for ask_within in (2.0, 10.0, 60.0, 600.0):
+            for seed in range(50):
+                policy, host = self.policy(ask_within, 200, seed)
+                policy.list_begins(False, False)
+                policy.list_ended()
+                policy.list_refused()
+                self.assertLessEqual(policy.list_ask_at - host.now, 1.0)
+
+
+class RefusalsBeforeAMove(LiveRig):
+    def test_they_lengthen_no_pause_of_the_new_address(self) -> None:
+        async def work() -> None:
+            head = self.start()
+            self.list.down = True
+            await self.wait(30.0)
+            self.assertGreater(head.driver.policy.list_waits, 3)
+            new = NewsList(self.process("list2"), ("list2", 1), generation=1)
+            new.down = True
+            self.configure(discovery="list2:1")
+            self.transport.reload()
+            await self.wait(0.1)
+            self.assertEqual(1, len(new.asked))
+            self.assertEqual(1, head.driver.policy.list_waits, "as after a first refusal")
+
+        self.play(work)
+
+
