Room for a connection is not made by one whose last answer is still on its way

platform/clients.py, _least_used: a connection that has ended on this side gave way at once, also with bytes of its answer unsent.

--- a/gorsethread/platform/clients.py
+++ b/gorsethread/platform/clients.py
@@ -52,9 +52,9 @@
         return True
 
     def _least_used(self) -> Connection | None:
-        """One that has ended on this side; else the oldest that has said nothing; else the longest idle that
-        may be closed. Never one with bytes that nobody has answered."""
-        ended = next((c for c in self.connections if c.over), None)
+        """One that has ended on this side and read its last answer; else the oldest that has said nothing;
+        else the longest idle that may be closed. Never one with bytes that nobody has answered."""
+        ended = next((c for c in self.connections if c.over and not c.stream.unsent), None)
         if ended is not None:
             return ended
         free = [c for c in self.connections if not c.codec.open and not c.codec.begun]
