--- a/gorsethread/faults/webmutants.py
+++ b/gorsethread/faults/webmutants.py
@@ -361,6 +361,11 @@
     policy._borrow = borrow  # type: ignore[method-assign]
 
 
+@mutant("shelves: what waited for its connection is sent whenever that comes up")
+def _sends_when_up(head: LiveHead) -> None:
+    head.pool.may_begin = lambda transaction, shelf, decided, now: True
+
+
 @mutant("lending: every head is each shelf's home")
 def _all_homes(head: LiveHead) -> None:
     head.driver.policy._home = lambda shard: head.order.facts.index  # type: ignore[method-assign]
--- a/tests/test_webworld.py
+++ b/tests/test_webworld.py
@@ -64,6 +64,19 @@
         self.assertFalse(drawn_kinds & {"term", "reload", "spoil", "rude"})
 
 
+def test_a_drain_that_crosses_a_connection_coming_up_late_is_kept_and_a_breach_is_seen() -> None:
+    """Of a short grace; the connections to a backend take a second, and it is told to drain meanwhile."""
+    site = type(SITE)()
+    site.CopyFrom(SITE)
+    site.rules.drain_grace, site.links.connect_within = 0.25, 2.0
+    resets = "\n".join(f"2 reset head-{head} -> shelf-1" for head in range(3))
+    script = read_script(f"seed 5\nseconds 8\nfactor 3\n1.9 connects shelf-1 by 0.7 for 3\n{resets}\n"
+                         "2.1 drain shelf-1 for 5\n")
+    name = next(m for m in WEB_MUTANTS if "sent whenever that comes up" in m)
+    assert play(site, script, "", True).reasons == []
+    assert any("rule 3" in reason for reason in play(site, script, name, True).reasons)
+
+
 @pytest.mark.parametrize("part", SHOWING)
 def test_a_planted_defect_is_caught_and_the_honest_head_is_not_accused(part: str) -> None:
     name = next(m for m in WEB_MUTANTS if part in m)
