Requests taken and attempts ended reach the decisions as typed messages

In the search, the scaled total and the place in a ranking are functions of their own, and one volume left is no special case.

--- a/gorsethread/benchlink/__main__.py
+++ b/gorsethread/benchlink/__main__.py
@@ -5,7 +5,7 @@
 import traceback
 from typing import Any
 
-from gorsethread.model import Ending
+from gorsethread.model import AttemptEnded, Ending, RequestTaken
 from gorsethread.policy import Policy
 from gorsethread.startfacts import Fields, Malformed, start_facts, word
 
@@ -111,15 +111,15 @@
             raise Malformed(f"{verb} for {name}, which is not up")
         policy = self.heads[name][0]
         if verb == "order":
-            policy.transaction_taken(
+            policy.request_taken(RequestTaken(
                 e["corr"], e["tierClass"], e["contract"], e.get("item"), e["dropDead"], e["vol"],
                 e["quotaUnits"], e["slotNo"], e["setSize"], bool(e.get("stateBits", 0) & CLIENT_REPEAT),
-            )
+            ))
         elif verb == "done":
-            policy.forward_ended(
+            policy.attempt_ended(AttemptEnded(
                 e["corr"], e["shot"], word(ENDINGS, e["how"]), e["shelf"], e["elapsed"],
                 bool(e.get("doneFlag")), e.get("delta", 0), e.get("usage", 0),
-            )
+            ))
         elif verb == "due":
             policy.woken(e["keyBack"])
         elif verb == "cancelledByClient":
--- a/gorsethread/head/driver.py
+++ b/gorsethread/head/driver.py
@@ -23,7 +23,7 @@
     Told,
 )
 from gorsethread.held_reasons import why_held
-from gorsethread.model import Ending, Held, Outcome, StartFacts
+from gorsethread.model import AttemptEnded, Ending, Held, Outcome, RequestTaken, StartFacts
 from gorsethread.policy import Policy
 from gorsethread.transport.base import Timer, Transport
 
@@ -110,8 +110,8 @@
             when = self.transport.now() if awaited else arrived
             t.untold = (volume, profile, int(units), shard, key is not None, arrived, when)
             self._fresh.append(t)
-        self.happened("transaction_taken", t.id, profile, plan, key, cut_off, str(volume), units, shard,
-                      heads, repeat)
+        taken = RequestTaken(t.id, profile, plan, key, cut_off, str(volume), units, shard, heads, repeat)
+        self.happened("request_taken", taken)
         return t
 
     def client_left(self, t: Open) -> None:
@@ -221,8 +221,9 @@
             t.answered = True
             self.counts["honoured"] += 1
             t.client.honoured(self.shards.get(f.shelf, UNPLACED), told.data)
-        self.happened("forward_ended", t.id, f.number, how, f.shelf, now - f.sent_at, t.answered,
-                      told.elsewhere, told.usage)
+        end = AttemptEnded(t.id, f.number, how, f.shelf, now - f.sent_at, t.answered, told.elsewhere,
+                           told.usage)
+        self.happened("attempt_ended", end)
         self._close(t)
 
     def _close(self, t: Open) -> None:
--- a/gorsethread/lab/crowd.py
+++ b/gorsethread/lab/crowd.py
@@ -22,7 +22,17 @@
 from typing import Any, NamedTuple
 
 from gorsethread.faults.coldpart import borne
-from gorsethread.model import ColdRule, Effect, Ending, Group, Plan, Profile, StartFacts
+from gorsethread.model import (
+    AttemptEnded,
+    ColdRule,
+    Effect,
+    Ending,
+    Group,
+    Plan,
+    Profile,
+    RequestTaken,
+    StartFacts,
+)
 from gorsethread.policy import Policy
 from gorsethread.transport.base import Chance
 from gorsethread.transport.program import Draws
@@ -293,8 +303,9 @@
             return
         store = self.world.day.stores[ask.volume]
         t = self.open[id] = _Held(ask, self.world.now + CUT_OFFS[ask.profile])
-        self.policy.transaction_taken(id, ask.profile, store.plan, None, t.cut_off, f"v{ask.volume}",
-                                      float(ask.units), ask.shard, len(store.heads), False)
+        self.policy.request_taken(RequestTaken(
+            id, ask.profile, store.plan, None, t.cut_off, f"v{ask.volume}", float(ask.units), ask.shard,
+            len(store.heads), False))
         self.policy.batch_ended()
         self.world.at(t.cut_off, lambda: self._cut_off(id))
 
@@ -314,7 +325,8 @@
             self.world.honoured(t.ask)
         else:
             self.world.machines[f.shelf].drop(f)
-        self.policy.forward_ended(f.id, f.number, how, f.shelf, self.world.now - f.at, t.answered, 0.0, 0.0)
+        elapsed = self.world.now - f.at
+        self.policy.attempt_ended(AttemptEnded(f.id, f.number, how, f.shelf, elapsed, t.answered, 0.0, 0.0))
         self.policy.batch_ended()
         if t.answered and t.out is None:
             self.open.pop(f.id, None)
--- a/gorsethread/model.py
+++ b/gorsethread/model.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
+from typing import NamedTuple
 
 
 class Effect(Enum):
@@ -124,6 +125,36 @@
     may_tell: bool = False  # whether heads may send each other messages
 
 
+class RequestTaken(NamedTuple):
+    """A client's request has come. profile, plan: places in the settings; cut_off: on the process's clock, in
+    seconds; heads: how many processes the volume's requests come through; repeat: a client's retry."""
+
+    id: int
+    profile: int
+    plan: int
+    key: str | None
+    cut_off: float
+    volume: str
+    units: float
+    shard: int
+    heads: int
+    repeat: bool
+
+
+class AttemptEnded(NamedTuple):
+    """An attempt of a request at a backend is over. elapsed: seconds since it was sent; finished: the request
+    has its answer; elsewhere: units that the volume was served through others, as the backend tells."""
+
+    request: int
+    number: int
+    how: Ending
+    shelf: int
+    elapsed: float
+    finished: bool
+    elsewhere: float
+    usage: float
+
+
 @dataclass(slots=True, eq=False)
 class Volume:
     id: str
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -14,7 +14,17 @@
 
 from gorsethread.draws import Draws
 from gorsethread.host import Host
-from gorsethread.model import Effect, Ending, Group, Shelf, StartFacts, Transaction, Volume
+from gorsethread.model import (
+    AttemptEnded,
+    Effect,
+    Ending,
+    Group,
+    RequestTaken,
+    Shelf,
+    StartFacts,
+    Transaction,
+    Volume,
+)
 
 FIRST_BOUND = 4.0  # the design's start and ceiling
 HIGHEST_BOUND = 32.0
@@ -80,25 +90,24 @@
 
     # ---- what can happen
 
-    def transaction_taken(
-        self, id: int, profile: int, plan: int, key: str | None, cut_off: float, volume: str,
-        units: float, shard: int, heads: int, repeat: bool,
-    ) -> None:
+    def request_taken(self, new: RequestTaken) -> None:
         now = self.now = self.host.clock()
         # One tenant's volume is not another's of the same name: each has the plan that its requests name.
-        if not (v := self.volumes.get(own := f"{plan}/{volume}")):
-            floor = self.floor * self.facts.plans[plan].weight
-            v = self.volumes[own] = Volume(own, self.facts.plans[plan], floor, heads, 0.0, self.born)
-        v.heads = heads
+        if not (v := self.volumes.get(own := f"{new.plan}/{new.volume}")):
+            plan = self.facts.plans[new.plan]
+            v = self.volumes[own] = Volume(own, plan, self.floor * plan.weight, new.heads, 0.0, self.born)
+        v.heads = new.heads
         # A client's repeat belongs to its first try, whose age shows in how little time is left.
-        self.spans[profile] = max(self.spans[profile], cut_off - now)
-        age = self.spans[profile] - (cut_off - now) if repeat or not self.facts.repeats_marked else 0.0
-        p = self.facts.profiles[profile]
-        self.order += 1
-        t = Transaction(id, self.order, p, v, key if p.in_order else None, cut_off,
-                        min(cut_off, now - age + p.promised), units, shard)
+        left = new.cut_off - now
+        longest = self.spans[new.profile] = max(self.spans[new.profile], left)
+        age = longest - left if new.repeat or not self.facts.repeats_marked else 0.0
+        p = self.facts.profiles[new.profile]
         # Guards rule 1 where a client leaves before its promised time: no look is set past the cut-off.
-        self.transactions[id] = t
+        promised_by = min(new.cut_off, now - age + p.promised)
+        self.order += 1
+        key = new.key if p.in_order else None
+        t = Transaction(new.id, self.order, p, v, key, new.cut_off, promised_by, new.units, new.shard)
+        self.transactions[new.id] = t
         if self.facts.budget:
             self.taken.append(now)
         self._note(max(now, t.promised_by - self._expected(t)), t)
@@ -109,29 +118,26 @@
                 return
         self._hold(t)
 
-    def forward_ended(
-        self, id: int, number: int, how: Ending, shelf: int, elapsed: float, finished: bool,
-        elsewhere: float, usage: float,
-    ) -> None:
+    def attempt_ended(self, end: AttemptEnded) -> None:
         now = self.now = self.host.clock()
-        s, t = self.shelves.get(shelf), self.transactions.get(id)
-        if s is None or t is None or (sent := s.out.pop((id, number), None)) is None:
+        s, t = self.shelves.get(end.shelf), self.transactions.get(end.request)
+        if s is None or t is None or (sent := s.out.pop((end.request, end.number), None)) is None:
             return
         self.changed = True
-        self._judge(s, how, elapsed, t, sent)
+        self._judge(s, end.how, end.elapsed, t, sent)
         v = t.volume
         t.out, v.out = t.out - 1, v.out - 1
-        v.total += elsewhere  # what others' heads sent for the volume counts as if sent here
+        v.total += end.elsewhere  # what others' heads sent for the volume counts as if sent here
         if not v.out and not v.lanes:
             self.busy.pop(v.id, None)
-        if not how.never_ran and t.ran_at is None:
-            t.ran_at, t.ran_on = now - elapsed, s
-        if t.key is not None and how.may_still_run:
+        if not end.how.never_ran and t.ran_at is None:
+            t.ran_at, t.ran_on = now - end.elapsed, s
+        if t.key is not None and end.how.may_still_run:
             self.key_rests[t.key] = now + self.facts.key_rest
-        if finished:
+        if end.finished:
             t.over = True
         elif not t.over:
-            if self._may_go_again(t, how):
+            if self._may_go_again(t):
                 self._hold(t)
                 self._note(now, t)
             else:
@@ -240,8 +246,8 @@
             self._share_out(list((self.busy if self.changed else self.stirred).values()))
             self.changed = False
             self.stirred.clear()
-        need = min(self.agenda[0][0] if self.agenda else float("inf"), self.list_ask_at, self.look_at,
-                   self.drained_at)
+        noted = self.agenda[0][0] if self.agenda else float("inf")
+        need = min(noted, self.list_ask_at, self.look_at, self.drained_at)
         if need < self.alarm:
             self.alarm = need
             self.host.wake(max(0.0, need - now), "look")
@@ -274,8 +280,9 @@
                     continue
                 held_by = self.held_by.get(shard)
                 for s in self._ranking(v) if shard == NEW else (held_by,) if held_by else ():
-                    if not room(s) or not (t.ran_at is None or self._may_go_to(t, s)) or (
-                            shard == NEW and not t.forwards and self._has_enough(s, len(given[s.id]))):
+                    if not room(s) or not self._may_go_to(t, s):
+                        continue
+                    if shard == NEW and not t.forwards and self._has_enough(s, len(given[s.id])):
                         continue
                     if (t.forwards or s.rate >= FREE_RATE or self._in_pace(t, s, used)) and self._bears(t, s):
                         yield s.id, t
@@ -299,11 +306,13 @@
                 mark(t, -1)
             return False
 
+        def scaled(entry: tuple[Volume, tuple[int, Transaction], int]) -> float:
+            v, (_, t), _ = entry
+            return (v.total + spent.get(v.id, 0.0) + t.units) / v.plan.weight
+
         unsaturated = {v.id: (v, edge, 0) for v in asking if v.lanes and (edge := next(edges(v), None))}
         while unsaturated:
-            entries = unsaturated.values()
-            v, (id, t), at = next(iter(entries)) if len(entries) == 1 else min(entries, key=lambda entry: (
-                entry[0].total + spent.get(entry[0].id, 0.0) + entry[1][1].units) / entry[0].plan.weight)
+            v, (id, t), at = min(unsaturated.values(), key=scaled)
             if moves.get(v.id, 0) == at and t.shard != NEW and len(given[id]) < free[id]:
                 mark(t, 1)  # as path() would, whose first edge it is
                 given[id].append(t)
@@ -374,8 +383,11 @@
         """Rendezvous hashing on raw ids, so every head ranks the same way."""
         if not v.ranking:
             name = v.id.partition("/")[2]
-            v.ranking = sorted(self.held_by.values(),
-                               key=lambda s: blake2b(f"{name}/{s.id}".encode(), digest_size=8).digest())
+
+            def place(s: Shelf) -> bytes:
+                return blake2b(f"{name}/{s.id}".encode(), digest_size=8).digest()
+
+            v.ranking = sorted(self.held_by.values(), key=place)
         return v.ranking
 
     def _has_enough(self, s: Shelf, chosen: int) -> bool:
@@ -622,7 +634,7 @@
 
     # ---- (5) further forwards
 
-    def _may_go_again(self, t: Transaction, how: Ending) -> bool:
+    def _may_go_again(self, t: Transaction) -> bool:
         if t.out or t.forwards >= min(self.facts.most_forwards, FORWARDS_MOST) or self.now >= t.cut_off:
             return False
         if self.now < self.overload_until or not self._within_budget():
