--- a/gorsethread/accounts/causes.py
+++ b/gorsethread/accounts/causes.py
@@ -226,8 +226,17 @@
     waits = sum(row.stages[s] for row in whole.all_rows() for s in WAITS if s != Stage.LIMIT)
     excess = sum(p.excess_us for p in paces.values() if p.slow >= SLOW_FROM)
     pressure = (waits + excess) / promised_us if promised_us else 0.0
-    found = Findings(known, whole, slots, slot_seconds, seconds, dict(blame), paces, pressure,
-                     gaps=find_gaps(whole.spans, begin, end))
+    found = Findings(
+        known,
+        whole,
+        slots,
+        slot_seconds,
+        seconds,
+        dict(blame),
+        paces,
+        pressure,
+        gaps=find_gaps(whole.spans, begin, end),
+    )
     _name(found)
     return found
 
@@ -237,9 +246,13 @@
         slow = _steadily_slow(pace)
         if slow >= SLOW_FROM:
             found.slow[pace.number] = slow
-        silent = sum(us for b, us in found.blame.items()
-                     if b.shelf == pace.number and b.holder == SHELF and b.stage in (
-                         Stage.SILENT, Stage.REST, Stage.LOST_FORWARD))
+        silent = sum(
+            us
+            for b, us in found.blame.items()
+            if b.shelf == pace.number
+            and b.holder == SHELF
+            and b.stage in (Stage.SILENT, Stage.REST, Stage.LOST_FORWARD)
+        )
         if pace.stalled >= STALLED_FROM or (pace.lost and silent > 0.3 * found.waited_us):
             found.stopped[pace.number] = pace.stalled
     total = found.waited_us
--- a/gorsethread/accounts/lives.py
+++ b/gorsethread/accounts/lives.py
@@ -43,8 +43,23 @@
     """What the head sees of a shelf's queue: the units each volume has there; emptied as forwards end.
     Moments are seconds, lengths microseconds."""
 
-    __slots__ = ("number", "out", "forwards", "busy_since", "idle_since", "answered_at", "stall", "least_way",
-                 "usual", "pending", "lanes", "backlog_until", "honoured", "sent", "turn")
+    __slots__ = (
+        "number",
+        "out",
+        "forwards",
+        "busy_since",
+        "idle_since",
+        "answered_at",
+        "stall",
+        "least_way",
+        "usual",
+        "pending",
+        "lanes",
+        "backlog_until",
+        "honoured",
+        "sent",
+        "turn",
+    )
 
     def __init__(self, number: int) -> None:
         self.number = number
@@ -75,11 +90,11 @@
         usual = self.usual * sum(self.out.values()) / 1e6
         return since if now - since > STALL_LEAST + STALL_TIMES * usual else now
 
-
     def takes(self, volume: int, units: int, now: float) -> int:
         """A forward goes there; its turn among all."""
         if not self.forwards and (
-                self.answered_at >= self.busy_since or now - self.idle_since > SAME_SILENCE):
+            self.answered_at >= self.busy_since or now - self.idle_since > SAME_SILENCE
+        ):
             self.busy_since = now
         self.forwards += 1
         turn = self.turn = self.turn + 1
@@ -140,8 +155,19 @@
 
 
 class _Life:
-    __slots__ = ("volume", "profile", "units", "where", "arrived", "since", "state", "stages", "flights",
-                 "lane", "mark")
+    __slots__ = (
+        "volume",
+        "profile",
+        "units",
+        "where",
+        "arrived",
+        "since",
+        "state",
+        "stages",
+        "flights",
+        "lane",
+        "mark",
+    )
 
     def __init__(self, volume: int, profile: int, units: int, where: Where, arrived: int, now: int) -> None:
         self.volume, self.profile, self.units, self.where = volume, profile, units, where
@@ -203,8 +229,17 @@
 
     # ---- what happens
 
-    def taken(self, id: int, volume: int, profile: int, shard: int, alone: bool, units: int, arrived: float,
-              when: float) -> None:
+    def taken(
+        self,
+        id: int,
+        volume: int,
+        profile: int,
+        shard: int,
+        alone: bool,
+        units: int,
+        arrived: float,
+        when: float,
+    ) -> None:
         """alone: its key makes it wait in a line of its own. arrived: when its capsule came."""
         if when < self._now:
             when = self._at(when)
@@ -313,8 +348,9 @@
         out = s.forwards
         life.flights[forward] = _Flight(s, when, s.takes(life.volume, life.units, when), out)
 
-    def ended(self, id: int, forward: int, how: Ending, service: float, when: float,
-              outcome: Outcome | None = None) -> None:
+    def ended(
+        self, id: int, forward: int, how: Ending, service: float, when: float, outcome: Outcome | None = None
+    ) -> None:
         """service: seconds in work as the shelf told; 0: it told none. outcome: the answer that this gave."""
         sent = self._sent.pop(id, None) if self._together and not forward else None
         if sent is not None and outcome is Outcome.HONOURED:
@@ -341,8 +377,20 @@
                 if out:
                     behind = s.sent[(turn - 1 - turn * 7 % (out if out < RECENT else RECENT)) % RECENT][0]
                 end = self._ordinary_end
-                _pack(self._ordinary, end, volume, profile, units, s.number, behind, arrived, took, at, when,
-                      service)
+                _pack(
+                    self._ordinary,
+                    end,
+                    volume,
+                    profile,
+                    units,
+                    s.number,
+                    behind,
+                    arrived,
+                    took,
+                    at,
+                    when,
+                    service,
+                )
                 self._ordinary_end = end = end + ORDINARY.size
                 if end == len(self._ordinary):
                     self._count_ordinary()
@@ -391,7 +439,8 @@
         self._loose.pop(id, None)
         life_us = now - life.arrived
         late = outcome != Outcome.LEFT and (
-            outcome != Outcome.HONOURED or life_us > self.promised[life.profile])
+            outcome != Outcome.HONOURED or life_us > self.promised[life.profile]
+        )
         self.window.life(life.volume, life.profile, life.units, outcome, late, life.stages, life_us)
         if not life.flights:
             del self.lives[id]
@@ -416,7 +465,7 @@
         if not self._ordinary_end:
             return
         ways = {s.number: s.least_way for s in self.shelves.values()}
-        works = count(memoryview(self._ordinary)[:self._ordinary_end], self.promised, ways, self.window)
+        works = count(memoryview(self._ordinary)[: self._ordinary_end], self.promised, ways, self.window)
         self._ordinary_end = 0
         for s in self.shelves.values():
             s.least_way = ways[s.number]
@@ -451,8 +500,13 @@
             life.stages[Stage.HEAD] += now - life.since
         else:
             life.stages[Stage.UNDIVIDED] += now - life.since
-            self.window.blamed(life.volume, UNKNOWN, next(iter(life.flights.values())).shelf.number,
-                               Stage.UNDIVIDED, now - life.since)
+            self.window.blamed(
+                life.volume,
+                UNKNOWN,
+                next(iter(life.flights.values())).shelf.number,
+                Stage.UNDIVIDED,
+                now - life.since,
+            )
         life.since = now
 
     def _leave_shelf(self, lane: _Lane, now: int) -> None:
@@ -494,8 +548,9 @@
             self.window.blamed(waiter, SHELF if stalled else holder, s.number, Stage.SLOTS, us)
         s.pending.clear()
 
-    def _split(self, life: _Life, flight: _Flight, how: Ending, service: int, now: int,
-               row: ShelfRow) -> None:
+    def _split(
+        self, life: _Life, flight: _Flight, how: Ending, service: int, now: int, row: ShelfRow
+    ) -> None:
         """One forward's time, from the later of its sending and what was already given away."""
         stages, s = life.stages, flight.shelf
         passed = now - life.since
--- a/gorsethread/accounts/ordinary.py
+++ b/gorsethread/accounts/ordinary.py
@@ -16,8 +16,7 @@
 SPAN = 1 << 31  # more than any volume's number; what is behind may be a little under 0
 
 
-def count(lives: memoryview, promised: list[int], ways: dict[int, int],
-          window: Window) -> dict[int, int]:
+def count(lives: memoryview, promised: list[int], ways: dict[int, int], window: Window) -> dict[int, int]:
     """Adds them, packed one after another, to the window; the work a unit of each shelf comes back.
 
     ways: the least way seen of each shelf (-1: none yet), set anew.
@@ -37,8 +36,12 @@
         ways[number] = least if ways[number] < 0 else min(least, ways[number])
         way[at] = ways[number]
     parts: dict[int, Numbers] = {
-        Stage.ARRIVING: taken - arrived, Stage.HEAD: sent - taken, Stage.WAY_THERE: way // 2,
-        Stage.AT_SHELF: rest - way, Stage.WORK: work, Stage.WAY_BACK: way - way // 2,
+        Stage.ARRIVING: taken - arrived,
+        Stage.HEAD: sent - taken,
+        Stage.WAY_THERE: way // 2,
+        Stage.AT_SHELF: rest - way,
+        Stage.WORK: work,
+        Stage.WAY_BACK: way - way // 2,
         Stage.UNDIVIDED: undivided,
     }
     life = ended - arrived
@@ -50,31 +53,35 @@
     return _shelves(volume[told], units[told], shelf[told], work[told], parts[Stage.AT_SHELF][told], window)
 
 
-def _blame(volume: Numbers, behind: Numbers, shelf: Numbers, wait: Numbers, stage: Stage,
-           window: Window) -> None:
+def _blame(
+    volume: Numbers, behind: Numbers, shelf: Numbers, wait: Numbers, stage: Stage, window: Window
+) -> None:
     some = wait > 0
     if not some.any():
         return
     shelves, shelf_at = numpy.unique(shelf[some], return_inverse=True)
     waiters, waiter_at = numpy.unique(volume[some], return_inverse=True)
     holders, holder_at = numpy.unique(behind[some], return_inverse=True)
-    keys, group = numpy.unique((waiter_at * len(holders) + holder_at) * len(shelves) + shelf_at,
-                               return_inverse=True)
+    keys, group = numpy.unique(
+        (waiter_at * len(holders) + holder_at) * len(shelves) + shelf_at, return_inverse=True
+    )
     for key, us in zip(keys.tolist(), sums(group, len(keys), wait[some]), strict=True):
         pair, at = divmod(key, len(shelves))
         waiter, holder = divmod(pair, len(holders))
         window.blamed(int(waiters[waiter]), int(holders[holder]), int(shelves[at]), stage, us)
 
 
-def _shelves(volume: Numbers, units: Numbers, shelf: Numbers, work: Numbers, wait: Numbers,
-             window: Window) -> dict[int, int]:
+def _shelves(
+    volume: Numbers, units: Numbers, shelf: Numbers, work: Numbers, wait: Numbers, window: Window
+) -> dict[int, int]:
     if not len(shelf):
         return {}
     order = numpy.frexp(units)[1].astype(numpy.int64)
     keys, group = numpy.unique((shelf * SPAN + volume) * 64 + order, return_inverse=True)
     counts = numpy.bincount(group).tolist()
-    for n, (key, us, of) in enumerate(zip(keys.tolist(), sums(group, len(keys), work),
-                                          sums(group, len(keys), units), strict=True)):
+    for n, (key, us, of) in enumerate(
+        zip(keys.tolist(), sums(group, len(keys), work), sums(group, len(keys), units), strict=True)
+    ):
         place, its = divmod(key, 64)
         number, whose = divmod(place, SPAN)
         window.shelf(number).worked(whose, its, counts[n], of, us)
--- a/gorsethread/accounts/page.py
+++ b/gorsethread/accounts/page.py
@@ -43,9 +43,11 @@
 
 def page(title: str, answer: Answer, found: Findings, volume: int | None = None) -> str:
     """volume: whose timeline is drawn; None: that of all."""
-    figures = [("Mean time of a transaction by stage, slot after slot", _timeline(found, volume)),
-               ("Who waited behind whom, as parts of all waiting", _matrix(found)),
-               ("Work for the same units, times the usual of all shelves", _shelves(found))]
+    figures = [
+        ("Mean time of a transaction by stage, slot after slot", _timeline(found, volume)),
+        ("Who waited behind whom, as parts of all waiting", _matrix(found)),
+        ("Work for the same units, times the usual of all shelves", _shelves(found)),
+    ]
     return PAGE.render(title=title, answer=answer, figures=figures)
 
 
@@ -55,7 +57,7 @@
         figure.savefig(out, format="svg", bbox_inches="tight", metadata={"Date": None})
     text = out.getvalue()
     # The only text in it from outside are volumes' names, which matplotlib has escaped.
-    return Markup(text[text.index("<svg"):])
+    return Markup(text[text.index("<svg") :])
 
 
 def _timeline(found: Findings, volume: int | None) -> Markup:
@@ -73,8 +75,18 @@
     bottom = [0.0] * len(slots)
     for n, stage in enumerate(heaviest):
         heights = [m[stage] for m in means]
-        axes.bar(at, heights, bottom=bottom, width=0.9 * found.slot_seconds, align="edge", color=COLOURS[n],
-                 hatch=HATCHES[n], edgecolor="white", linewidth=0.3, label=WORDS[stage])
+        axes.bar(
+            at,
+            heights,
+            bottom=bottom,
+            width=0.9 * found.slot_seconds,
+            align="edge",
+            color=COLOURS[n],
+            hatch=HATCHES[n],
+            edgecolor="white",
+            linewidth=0.3,
+            label=WORDS[stage],
+        )
         bottom = [b + h for b, h in zip(bottom, heights, strict=True)]
     axes.set_xlabel("seconds from the start of the period")
     axes.set_ylabel("milliseconds")
@@ -102,8 +114,15 @@
     for y, w in enumerate(rows):
         for x, h in enumerate(columns):
             if share := cells[w, h]:
-                axes.text(x, y, f"{100 * share / total:.0f}%", ha="center", va="center", fontsize=8,
-                          color="white" if share > 0.6 * most else "black")
+                axes.text(
+                    x,
+                    y,
+                    f"{100 * share / total:.0f}%",
+                    ha="center",
+                    va="center",
+                    fontsize=8,
+                    color="white" if share > 0.6 * most else "black",
+                )
     axes.set_xticks(range(len(columns)), [_name(found, h) for h in columns], rotation=40, ha="right")
     axes.set_yticks(range(len(rows)), [_name(found, w) for w in rows])
     axes.set_xlabel("behind")
@@ -125,8 +144,14 @@
         at = [key * found.slot_seconds - begin for key in pace.slots]
         if number in named:
             n = sorted(named).index(number)
-            axes.plot(at, list(pace.slots.values()), color=COLOURS[n % 8], marker="osv^D*"[n % 6],
-                      markersize=4, label=f"shelf {number}")
+            axes.plot(
+                at,
+                list(pace.slots.values()),
+                color=COLOURS[n % 8],
+                marker="osv^D*"[n % 6],
+                markersize=4,
+                label=f"shelf {number}",
+            )
         else:
             axes.plot(at, list(pace.slots.values()), color="#999999", linewidth=0.8)
     axes.axhline(1.0, color="black", linewidth=0.5, linestyle=":")
--- a/gorsethread/accounts/report.py
+++ b/gorsethread/accounts/report.py
@@ -77,12 +77,15 @@
     if causes:
         sentence = f"What made transactions wait: {'; '.join(causes)}."
     elif found.pressure < QUIET_BELOW:
-        sentence = ("Nothing stands out: of the time promised, "
-                    f"{part(found.pressure, 1.0)} went on waiting; no volume or shelf is to blame for it.")
+        sentence = (
+            "Nothing stands out: of the time promised, "
+            f"{part(found.pressure, 1.0)} went on waiting; no volume or shelf is to blame for it."
+        )
     else:
         sentence = (
             f"Transactions waited ({part(found.pressure, 1.0)} of the time promised), but no volume is far "
-            f"over its usual traffic and no shelf slower than its past and its peers{_most(found)}.")
+            f"over its usual traffic and no shelf slower than its past and its peers{_most(found)}."
+        )
     answer = Answer(sentence, _sure(found, lives, found.unknown), _notes(found))
     answer.tables = [_volumes(found), _holders(found, None), _shelves(found)]
     return answer
@@ -99,16 +102,19 @@
         elif b.holder in others:
             others[b.holder] += us
     for volume, times in sorted(found.floods.items(), key=lambda f: -own[f[0]] - others[f[0]]):
-        said.append(f"volume {found.known.volume(volume)} asked for {times:.1f} times its usual "
-                    f"({part(own[volume], total)} of all waiting was its own, {part(others[volume], total)} "
-                    "was others' behind it)")
+        said.append(
+            f"volume {found.known.volume(volume)} asked for {times:.1f} times its usual "
+            f"({part(own[volume], total)} of all waiting was its own, {part(others[volume], total)} "
+            "was others' behind it)"
+        )
     for shelf, slow in sorted(found.slow.items(), key=lambda s: -s[1]):
-        said.append(f"shelf {shelf} took {slow:.1f} times as long for the same work as it usually does "
-                    "and as its peers do")
+        said.append(
+            f"shelf {shelf} took {slow:.1f} times as long for the same work as it usually does "
+            "and as its peers do"
+        )
     for shelf, stalled in sorted(found.stopped.items()):
         if shelf not in found.slow or stalled > 0.3:
-            said.append(f"shelf {shelf} stood still or did not answer "
-                        f"({part(stalled, 1.0)} of the time)")
+            said.append(f"shelf {shelf} stood still or did not answer " f"({part(stalled, 1.0)} of the time)")
     return said
 
 
@@ -122,15 +128,23 @@
             return Answer(f"Volume {name} had no transaction in that time.", "sure", _notes(found))
         return Answer(
             f"Volume {name} is among the light ones: at most {most} transactions, which waited at most "
-            f"{ms(waited)} in all.", f"estimates are never too low, and too high by at most {ERROR:.2%} "
-            f"of the rest's total in {SURE:.0%} of cases", _notes(found))
+            f"{ms(waited)} in all.",
+            f"estimates are never too low, and too high by at most {ERROR:.2%} "
+            f"of the rest's total in {SURE:.0%} of cases",
+            _notes(found),
+        )
     waited = row.waited_us
     holders = found.holders(volume)
     blamed = sum(holders.values())
-    parts = [_held_by(found, volume, holder, shelf, us / blamed)
-             for (holder, shelf), us in holders.most_common(3) if blamed and us / blamed >= NAMED]
-    sentence = (f"Volume {name}'s {row.lives} transactions spent {part(waited, row.life_us)} of their time "
-                f"waiting")
+    parts = [
+        _held_by(found, volume, holder, shelf, us / blamed)
+        for (holder, shelf), us in holders.most_common(3)
+        if blamed and us / blamed >= NAMED
+    ]
+    sentence = (
+        f"Volume {name}'s {row.lives} transactions spent {part(waited, row.life_us)} of their time "
+        f"waiting"
+    )
     if waited < 0.1 * row.life_us or waited / row.lives < 2000:
         sentence += ": nothing held it up."
     elif parts:
@@ -198,10 +212,15 @@
     """What changed between two times."""
     all_before, all_after = _all(before), _all(after)
     life_a, life_b = (row.life_us / max(1, row.lives) for row in (all_before, all_after))
-    new = [cause for cause in _causes(after) if cause.split(" asked")[0].split(" took")[0] not in
-           " ".join(_causes(before))]
-    moved = (f"A transaction took {ms(life_b)} on average, {life_b / max(1.0, life_a):.2f} times as long "
-             "as before")
+    new = [
+        cause
+        for cause in _causes(after)
+        if cause.split(" asked")[0].split(" took")[0] not in " ".join(_causes(before))
+    ]
+    moved = (
+        f"A transaction took {ms(life_b)} on average, {life_b / max(1.0, life_a):.2f} times as long "
+        "as before"
+    )
     if new:
         sentence = f"{moved}; new is: {'; '.join(new)}."
     elif life_b > 1.2 * life_a:
@@ -209,8 +228,9 @@
     else:
         sentence = f"{moved}; nothing new stands out."
     lives = min(all_before.lives, all_after.lives)
-    answer = Answer(sentence, _sure(after, lives, max(before.unknown, after.unknown)),
-                    [*_notes(before), *_notes(after)])
+    answer = Answer(
+        sentence, _sure(after, lives, max(before.unknown, after.unknown)), [*_notes(before), *_notes(after)]
+    )
     rows: list[tuple[str, ...]] = []
     for stage in Stage:
         a, b = (row.stages[stage] / max(1, row.lives) for row in (all_before, all_after))
@@ -222,6 +242,7 @@
 
 # ---- pieces
 
+
 def _all(found: Findings) -> Row:
     whole = Row()
     for row in found.whole.all_rows():
@@ -245,8 +266,11 @@
     if unknown > 0.3:
         return f"a guess: of {part(unknown, 1.0)} of the waiting nobody knows who held it"
     if unknown > 0.1 or found.gaps:
-        reason = f"of {part(unknown, 1.0)} of the waiting nobody knows who held it" if unknown > 0.1 else (
-            "some heads' figures are missing for a part of the time")
+        reason = (
+            f"of {part(unknown, 1.0)} of the waiting nobody knows who held it"
+            if unknown > 0.1
+            else ("some heads' figures are missing for a part of the time")
+        )
         return f"likely: {reason}"
     return f"sure: it rests on {lives} transactions, {part(unknown, 1.0)} of the waiting is unknown"
 
@@ -254,7 +278,8 @@
 def _notes(found: Findings) -> list[str]:
     notes = [
         f"head {g.head} has no figures for {g.end - g.start:.1f} s from second {g.start - _begin(found):.1f}"
-        + (" (it ended without a last snapshot)" if g.died else "") for g in found.gaps
+        + (" (it ended without a last snapshot)" if g.died else "")
+        for g in found.gaps
     ]
     if found.whole.remainders:
         notes.append(f"DEFECT: the stages of {found.whole.remainders} transactions do not sum to their lives")
@@ -279,25 +304,59 @@
     for volume, row in sorted(by_volume.items(), key=lambda v: (-v[1].waited_us, v[0]))[:20]:
         usual = found.known.usual.get(volume, 0.0) * found.seconds
         asked = all_asked.get(volume, 0)
-        rows.append((found.known.volume(volume), str(row.lives), part(row.late, row.lives),
-                     ms(quantile(row, STAGES, 0.5)), ms(quantile(row, STAGES, 0.99)), ms(row.waited_us),
-                     ms(held[volume]), f"{asked / usual:.1f}" if usual else "-"))
+        rows.append(
+            (
+                found.known.volume(volume),
+                str(row.lives),
+                part(row.late, row.lives),
+                ms(quantile(row, STAGES, 0.5)),
+                ms(quantile(row, STAGES, 0.99)),
+                ms(row.waited_us),
+                ms(held[volume]),
+                f"{asked / usual:.1f}" if usual else "-",
+            )
+        )
     rest = Row()
     for row in found.whole.rest.values():
         rest.merge(row)
     if rest.lives:
-        rows.append(("all others", str(rest.lives), part(rest.late, rest.lives),
-                     ms(quantile(rest, STAGES, 0.5)), ms(quantile(rest, STAGES, 0.99)), ms(rest.waited_us),
-                     "-", "-"))
-    columns = ("volume", "transactions", "late", "median", "99th percentile", "waited in all",
-               "held others up", "times its usual")
+        rows.append(
+            (
+                "all others",
+                str(rest.lives),
+                part(rest.late, rest.lives),
+                ms(quantile(rest, STAGES, 0.5)),
+                ms(quantile(rest, STAGES, 0.99)),
+                ms(rest.waited_us),
+                "-",
+                "-",
+            )
+        )
+    columns = (
+        "volume",
+        "transactions",
+        "late",
+        "median",
+        "99th percentile",
+        "waited in all",
+        "held others up",
+        "times its usual",
+    )
     return Table("Volumes that waited most", columns, rows)
 
 
 def _stages(row: Row) -> Table:
-    rows = [(WORDS[stage], ms(row.stages[stage] / row.lives), part(row.stages[stage], row.life_us),
-             ms(quantile(row, stage, 0.99)), "waiting" if stage in WAITS else "")
-            for stage in Stage if row.stages[stage]]
+    rows = [
+        (
+            WORDS[stage],
+            ms(row.stages[stage] / row.lives),
+            part(row.stages[stage], row.life_us),
+            ms(quantile(row, stage, 0.99)),
+            "waiting" if stage in WAITS else "",
+        )
+        for stage in Stage
+        if row.stages[stage]
+    ]
     rows.append(("the whole life", ms(row.life_us / row.lives), "100%", ms(quantile(row, STAGES, 0.99)), ""))
     columns = ("stage", "mean", "part", "99th percentile of those with any", "")
     return Table("Where its time went", columns, rows)
@@ -309,15 +368,19 @@
         if waiter in (None, b.waiter):
             pairs[b.waiter, b.holder, b.shelf] += us
     total = sum(pairs.values())
-    rows = [(_who(found.known, w), _who(found.known, h), str(s) if s >= 0 else "-", ms(us), part(us, total))
-            for (w, h, s), us in sorted(pairs.items(), key=lambda p: (-p[1], p[0]))[:20]]
+    rows = [
+        (_who(found.known, w), _who(found.known, h), str(s) if s >= 0 else "-", ms(us), part(us, total))
+        for (w, h, s), us in sorted(pairs.items(), key=lambda p: (-p[1], p[0]))[:20]
+    ]
     return Table("Who waited behind whom", ("waited", "behind", "shelf", "time", "part"), rows)
 
 
 def _pairs(found: Findings, pairs: Counter[tuple[int, int]], title: str) -> Table:
     total = sum(pairs.values())
-    rows = [(_who(found.known, w), _who(found.known, h), ms(us), part(us, total))
-            for (w, h), us in sorted(pairs.items(), key=lambda p: (-p[1], p[0]))[:20]]
+    rows = [
+        (_who(found.known, w), _who(found.known, h), ms(us), part(us, total))
+        for (w, h), us in sorted(pairs.items(), key=lambda p: (-p[1], p[0]))[:20]
+    ]
     return Table(title, ("waited", "behind", "time", "part"), rows)
 
 
@@ -326,7 +389,28 @@
 
 
 def _shelves(found: Findings) -> Table:
-    rows = [(str(p.number), str(p.count), f"{p.slow:.2f}", f"{max(p.slots.values(), default=1.0):.2f}",
-             part(p.stalled, 1.0), str(p.lost), ms(p.wait_us)) for p in found.paces.values()]
-    return Table("Shelves beside their peers", ("shelf", "honoured", "work, times usual", "worst slot",
-                                                "stood still", "lost forwards", "waited in its queue"), rows)
+    rows = [
+        (
+            str(p.number),
+            str(p.count),
+            f"{p.slow:.2f}",
+            f"{max(p.slots.values(), default=1.0):.2f}",
+            part(p.stalled, 1.0),
+            str(p.lost),
+            ms(p.wait_us),
+        )
+        for p in found.paces.values()
+    ]
+    return Table(
+        "Shelves beside their peers",
+        (
+            "shelf",
+            "honoured",
+            "work, times usual",
+            "worst slot",
+            "stood still",
+            "lost forwards",
+            "waited in its queue",
+        ),
+        rows,
+    )
--- a/gorsethread/accounts/sketch.py
+++ b/gorsethread/accounts/sketch.py
@@ -29,8 +29,12 @@
         """The volume's cell in each row."""
         h = xxhash.xxh3_64_intdigest(volume.to_bytes(8, "little"))
         mask = WIDTH - 1
-        return (h & mask, WIDTH + (h >> 16 & mask), 2 * WIDTH + (h >> 32 & mask),
-                3 * WIDTH + (h >> 48 & mask))
+        return (
+            h & mask,
+            WIDTH + (h >> 16 & mask),
+            2 * WIDTH + (h >> 32 & mask),
+            3 * WIDTH + (h >> 48 & mask),
+        )
 
     def add(self, places: tuple[int, int, int, int], amount: int) -> None:
         cells = self.cells
--- a/gorsethread/accounts/snapshots.py
+++ b/gorsethread/accounts/snapshots.py
@@ -51,12 +51,12 @@
 
 def decode(raw: bytes, site: str) -> Window:
     """BadSnapshot with the reason. site: the name of the one whose snapshots are wanted."""
-    if len(raw) < FRAME.size or raw[:len(MAGIC)] != MAGIC:
-        raise BadSnapshot("is no snapshot of accounts" if raw[:len(MAGIC)] != MAGIC else "is cut short")
+    if len(raw) < FRAME.size or raw[: len(MAGIC)] != MAGIC:
+        raise BadSnapshot("is no snapshot of accounts" if raw[: len(MAGIC)] != MAGIC else "is cut short")
     _, version, length, crc = FRAME.unpack_from(raw)
     if version != VERSION:
         raise BadSnapshot(f"is of version {version}; this program reads version {VERSION}")
-    payload = raw[FRAME.size:]
+    payload = raw[FRAME.size :]
     if len(payload) < length:
         raise BadSnapshot(f"is cut short: {len(payload)} of {length} bytes")
     if len(payload) > length or google_crc32c.value(payload) != crc:
@@ -81,11 +81,22 @@
 
 
 def _row(entry: pb.Row) -> Row:
-    if (len(entry.outcome) != len(Outcome) or len(entry.stage) != STAGES
-            or len(entry.bucket) != len(entry.count)):
+    if (
+        len(entry.outcome) != len(Outcome)
+        or len(entry.stage) != STAGES
+        or len(entry.bucket) != len(entry.count)
+    ):
         raise BadSnapshot("holds a row with other stages than this program's")
-    return Row(entry.lives, entry.late, entry.units, entry.life_us, list(entry.outcome), list(entry.stage),
-               dict(zip(entry.bucket, entry.count, strict=True)), entry.partly)
+    return Row(
+        entry.lives,
+        entry.late,
+        entry.units,
+        entry.life_us,
+        list(entry.outcome),
+        list(entry.stage),
+        dict(zip(entry.bucket, entry.count, strict=True)),
+        entry.partly,
+    )
 
 
 def _put_sketch(entry: pb.Sketch, sketch: Sketch) -> None:
@@ -117,9 +128,13 @@
     window.lives, window.waited = _sketch(message.lives), _sketch(message.waited)
     window.blame = {Blamed(b.waiter, b.holder, b.shelf, b.stage): b.us for b in message.blame}
     window.shelves = {
-        s.number: ShelfRow({c.order: [c.count, c.units, c.work_us] for c in getattr(s, "class")},
-                           {u.volume: u.units for u in s.units}, {e.how: e.count for e in s.ended}, s.wait_us,
-                           s.stalled_us)
+        s.number: ShelfRow(
+            {c.order: [c.count, c.units, c.work_us] for c in getattr(s, "class")},
+            {u.volume: u.units for u in s.units},
+            {e.how: e.count for e in s.ended},
+            s.wait_us,
+            s.stalled_us,
+        )
         for s in message.shelf
     }
     return window
--- a/gorsethread/accounts/stages.py
+++ b/gorsethread/accounts/stages.py
@@ -31,24 +31,54 @@
 
 STAGES = len(Stage)
 WORDS = {
-    Stage.ARRIVING: "its data arriving", Stage.HEAD: "the head's own work", Stage.SLOTS: "slots taken",
-    Stage.RATE: "rate of the shelf", Stage.LIMIT: "limit", Stage.COLD: "cold ramp",
-    Stage.KEY_TURN: "turn of its key", Stage.REST: "rest after a miss", Stage.SILENT: "shelf silent",
-    Stage.NO_SHELF: "no shelf known", Stage.BUDGET: "budget of forwards", Stage.HELD_UNKNOWN: "held, unknown",
-    Stage.WAY_THERE: "on the way", Stage.AT_SHELF: "waiting at the shelf", Stage.WORK: "in work",
-    Stage.WAY_BACK: "on the way back", Stage.LOST_FORWARD: "lost forwards",
+    Stage.ARRIVING: "its data arriving",
+    Stage.HEAD: "the head's own work",
+    Stage.SLOTS: "slots taken",
+    Stage.RATE: "rate of the shelf",
+    Stage.LIMIT: "limit",
+    Stage.COLD: "cold ramp",
+    Stage.KEY_TURN: "turn of its key",
+    Stage.REST: "rest after a miss",
+    Stage.SILENT: "shelf silent",
+    Stage.NO_SHELF: "no shelf known",
+    Stage.BUDGET: "budget of forwards",
+    Stage.HELD_UNKNOWN: "held, unknown",
+    Stage.WAY_THERE: "on the way",
+    Stage.AT_SHELF: "waiting at the shelf",
+    Stage.WORK: "in work",
+    Stage.WAY_BACK: "on the way back",
+    Stage.LOST_FORWARD: "lost forwards",
     Stage.UNDIVIDED: "out, not divided",
 }
 STAGE_OF = {
-    Held.SLOTS: Stage.SLOTS, Held.RATE: Stage.RATE, Held.LIMIT: Stage.LIMIT, Held.COLD: Stage.COLD,
-    Held.KEY_TURN: Stage.KEY_TURN, Held.REST: Stage.REST, Held.SILENT: Stage.SILENT,
-    Held.NO_SHELF: Stage.NO_SHELF, Held.BUDGET: Stage.BUDGET, Held.UNKNOWN: Stage.HELD_UNKNOWN,
+    Held.SLOTS: Stage.SLOTS,
+    Held.RATE: Stage.RATE,
+    Held.LIMIT: Stage.LIMIT,
+    Held.COLD: Stage.COLD,
+    Held.KEY_TURN: Stage.KEY_TURN,
+    Held.REST: Stage.REST,
+    Held.SILENT: Stage.SILENT,
+    Held.NO_SHELF: Stage.NO_SHELF,
+    Held.BUDGET: Stage.BUDGET,
+    Held.UNKNOWN: Stage.HELD_UNKNOWN,
     Held.NOT: Stage.HELD_UNKNOWN,
 }
 # Time that somebody or something made it wait; work and ways are what any transaction takes.
-WAITS = (Stage.SLOTS, Stage.RATE, Stage.LIMIT, Stage.COLD, Stage.KEY_TURN, Stage.REST, Stage.SILENT,
-         Stage.NO_SHELF, Stage.BUDGET, Stage.HELD_UNKNOWN, Stage.AT_SHELF, Stage.LOST_FORWARD,
-         Stage.UNDIVIDED)
+WAITS = (
+    Stage.SLOTS,
+    Stage.RATE,
+    Stage.LIMIT,
+    Stage.COLD,
+    Stage.KEY_TURN,
+    Stage.REST,
+    Stage.SILENT,
+    Stage.NO_SHELF,
+    Stage.BUDGET,
+    Stage.HELD_UNKNOWN,
+    Stage.AT_SHELF,
+    Stage.LOST_FORWARD,
+    Stage.UNDIVIDED,
+)
 
 
 # Holders that are no volume; volumes have their own numbers, from 1.
@@ -57,8 +87,13 @@
 UNKNOWN = -3
 OTHERS = -4  # volumes past the matrix's bound
 LIST = -5
-HOLDER_WORDS = {SHELF: "the shelf itself", HEAD: "the head's decision", UNKNOWN: "unknown",
-                OTHERS: "volumes not told apart", LIST: "no shelf in the list"}
+HOLDER_WORDS = {
+    SHELF: "the shelf itself",
+    HEAD: "the head's decision",
+    UNKNOWN: "unknown",
+    OTHERS: "volumes not told apart",
+    LIST: "no shelf in the list",
+}
 
 
 def bucket_of(us: int) -> int:
--- a/gorsethread/accounts/window.py
+++ b/gorsethread/accounts/window.py
@@ -149,8 +149,16 @@
 
     # ---- filling
 
-    def life(self, volume: int, profile: int, units: int, outcome: Outcome, late: bool,
-             stages: list[int], life_us: int) -> None:
+    def life(
+        self,
+        volume: int,
+        profile: int,
+        units: int,
+        outcome: Outcome,
+        late: bool,
+        stages: list[int],
+        life_us: int,
+    ) -> None:
         """Counted with others later; nothing is to be read before settle()."""
         self._fresh.append((volume, profile, units, outcome, late, life_us, *stages))
         if len(self._fresh) >= FRESH_MOST:
@@ -164,8 +172,16 @@
         volume, profile, units, outcome, late, life = table[:6]
         self.together(volume, profile, units, outcome, late, dict(enumerate(table[6:])), life)
 
-    def together(self, volume: Numbers, profile: Numbers, units: Numbers, outcome: Numbers, late: Numbers,
-                 stages: Mapping[int, Numbers], life: Numbers) -> None:
+    def together(
+        self,
+        volume: Numbers,
+        profile: Numbers,
+        units: Numbers,
+        outcome: Numbers,
+        late: Numbers,
+        stages: Mapping[int, Numbers],
+        life: Numbers,
+    ) -> None:
         """Many lives at once, as one by one each costs several times as much. Stages that are not given, and
         the life, are microseconds; a stage that is not given took no time."""
         stages = {stage: us for stage, us in stages.items() if us.any()}
@@ -217,8 +233,11 @@
         if seen >= max(self._admitted_from, 8) or lives > 8:
             # A volume that turned heavy late takes the lightest row's place; what it did before stays in the
             # rest.
-            lightest = min((k for k in self.rows if k not in self._adding), default=None,
-                           key=lambda k: (self.rows[k].lives, k))
+            lightest = min(
+                (k for k in self.rows if k not in self._adding),
+                default=None,
+                key=lambda k: (self.rows[k].lives, k),
+            )
             least = self.rows[lightest].lives if lightest else seen
             self._admitted_from = 2 * least
             if lightest and seen > 2 * least:
@@ -282,9 +301,15 @@
     def __eq__(self, other: object) -> bool:
         if not isinstance(other, Window):
             return NotImplemented
-        return (self.spans == other.spans and self.rows == other.rows and self.rest == other.rest
-                and self.blame == other.blame and self.shelves == other.shelves
-                and self.lives.cells == other.lives.cells and self.waited.cells == other.waited.cells
-                and (self.remainders, self.disorders) == (other.remainders, other.disorders))
+        return (
+            self.spans == other.spans
+            and self.rows == other.rows
+            and self.rest == other.rest
+            and self.blame == other.blame
+            and self.shelves == other.shelves
+            and self.lives.cells == other.lives.cells
+            and self.waited.cells == other.waited.cells
+            and (self.remainders, self.disorders) == (other.remainders, other.disorders)
+        )
 
     __hash__ = None  # type: ignore[assignment]
--- a/gorsethread/benchlink/__main__.py
+++ b/gorsethread/benchlink/__main__.py
@@ -111,15 +111,33 @@
             raise Malformed(f"{verb} for {name}, which is not up")
         policy = self.heads[name][0]
         if verb == "order":
-            policy.request_taken(RequestTaken(
-                e["corr"], e["tierClass"], e["contract"], e.get("item"), e["dropDead"], e["vol"],
-                e["quotaUnits"], e["slotNo"], e["setSize"], bool(e.get("stateBits", 0) & CLIENT_REPEAT),
-            ))
+            policy.request_taken(
+                RequestTaken(
+                    e["corr"],
+                    e["tierClass"],
+                    e["contract"],
+                    e.get("item"),
+                    e["dropDead"],
+                    e["vol"],
+                    e["quotaUnits"],
+                    e["slotNo"],
+                    e["setSize"],
+                    bool(e.get("stateBits", 0) & CLIENT_REPEAT),
+                )
+            )
         elif verb == "done":
-            policy.attempt_ended(AttemptEnded(
-                e["corr"], e["shot"], word(ENDINGS, e["how"]), e["shelf"], e["elapsed"],
-                bool(e.get("doneFlag")), e.get("delta", 0), e.get("usage", 0),
-            ))
+            policy.attempt_ended(
+                AttemptEnded(
+                    e["corr"],
+                    e["shot"],
+                    word(ENDINGS, e["how"]),
+                    e["shelf"],
+                    e["elapsed"],
+                    bool(e.get("doneFlag")),
+                    e.get("delta", 0),
+                    e.get("usage", 0),
+                )
+            )
         elif verb == "due":
             policy.woken(e["keyBack"])
         elif verb == "cancelledByClient":
@@ -133,8 +151,13 @@
                 raise Malformed(f"page {e['page']} was never sent")
             policy.list_begins(e["form"] != "changes", e["form"] == "remembered")
             for s in entries:
-                policy.shelf_listed(s["shelf"], s["rackZone"], s.get("pod", -1),
-                                    s["condition"] == "Ready", s.get("since", 0.0))
+                policy.shelf_listed(
+                    s["shelf"],
+                    s["rackZone"],
+                    s.get("pod", -1),
+                    s["condition"] == "Ready",
+                    s.get("since", 0.0),
+                )
             policy.list_ended()
         elif verb == "peer":
             policy.peer_told(e["originPeer"], e["raw"])
--- a/gorsethread/branch/bases.py
+++ b/gorsethread/branch/bases.py
@@ -8,7 +8,7 @@
 
 
 def digests(data: bytes, block_bytes: int) -> list[int]:
-    return [xxhash.xxh3_64_intdigest(data[at:at + block_bytes]) for at in range(0, len(data), block_bytes)]
+    return [xxhash.xxh3_64_intdigest(data[at : at + block_bytes]) for at in range(0, len(data), block_bytes)]
 
 
 def base_of(parts: list[int]) -> int:
--- a/gorsethread/branch/queue.py
+++ b/gorsethread/branch/queue.py
@@ -68,8 +68,12 @@
     """values: of all profiles that may be queued, for what is refused first. beyond: told of a write of the
     branch's other head whether it is known to be over."""
 
-    def __init__(self, bounds: Bounds, values: tuple[float, ...],
-                 beyond: Callable[[Number], bool] = lambda number: True) -> None:
+    def __init__(
+        self,
+        bounds: Bounds,
+        values: tuple[float, ...],
+        beyond: Callable[[Number], bool] = lambda number: True,
+    ) -> None:
         self.bounds, self.values, self.beyond = bounds, sorted(values), beyond
         self.held: dict[Number, Held] = {}  # in order of acceptance; emptied by what is in effect
         self.size = 0
@@ -111,8 +115,14 @@
         h.stage = Stage.WAITS
         self._falls_with(h)
 
-    def accepted(self, write: Write, stage: Stage = Stage.WAITS, reason: str = "",
-                 suspects: tuple[int, ...] = (), anyway: bool = False) -> None:
+    def accepted(
+        self,
+        write: Write,
+        stage: Stage = Stage.WAITS,
+        reason: str = "",
+        suspects: tuple[int, ...] = (),
+        anyway: bool = False,
+    ) -> None:
         """It is on disk, by what was read there: stage and reason as they were told last."""
         self.taking(write)
         h = self.held[write.number]
@@ -129,8 +139,20 @@
 
     def again(self, label: int, volume: int, block: int) -> Number | None:
         """The write that a client's repeat is one of, where it was accepted."""
-        return next((n for n, h in self.held.items() if h.stage is not Stage.TAKING and h.write.label == label
-                     and (h.write.volume, h.write.block) == (volume, block)), None) if label else None
+        return (
+            next(
+                (
+                    n
+                    for n, h in self.held.items()
+                    if h.stage is not Stage.TAKING
+                    and h.write.label == label
+                    and (h.write.volume, h.write.block) == (volume, block)
+                ),
+                None,
+            )
+            if label
+            else None
+        )
 
     # ---- replay
 
@@ -228,8 +250,9 @@
             if number in o.write.others and o.stage in (Stage.WAITS, Stage.UNKNOWN):
                 self.park(other, f"{DEPENDS} one of head {number.branch}, which is parked")
 
-    def freed(self, number: Number,
-              elsewhere: Callable[[Number], bool] = lambda number: False) -> list[Number]:
+    def freed(
+        self, number: Number, elsewhere: Callable[[Number], bool] = lambda number: False
+    ) -> list[Number]:
         """That write, of either head, is parked no more, or over: with it goes what was parked for its sake
         alone. elsewhere: whether one of the other head is parked."""
         found = [number]
@@ -237,8 +260,12 @@
             for other, o in self.held.items():
                 held_up = any(c in self.held and self.held[c].stage is Stage.PARKED for c in o.write.own)
                 held_up = held_up or any(elsewhere(c) for c in o.write.others)
-                if o.stage is Stage.PARKED and n in o.write.causes and o.reason.startswith(DEPENDS) and (
-                        not held_up):
+                if (
+                    o.stage is Stage.PARKED
+                    and n in o.write.causes
+                    and o.reason.startswith(DEPENDS)
+                    and (not held_up)
+                ):
                     o.stage, o.reason = Stage.UNKNOWN if o.suspects else Stage.WAITS, RELEASED
                     found.append(other)
         return found[1:]
@@ -246,8 +273,7 @@
     def discard(self, number: Number) -> bool:
         """It is given up, by a person. False: it is not parked, or another depends on it."""
         h = self.held.get(number)
-        if h is None or h.stage is not Stage.PARKED or any(
-                number in o.write.own for o in self.held.values()):
+        if h is None or h.stage is not Stage.PARKED or any(number in o.write.own for o in self.held.values()):
             return False
         self._end(number)
         return True
@@ -282,4 +308,3 @@
             self.size -= h.write.size
             if self._key_last.get(h.write.key) == number:
                 del self._key_last[h.write.key]
-
--- a/gorsethread/branch/shadow.py
+++ b/gorsethread/branch/shadow.py
@@ -45,13 +45,15 @@
 
     def last(self, volume: int, block: int, blocks: int) -> list[Number | None]:
         """Of each block the last write of it."""
-        return [line[-1] if (line := self._blocks.get((volume, n))) else None
-                for n in range(block, block + blocks)]
+        return [
+            line[-1] if (line := self._blocks.get((volume, n))) else None
+            for n in range(block, block + blocks)
+        ]
 
     def data(self, number: Number, block: int) -> bytes:
         w = self._writes[number]
         at = (block - w.block) * self.block_bytes
-        return w.data[at:at + self.block_bytes]
+        return w.data[at : at + self.block_bytes]
 
     def __contains__(self, number: Number) -> bool:
         return number in self._writes
--- a/gorsethread/branch/writes.py
+++ b/gorsethread/branch/writes.py
@@ -65,9 +65,11 @@
         self.seen = {n for n in self.seen if not over(n)}
 
 
-def causes(branch: int, known: Iterable[Number],
-           unsure: Callable[[Number], Iterable[Number]] = lambda number: (),
-           ) -> tuple[tuple[Number, ...], tuple[Number, ...]] | None:
+def causes(
+    branch: int,
+    known: Iterable[Number],
+    unsure: Callable[[Number], Iterable[Number]] = lambda number: (),
+) -> tuple[tuple[Number, ...], tuple[Number, ...]] | None:
     """Of the own head and of others, as a Write names them; None: too many. unsure: of one that may yet be
     taken back, as it is still on its way to the disks, what it comes after: these are named too, since
     without it nothing else would."""
--- a/gorsethread/cli/branch.py
+++ b/gorsethread/cli/branch.py
@@ -46,8 +46,9 @@
         try:
             if not any(head in b.head for b in known.branch):
                 raise NoBranch(f"head {head} is in no branch of {known.name}")
-            found["answer"] = await ask_branch(transport, split_address(address), fleet_of(known), what,
-                                               number)
+            found["answer"] = await ask_branch(
+                transport, split_address(address), fleet_of(known), what, number
+            )
         except (NoBranch, NoAnswer) as trouble:
             found["trouble"] = trouble
 
@@ -104,8 +105,14 @@
     answer = _asked(site, head, "parked")
     table = Table("write", "volume", "block", "bytes", "age, s", "reason")
     for p in answer["parked"]:
-        table.add_row(_named(p["number"]), str(p["volume"]), str(p["block"]), str(p["bytes"]), str(p["age"]),
-                      p["reason"])
+        table.add_row(
+            _named(p["number"]),
+            str(p["volume"]),
+            str(p["block"]),
+            str(p["bytes"]),
+            str(p["age"]),
+            p["reason"],
+        )
     Console(stderr=json_path == "-").print(table)
     write_json(answer, json_path)
     raise typer.Exit(1 if answer["parked"] else 0)
@@ -121,9 +128,15 @@
 
 
 @app.command()
-def discard(site: SitePath, head: Head, number: Number, again: Annotated[str, typer.Option(
-        "--yes", help="The same number once more: what is discarded is gone for good.")] = "",
-        json_path: Json = "") -> None:
+def discard(
+    site: SitePath,
+    head: Head,
+    number: Number,
+    again: Annotated[
+        str, typer.Option("--yes", help="The same number once more: what is discarded is gone for good.")
+    ] = "",
+    json_path: Json = "",
+) -> None:
     """A parked write is given up for good; a record of that stays on the disk."""
     if again != number:
         typer.echo(f"what is discarded is gone for good: say --yes {number}", err=True)
--- a/gorsethread/cli/faults.py
+++ b/gorsethread/cli/faults.py
@@ -34,15 +34,19 @@
 DEFAULT_SITE = Path("deploy/site.txtpb")
 SHOWN_MOST = 10
 
-app = typer.Typer(name="faults", no_args_is_help=True,
-                  help="The whole program under one seed, on a virtual clock, with every rule judged.")
+app = typer.Typer(
+    name="faults",
+    no_args_is_help=True,
+    help="The whole program under one seed, on a virtual clock, with every rule judged.",
+)
 
 What = Annotated[str, typer.Argument(help="A seed, or the path of a script.")]
 Planted = Annotated[str, typer.Option(help="Plant this defect in every head (see 'faults mutants').")]
 AtOnce = Annotated[int, typer.Option(help="Worlds side by side; 0: as many as there are cores.")]
 Web = Annotated[bool, typer.Option("--web", help="Heads on the operators' platform, not the NVMe front.")]
-Kept = Annotated[bool, typer.Option(
-    "--records", help="Heads that keep records and copies, on disks that fail.")]
+Kept = Annotated[
+    bool, typer.Option("--records", help="Heads that keep records and copies, on disks that fail.")
+]
 JsonPath = Annotated[str, typer.Option("--json", help="Write the result here; - for standard output.")]
 
 
@@ -77,16 +81,23 @@
     """The one defect whose name has this in it."""
     found = [m for m in _mutants_of(web, kept) if name in m] if name else [""]
     if len(found) != 1:
-        typer.echo(f"--mutant: {name!r} is in the names of {len(found)} defects; see 'faults mutants'",
-                   err=True)
+        typer.echo(
+            f"--mutant: {name!r} is in the names of {len(found)} defects; see 'faults mutants'", err=True
+        )
         raise typer.Exit(2)
     return found[0]
 
 
 @app.command()
-def run(site: SitePath = DEFAULT_SITE,
-        seeds: Annotated[str, typer.Option(help="First and last.")] = "0..199", at_once: AtOnce = 0,
-        mutant: Planted = "", web: Web = False, kept: Kept = False, json_path: JsonPath = "") -> None:
+def run(
+    site: SitePath = DEFAULT_SITE,
+    seeds: Annotated[str, typer.Option(help="First and last.")] = "0..199",
+    at_once: AtOnce = 0,
+    mutant: Planted = "",
+    web: Web = False,
+    kept: Kept = False,
+    json_path: JsonPath = "",
+) -> None:
     """Plays the worlds of many seeds. Status 0: every rule held in each, and nothing was left behind."""
     known, wanted, planted = site_at(site), _seeds(seeds), _mutant(mutant, web, kept)
     console = Console(stderr=json_path == "-")
@@ -99,13 +110,25 @@
     wall = wall_seconds() - began
     pairs = len(KINDS) * len(WEB_STATES if web else STATES)
     unreached = summary.unreached(web)
-    console.print(f"{summary.worlds} worlds, {summary.taken} transactions: {len(summary.failed)} failed. "
-                  f"{summary.virtual / wall:.0f} virtual seconds a real one, "
-                  f"{summary.virtual / summary.cost:.0f} a second of one core; {len(unreached)} of at most "
-                  f"{pairs} pairs of fault and state not met")
-    write_json({"worlds": summary.worlds, "taken": summary.taken, "failed": [vars(p) for p in summary.failed],
-            "virtual_seconds": summary.virtual, "wall_seconds": wall, "cpu_seconds": summary.cost,
-            "pairs": dict(sorted(summary.states.items())), "unreached": unreached}, json_path)
+    console.print(
+        f"{summary.worlds} worlds, {summary.taken} transactions: {len(summary.failed)} failed. "
+        f"{summary.virtual / wall:.0f} virtual seconds a real one, "
+        f"{summary.virtual / summary.cost:.0f} a second of one core; {len(unreached)} of at most "
+        f"{pairs} pairs of fault and state not met"
+    )
+    write_json(
+        {
+            "worlds": summary.worlds,
+            "taken": summary.taken,
+            "failed": [vars(p) for p in summary.failed],
+            "virtual_seconds": summary.virtual,
+            "wall_seconds": wall,
+            "cpu_seconds": summary.cost,
+            "pairs": dict(sorted(summary.states.items())),
+            "unreached": unreached,
+        },
+        json_path,
+    )
     raise typer.Exit(1 if summary.failed else 0)
 
 
@@ -114,18 +137,31 @@
     """Lists the acts that a script may have: whom each strikes and what else it takes."""
     table = Table("act", "strikes", "takes", "what it does")
     for name, kind in KINDS.items():
-        takes = [word for word, needed in (("-> or <-> whom", kind.to), ("by AMOUNT", kind.by),
-                                           ("for SECONDS", kind.lasts)) if needed]
+        takes = [
+            word
+            for word, needed in (
+                ("-> or <-> whom", kind.to),
+                ("by AMOUNT", kind.by),
+                ("for SECONDS", kind.lasts),
+            )
+            if needed
+        ]
         table.add_row(name, ", ".join(kind.strikes), " ".join(takes), kind.says)
     Console().print(table)
 
 
 @app.command()
-def replay(what: What, site: SitePath = DEFAULT_SITE, mutant: Planted = "", web: Web = False,
-           kept: Kept = False, json_path: JsonPath = "",
-           every: Annotated[bool, typer.Option(
-               "--all", help="Every step that shelves and clients saw, not just of what broke.")] = False,
-           ) -> None:
+def replay(
+    what: What,
+    site: SitePath = DEFAULT_SITE,
+    mutant: Planted = "",
+    web: Web = False,
+    kept: Kept = False,
+    json_path: JsonPath = "",
+    every: Annotated[
+        bool, typer.Option("--all", help="Every step that shelves and clients saw, not just of what broke.")
+    ] = False,
+) -> None:
     """Plays one world twice, checks that it was the same history, and tells it. Status 0: every rule held."""
     known = site_at(site)
     script, planted = _script(known, what, web, kept), _mutant(mutant, web, kept)
@@ -137,8 +173,12 @@
         hidden = ("t", "who", "e", "start")
         for r in outcome.records:
             facts = " ".join(f"{k}={v}" for k, v in r.items() if k not in hidden)
-            console.print(f"{r['t'] - zero:9.3f}  {r['who']:<18} {r['e']:<14} {facts}", markup=False,
-                          highlight=False, soft_wrap=True)
+            console.print(
+                f"{r['t'] - zero:9.3f}  {r['who']:<18} {r['e']:<14} {facts}",
+                markup=False,
+                highlight=False,
+                soft_wrap=True,
+            )
     for line in timeline(outcome, zero):
         console.print(line, markup=False, highlight=False, soft_wrap=True)
     counts = ", ".join(f"{n} {w}" for w, n in outcome.verdict.counts.items() if n)
@@ -147,22 +187,42 @@
     if not same:
         console.print("NOT THE SAME HISTORY TWICE: something rests on more than the seed")
     console.print("every rule held" if outcome.good else f"NOT GOOD: {', '.join(outcome.reasons)}")
-    write_json({"script": str(script), "reasons": outcome.reasons, "digest": outcome.digest, "same": same,
-            "counts": outcome.verdict.counts, "rules": outcome.verdict.rules}, json_path)
+    write_json(
+        {
+            "script": str(script),
+            "reasons": outcome.reasons,
+            "digest": outcome.digest,
+            "same": same,
+            "counts": outcome.verdict.counts,
+            "rules": outcome.verdict.rules,
+        },
+        json_path,
+    )
     raise typer.Exit(0 if outcome.good and same else 1)
 
 
 @app.command("shrink")
-def shrink_one(what: What, site: SitePath = DEFAULT_SITE, mutant: Planted = "", web: Web = False,
-               kept: Kept = False,
-               out: Annotated[str, typer.Option(help="Write the script here too.")] = "") -> None:
+def shrink_one(
+    what: What,
+    site: SitePath = DEFAULT_SITE,
+    mutant: Planted = "",
+    web: Web = False,
+    kept: Kept = False,
+    out: Annotated[str, typer.Option(help="Write the script here too.")] = "",
+) -> None:
     """Cuts a failing world down to the few faults and volumes that matter; the script comes on standard
     output. Status 2: it does not fail."""
     known, planted = site_at(site), _mutant(mutant, web, kept)
     console = Console(stderr=True)
     try:
-        small = shrink(known, _script(known, what, web, kept), planted,
-                       lambda line: console.print(line, markup=False, highlight=False), web, kept)
+        small = shrink(
+            known,
+            _script(known, what, web, kept),
+            planted,
+            lambda line: console.print(line, markup=False, highlight=False),
+            web,
+            kept,
+        )
     except ValueError as error:
         typer.echo(f"{what}: {error}", err=True)
         raise typer.Exit(2) from None
@@ -196,10 +256,15 @@
 
 
 @app.command()
-def mutants(site: SitePath = DEFAULT_SITE,
-            most: Annotated[int, typer.Option(help="Seeds to try for each.")] = 0, at_once: AtOnce = 0,
-            only: Annotated[str, typer.Option(help="Those with this in their name.")] = "",
-            web: Web = False, kept: Kept = False, json_path: JsonPath = "") -> None:
+def mutants(
+    site: SitePath = DEFAULT_SITE,
+    most: Annotated[int, typer.Option(help="Seeds to try for each.")] = 0,
+    at_once: AtOnce = 0,
+    only: Annotated[str, typer.Option(help="Those with this in their name.")] = "",
+    web: Web = False,
+    kept: Kept = False,
+    json_path: JsonPath = "",
+) -> None:
     """Lists the defects that can be planted; with --most, says how many seeds each takes to be caught.
     Status 1: one was not."""
     chosen = [name for name in _mutants_of(web, kept) if only in name]
--- a/gorsethread/cli/fleet.py
+++ b/gorsethread/cli/fleet.py
@@ -19,10 +19,16 @@
 from gorsethread.transport.real import RealTransport, run
 
 app = typer.Typer(name="fleet", no_args_is_help=True, help="What heads know of each other.")
-Fleet = Annotated[int, typer.Option(help="Which fleet, as its heads' logs name it; messages of another are "
-                                         "not listened to. Not needed with --site.")]
-Head = Annotated[str, typer.Option(help="Where the head's datagrams come in, on this machine; with --site "
-                                        "its number.")]
+Fleet = Annotated[
+    int,
+    typer.Option(
+        help="Which fleet, as its heads' logs name it; messages of another are "
+        "not listened to. Not needed with --site."
+    ),
+]
+Head = Annotated[
+    str, typer.Option(help="Where the head's datagrams come in, on this machine; with --site " "its number.")
+]
 Site = Annotated[str, typer.Option(help="The site file (protobuf text format) that the head runs by.")]
 Json = Annotated[str, typer.Option("--json", help="Write it here; - for standard output.")]
 
@@ -53,8 +59,11 @@
         raise _end(f"{site}: {error.strerror}") from None
     at = next((h.peers for h in known.head if str(h.number) == head), None)
     if not at:
-        raise _end(f"--head: {site} has no head {head!r}" if at is None else
-                   f"--head: head {head} of {site} has no address for peers")
+        raise _end(
+            f"--head: {site} has no head {head!r}"
+            if at is None
+            else f"--head: head {head} of {site} has no address for peers"
+        )
     return address_of(at, "head"), fleet_of(known)
 
 
@@ -90,13 +99,27 @@
     shown: Any = _asked(lambda transport: ask(transport, address, which), "show")
     table = Table("head", "state", "life", "incarnation", "zone", "address", "said by")
     for _, w in sorted(shown.words.items()):
-        table.add_row(str(w.name), _state(w), str(w.life), str(w.incarnation), str(w.zone),
-                      f"{w.host}:{w.port}", str(w.by))
+        table.add_row(
+            str(w.name),
+            _state(w),
+            str(w.life),
+            str(w.incarnation),
+            str(w.zone),
+            f"{w.host}:{w.port}",
+            str(w.by),
+        )
     console = Console(stderr=json_path == "-")
     console.print(table)
     console.print(f"head {shown.me.name}: {', '.join(shown.own) or 'not settled'}; view {shown.digest:08x}")
-    write_json({"head": shown.me.name, "own": shown.own, "digest": shown.digest,
-                "words": [w._asdict() for _, w in sorted(shown.words.items())]}, json_path)
+    write_json(
+        {
+            "head": shown.me.name,
+            "own": shown.own,
+            "digest": shown.digest,
+            "words": [w._asdict() for _, w in sorted(shown.words.items())],
+        },
+        json_path,
+    )
 
 
 @app.command()
@@ -112,10 +135,13 @@
 
 
 @app.command()
-def watch(head: Head, fleet: Fleet = 0, site: Site = "",
-          every: Annotated[float, typer.Option(help="Seconds between two looks.")] = 1.0,
-          seconds: Annotated[float, typer.Option("--for", help="Seconds to watch; 0: until ended.")] = 0.0,
-          ) -> None:
+def watch(
+    head: Head,
+    fleet: Fleet = 0,
+    site: Site = "",
+    every: Annotated[float, typer.Option(help="Seconds between two looks.")] = 1.0,
+    seconds: Annotated[float, typer.Option("--for", help="Seconds to watch; 0: until ended.")] = 0.0,
+) -> None:
     """Tells each change of one head's view as it comes, a line each, and when the head does not answer."""
     if every < 0.1 or seconds < 0:
         raise _end("--every is 0.1 or more, --for 0 or more")
@@ -154,17 +180,24 @@
 
 
 @app.command(hidden=True)
-def agent(number: Annotated[int, typer.Option()], listen: Annotated[str, typer.Option()],
-          address: Annotated[str, typer.Option()], fleet: Fleet, zone: int = 0,
-          contact: Annotated[list[str], typer.Option()] = []) -> None:  # noqa: B006
+def agent(
+    number: Annotated[int, typer.Option()],
+    listen: Annotated[str, typer.Option()],
+    address: Annotated[str, typer.Option()],
+    fleet: Fleet,
+    zone: int = 0,
+    contact: Annotated[list[str] | None, typer.Option()] = None,
+) -> None:
     """A process that keeps a view of the fleet and nothing else, until SIGTERM."""
     start_logs(True)
-    here, known = address_of(address, "address"), tuple(address_of(c, "contact") for c in contact)
+    here = address_of(address, "address")
+    known = tuple(address_of(c, "contact") for c in contact or [])
 
     async def work(transport: RealTransport) -> None:
         me = Word(number, 0, 0, State.ALIVE, zone, 0, *here, number)
-        side = FleetSide(transport, me, address_of(listen, "listen"), known, frozenset(known), fleet,
-                         log_for(head=number))
+        side = FleetSide(
+            transport, me, address_of(listen, "listen"), known, frozenset(known), fleet, log_for(head=number)
+        )
         transport.on_terminate(transport.finish)
         side.start()
         await transport.until_finished()
--- a/gorsethread/cli/main.py
+++ b/gorsethread/cli/main.py
@@ -37,7 +37,10 @@
 FELL = 3  # exit status of a shelf that was pushed over
 
 app = typer.Typer(
-    name="gorsethread", no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
+    name="gorsethread",
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
     help="A storage gateway: heads schedule hosts' reads and writes over shelves. "
     "Exit status: 0 done, 1 a rule broke or a defect, 2 bad input.",
 )
@@ -86,23 +89,38 @@
 
 
 @app.command()
-def head(site: SitePath, head: Annotated[int, typer.Option(help="Its number in the site file.")],
-         seed: Seed = 0, remember: Annotated[str, typer.Option(
-             help="File that keeps the last list of shelves across restarts.")] = "",
-         accounts: Annotated[str, typer.Option(
-             help="Folder for a snapshot of its latency accounts each window; none: no accounts.")] = "",
-         window: Annotated[float, typer.Option(help="Seconds of a window of the accounts.")] = 10.0,
-         records: Annotated[str, typer.Option(
-             help="Folder of this head's own for what others rely on, and for copies of other heads'; made "
-                  "where there is none. Without: nothing outlives the process.")] = "",
-         peers_listen: Annotated[str, typer.Option(
-             help="host:port where other heads' messages come in, if that is not its `peers` of the site "
-                  "file (behind a forwarder).")] = "",
-         log: LogOption = LogForm.console, log_level: str = "info",
-         sample: Annotated[str, typer.Option(
-             help="Sample CPU time by package; written here at the end.")] = "",
-         plant: Annotated[int, typer.Option(hidden=True)] = 0,
-         alternate: Annotated[str, typer.Option(hidden=True)] = "") -> None:
+def head(
+    site: SitePath,
+    head: Annotated[int, typer.Option(help="Its number in the site file.")],
+    seed: Seed = 0,
+    remember: Annotated[
+        str, typer.Option(help="File that keeps the last list of shelves across restarts.")
+    ] = "",
+    accounts: Annotated[
+        str,
+        typer.Option(help="Folder for a snapshot of its latency accounts each window; none: no accounts."),
+    ] = "",
+    window: Annotated[float, typer.Option(help="Seconds of a window of the accounts.")] = 10.0,
+    records: Annotated[
+        str,
+        typer.Option(
+            help="Folder of this head's own for what others rely on, and for copies of other heads'; made "
+            "where there is none. Without: nothing outlives the process."
+        ),
+    ] = "",
+    peers_listen: Annotated[
+        str,
+        typer.Option(
+            help="host:port where other heads' messages come in, if that is not its `peers` of the site "
+            "file (behind a forwarder)."
+        ),
+    ] = "",
+    log: LogOption = LogForm.console,
+    log_level: str = "info",
+    sample: Annotated[str, typer.Option(help="Sample CPU time by package; written here at the end.")] = "",
+    plant: Annotated[int, typer.Option(hidden=True)] = 0,
+    alternate: Annotated[str, typer.Option(hidden=True)] = "",
+) -> None:
     """Runs a head: clients in, decisions, shelves out. SIGTERM ends it in order."""
     start_logs(log is LogForm.json, log_level)
     known = site_at(site)
@@ -110,8 +128,9 @@
         typer.echo(f"{site}: head: there is no head {head}", err=True)
         raise typer.Exit(2)
     if window < 0.1 or accounts and not Path(accounts).is_dir():
-        typer.echo("--window is 0.1 or more" if window < 0.1 else f"--accounts: {accounts} is no folder",
-                   err=True)
+        typer.echo(
+            "--window is 0.1 or more" if window < 0.1 else f"--accounts: {accounts} is no folder", err=True
+        )
         raise typer.Exit(2)
     if peers_listen:
         fleet.address_of(peers_listen, "peers-listen")
@@ -120,8 +139,18 @@
     alternating: list[Alternating] = []
 
     def make(transport: RealTransport) -> Head:
-        made = Head(transport, known, head, seed, remember, logger, accounts=accounts, window=window,
-                    records=records, peers_listen=peers_listen)
+        made = Head(
+            transport,
+            known,
+            head,
+            seed,
+            remember,
+            logger,
+            accounts=accounts,
+            window=window,
+            records=records,
+            peers_listen=peers_listen,
+        )
         if plant:
             plant_break(made, plant)
         if alternate:
@@ -139,10 +168,16 @@
 
 
 @app.command()
-def shelf(site: SitePath, shelf: Annotated[int, typer.Option(help="Its number in the site file.")],
-          folder: Annotated[str, typer.Option(help="Where its bytes are kept.")], seed: Seed = 0,
-          warm: Annotated[bool, typer.Option("--warm", help="As if it had been up for long.")] = False,
-          record: RecordPath = "", script: ScriptPath = "", log: LogOption = LogForm.console) -> None:
+def shelf(
+    site: SitePath,
+    shelf: Annotated[int, typer.Option(help="Its number in the site file.")],
+    folder: Annotated[str, typer.Option(help="Where its bytes are kept.")],
+    seed: Seed = 0,
+    warm: Annotated[bool, typer.Option("--warm", help="As if it had been up for long.")] = False,
+    record: RecordPath = "",
+    script: ScriptPath = "",
+    log: LogOption = LogForm.console,
+) -> None:
     """Runs a stand-in shelf. Exit status 3: it was pushed over while cold."""
     start_logs(log is LogForm.json)
     known = site_at(site)
@@ -164,8 +199,13 @@
 
 
 @app.command("list")
-def node_list(site: SitePath, seed: Seed = 0, record: RecordPath = "", script: ScriptPath = "",
-              log: LogOption = LogForm.console) -> None:
+def node_list(
+    site: SitePath,
+    seed: Seed = 0,
+    record: RecordPath = "",
+    script: ScriptPath = "",
+    log: LogOption = LogForm.console,
+) -> None:
     """Runs the stand-in node list."""
     start_logs(log is LogForm.json)
     known = site_at(site)
@@ -179,12 +219,17 @@
 
 
 @app.command()
-def client(site: SitePath, tenant: Annotated[str, typer.Option(help="Whose applications to play.")],
-           seed: Seed = 0, seconds: float = 10.0,
-           factor: Annotated[float, typer.Option(help="Times the plans' usual traffic.")] = 1.0,
-           start_at: Annotated[float, typer.Option(help="On the machine's monotonic clock; 0: now.")] = 0.0,
-           surges: Annotated[str, typer.Option(help="Surges to play, as JSON.")] = "",
-           record: RecordPath = "", log: LogOption = LogForm.console) -> None:
+def client(
+    site: SitePath,
+    tenant: Annotated[str, typer.Option(help="Whose applications to play.")],
+    seed: Seed = 0,
+    seconds: float = 10.0,
+    factor: Annotated[float, typer.Option(help="Times the plans' usual traffic.")] = 1.0,
+    start_at: Annotated[float, typer.Option(help="On the machine's monotonic clock; 0: now.")] = 0.0,
+    surges: Annotated[str, typer.Option(help="Surges to play, as JSON.")] = "",
+    record: RecordPath = "",
+    log: LogOption = LogForm.console,
+) -> None:
     """Plays one tenant's applications, open-loop, for a bounded time."""
     start_logs(log is LogForm.json)
     known = site_at(site)
@@ -215,8 +260,10 @@
 def check_site(site: Annotated[Path, typer.Argument(help="The site file.")]) -> None:
     """Reads a site file and says what is wrong with it, line by line, or what it holds."""
     s = site_at(site)
-    typer.echo(f"{site}: good: {len(s.head)} heads, {len(s.shelf)} shelves, {len(s.profile)} profiles, "
-               f"{len(s.plan)} plans, {len(s.tenant)} tenants, {len(s.volume)} volumes")
+    typer.echo(
+        f"{site}: good: {len(s.head)} heads, {len(s.shelf)} shelves, {len(s.profile)} profiles, "
+        f"{len(s.plan)} plans, {len(s.tenant)} tenants, {len(s.volume)} volumes"
+    )
 
 
 @app.command("version")
@@ -259,19 +306,27 @@
 
 
 @app.command()
-def day(site: SitePath = Path("deploy/site.txtpb"), seed: Seed = 1, heads: int = 3, shelves: int = 6,
-        seconds: float = 40.0, factor: Annotated[float, typer.Option(
-            help="Times the plans' usual traffic.")] = 1.0,
-        troubles: Annotated[str, typer.Option(help="Which, by commas; 'none' for a quiet day.")]
-        = ",".join(TROUBLES),
-        json_path: Annotated[str,
-                             typer.Option("--json", help="Write the result here; - for standard output.")]
-        = "",
-        folder: Annotated[str, typer.Option(help="Keep logs and records here.")] = "",
-        plant: Annotated[int, typer.Option(
-            help="Make every head break this rule, to see the witness catch it.")] = 0,
-        window: Annotated[float, typer.Option(
-            help="Seconds of a window of the heads' accounts, kept under --folder; 0: none.")] = 1.0) -> None:
+def day(
+    site: SitePath = Path("deploy/site.txtpb"),
+    seed: Seed = 1,
+    heads: int = 3,
+    shelves: int = 6,
+    seconds: float = 40.0,
+    factor: Annotated[float, typer.Option(help="Times the plans' usual traffic.")] = 1.0,
+    troubles: Annotated[str, typer.Option(help="Which, by commas; 'none' for a quiet day.")] = ",".join(
+        TROUBLES
+    ),
+    json_path: Annotated[
+        str, typer.Option("--json", help="Write the result here; - for standard output.")
+    ] = "",
+    folder: Annotated[str, typer.Option(help="Keep logs and records here.")] = "",
+    plant: Annotated[
+        int, typer.Option(help="Make every head break this rule, to see the witness catch it.")
+    ] = 0,
+    window: Annotated[
+        float, typer.Option(help="Seconds of a window of the heads' accounts, kept under --folder; 0: none.")
+    ] = 1.0,
+) -> None:
     """Plays a bad day with every process on its own and judges the seven rules. Status 0: every rule held."""
     known = site_at(site)
     kinds = () if troubles == "none" else tuple(t.strip() for t in troubles.split(","))
@@ -279,8 +334,9 @@
         typer.echo(f"--troubles: unknown {', '.join(unknown)}; there are {', '.join(TROUBLES)}", err=True)
         raise typer.Exit(2)
     if heads < 1 or shelves < 1 or seconds < 1 or window < 0 or not 0 <= plant <= 7:
-        typer.echo("--heads, --shelves and --seconds are 1 or more, --plant is 0 to 7, --window 0 or more",
-                   err=True)
+        typer.echo(
+            "--heads, --shelves and --seconds are 1 or more, --plant is 0 to 7, --window 0 or more", err=True
+        )
         raise typer.Exit(2)
     console = Console(stderr=json_path == "-")
     plan = DayPlan(seed, heads, shelves, seconds, factor, kinds, plant, window)
@@ -303,28 +359,46 @@
 
 
 @app.command()
-def bench(seconds: Annotated[float, typer.Option(help="Of each measurement.")] = 5.0,
-          rounds: Annotated[int, typer.Option(help="Pairs of relay and head.")] = 3,
-          json_path: Annotated[str,
-                               typer.Option("--json", help="Write the result here; - for standard output.")]
-          = "", seed: Seed = 1) -> None:
+def bench(
+    seconds: Annotated[float, typer.Option(help="Of each measurement.")] = 5.0,
+    rounds: Annotated[int, typer.Option(help="Pairs of relay and head.")] = 3,
+    json_path: Annotated[
+        str, typer.Option("--json", help="Write the result here; - for standard output.")
+    ] = "",
+    seed: Seed = 1,
+) -> None:
     """Head against a plain relay of ours, paired in one run: transactions a second, latency, CPU."""
     console = Console(stderr=json_path == "-")
 
     async def main(transport: RealTransport) -> dict[str, Any]:
-        return await benches.run_bench(transport, seconds, rounds,
-                                       lambda line: console.print(line, markup=False))
+        return await benches.run_bench(
+            transport, seconds, rounds, lambda line: console.print(line, markup=False)
+        )
 
     result = _run_async(main, seed)
     table = Table("ratio of head to relay, in pairs", "least", "median", "most")
-    for name in ("head_to_relay", "cpu_ratio", "held_head_to_relay", "held_cpu_ratio", "calm_median_ratio",
-                 "calm_p99_ratio", "idle_shelves_cpu_ratio", "accounts_to_head"):
+    for name in (
+        "head_to_relay",
+        "cpu_ratio",
+        "held_head_to_relay",
+        "held_cpu_ratio",
+        "calm_median_ratio",
+        "calm_p99_ratio",
+        "idle_shelves_cpu_ratio",
+        "accounts_to_head",
+    ):
         table.add_row(name, *(f"{result[name][k]:.2f}" for k in ("least", "median", "most")))
     console.print(table)
-    console.print("accounts hold: " + ", ".join(
-        f"{what.replace('_', ' ')} {much:.1f}" for what, much in result["accounts_footprint"].items()))
-    console.print("the head's CPU by place: " + ", ".join(
-        f"{place} {part:.0%}" for place, part in result["head_cpu_shares"].items()))
+    console.print(
+        "accounts hold: "
+        + ", ".join(
+            f"{what.replace('_', ' ')} {much:.1f}" for what, much in result["accounts_footprint"].items()
+        )
+    )
+    console.print(
+        "the head's CPU by place: "
+        + ", ".join(f"{place} {part:.0%}" for place, part in result["head_cpu_shares"].items())
+    )
     write_json(result, json_path)
 
 
@@ -336,10 +410,18 @@
 
 
 @app.command("bench-peer", hidden=True)
-def bench_peer(kind: Peer, site: SitePath, number: Annotated[int, typer.Option()] = 0, seconds: float = 1.0,
-               rate: float = 0.0,
-               start_at: float = 0.0, depth: int = benches.DEPTH, out: str = "",
-               other: Annotated[Path, typer.Option()] = Path(), stretches: int = 0) -> None:
+def bench_peer(
+    kind: Peer,
+    site: SitePath,
+    number: Annotated[int, typer.Option()] = 0,
+    seconds: float = 1.0,
+    rate: float = 0.0,
+    start_at: float = 0.0,
+    depth: int = benches.DEPTH,
+    out: str = "",
+    other: Annotated[Path, typer.Option()] = Path(),
+    stretches: int = 0,
+) -> None:
     """One process round the head in a bench."""
     start_logs(False, "warning")
     known = site_at(site)
@@ -347,14 +429,29 @@
     if kind is Peer.relay:
         _serve(lambda transport: Relay(transport, known, number, logger), 0, logger)
     elif kind is Peer.sink:
-        _serve(lambda transport: Sink(transport, known, number, Recorder(transport, "sink", ""), "", [], True,
-                                      logger, transport.finish), 0, logger)
+        _serve(
+            lambda transport: Sink(
+                transport,
+                known,
+                number,
+                Recorder(transport, "sink", ""),
+                "",
+                [],
+                True,
+                logger,
+                transport.finish,
+            ),
+            0,
+            logger,
+        )
     elif kind is Peer.turns:
         sites = [known, site_at(other)]
         result = _run_async(
-            lambda transport: TurnLoad(transport, sites, depth, start_at, stretches).run(), number)
+            lambda transport: TurnLoad(transport, sites, depth, start_at, stretches).run(), number
+        )
         Path(out).write_text(json.dumps(result))
     else:
         result = _run_async(
-            lambda transport: Load(transport, known, depth, rate, start_at, seconds).run(), number)
+            lambda transport: Load(transport, known, depth, rate, start_at, seconds).run(), number
+        )
         Path(out).write_text(json.dumps(result))
--- a/gorsethread/cli/records.py
+++ b/gorsethread/cli/records.py
@@ -53,10 +53,19 @@
 def _shown(folder: Path, store: Path) -> dict[str, Any]:
     r = _read(store)
     begins = [s.begin for _, s in r.segments if s is not None]
-    return {"what": str(store.relative_to(folder)), "fleet": begins[0].fleet if begins else None,
-            "life": r.highest[0], "last": list(r.table.last), "extents": len(r.table.placed()),
-            "segments": len(r.segments), "bytes": sum(p.stat().st_size for p in store.iterdir()),
-            "torn_bytes": r.torn, "whole": r.whole, "empty": r.empty, "faults": r.faults}
+    return {
+        "what": str(store.relative_to(folder)),
+        "fleet": begins[0].fleet if begins else None,
+        "life": r.highest[0],
+        "last": list(r.table.last),
+        "extents": len(r.table.placed()),
+        "segments": len(r.segments),
+        "bytes": sum(p.stat().st_size for p in store.iterdir()),
+        "torn_bytes": r.torn,
+        "whole": r.whole,
+        "empty": r.empty,
+        "faults": r.faults,
+    }
 
 
 def _each(folder: Path) -> list[dict[str, Any]]:
@@ -76,8 +85,15 @@
     found = _each(folder)
     table = Table("records", "life", "last", "extents", "segments", "bytes", "whole")
     for one in found:
-        table.add_row(one["what"], str(one["life"]), str(one["last"][1]), str(one["extents"]),
-                      str(one["segments"]), str(one["bytes"]), "yes" if one["whole"] else "NO")
+        table.add_row(
+            one["what"],
+            str(one["life"]),
+            str(one["last"][1]),
+            str(one["extents"]),
+            str(one["segments"]),
+            str(one["bytes"]),
+            "yes" if one["whole"] else "NO",
+        )
     Console(stderr=json_path == "-").print(table)
     write_json({"records": found}, json_path)
 
@@ -90,20 +106,27 @@
         for fault in one["faults"]:
             typer.echo(f"{one['what']}/{fault}")
         if one["torn_bytes"]:
-            typer.echo(f"{one['what']}: {one['torn_bytes']} bytes at an end are no whole record, as a kill "
-                       "leaves them; nothing that was promised is lost by that")
+            typer.echo(
+                f"{one['what']}: {one['torn_bytes']} bytes at an end are no whole record, as a kill "
+                "leaves them; nothing that was promised is lost by that"
+            )
     bad = [one["what"] for one in found if not one["whole"]]
     typer.echo(f"{len(found)} read; lost something: {', '.join(bad) or 'none'}")
     if bad:
-        typer.echo("to do: start the head while the others serve, it fetches what they hold; if these are "
-                   "gone for good: gorsethread records accept", err=True)
+        typer.echo(
+            "to do: start the head while the others serve, it fetches what they hold; if these are "
+            "gone for good: gorsethread records accept",
+            err=True,
+        )
     write_json({"records": found}, json_path)
     raise typer.Exit(1 if bad else 0)
 
 
 @app.command()
-def export(folder: Folder, to: Annotated[str, typer.Option(help="Write here; none: standard output.")] = "",
-           ) -> None:
+def export(
+    folder: Folder,
+    to: Annotated[str, typer.Option(help="Write here; none: standard output.")] = "",
+) -> None:
     """Every record that holds, one JSON object a line: whose, its number, what it says."""
     lines: list[bytes] = []
     counts: Counter[str] = Counter()
@@ -113,8 +136,17 @@
                 kind = str(r.fact.__struct_config__.tag)
                 counts[kind] += 1
                 said = {name: getattr(r.fact, name) for name in r.fact.__struct_fields__}
-                lines.append(msgspec.json.encode({"of": str(store.relative_to(folder)), "life": r.number[0],
-                                                  "place": r.number[1], "says": kind, **said}))
+                lines.append(
+                    msgspec.json.encode(
+                        {
+                            "of": str(store.relative_to(folder)),
+                            "life": r.number[0],
+                            "place": r.number[1],
+                            "says": kind,
+                            **said,
+                        }
+                    )
+                )
     except Trouble as trouble:
         tell(trouble)
         raise typer.Exit(2) from None
@@ -138,4 +170,3 @@
         typer.echo(f"{own}: {error.strerror}", err=True)
         raise typer.Exit(2) from None
     typer.echo(f"{own}: accepted; a head that is at work takes it within a second")
-
--- a/gorsethread/debts/accounts.py
+++ b/gorsethread/debts/accounts.py
@@ -63,8 +63,13 @@
     def take(self, row: Row) -> bool:
         """Whether it said something new."""
         partners = {row.giver, row.taker}
-        if len(partners) < 2 or min(partners) < 0 or max(partners) >= PARTNERS_MOST or row.units < 0 or (
-                row.said not in tuple(Said) or row.key not in self._rows and len(self._rows) >= ROWS_MOST):
+        if (
+            len(partners) < 2
+            or min(partners) < 0
+            or max(partners) >= PARTNERS_MOST
+            or row.units < 0
+            or (row.said not in tuple(Said) or row.key not in self._rows and len(self._rows) >= ROWS_MOST)
+        ):
             self.refused += 1
             return False
         if row.units <= self._rows.get(row.key, -1):
--- a/gorsethread/debts/cache.py
+++ b/gorsethread/debts/cache.py
@@ -69,5 +69,10 @@
         return known.fill
 
     def stats(self) -> dict[str, Any]:
-        return {"objects": len(self._held), "bytes": int(self._held.currsize), "hits": self.hits,
-                "misses": self.misses, "filling": len(self.filling)}
+        return {
+            "objects": len(self._held),
+            "bytes": int(self._held.currsize),
+            "hits": self.hits,
+            "misses": self.misses,
+            "filling": len(self.filling),
+        }
--- a/gorsethread/debts/credit.py
+++ b/gorsethread/debts/credit.py
@@ -13,6 +13,7 @@
 
 Key = TypeVar("Key")
 
+
 @dataclass
 class Line:
     """One partner's. parts: the rights that each head has from the start; their sum is the line. moved: by
@@ -31,7 +32,7 @@
         """As far as is known here: of the head's own, exactly; of others', perhaps of before."""
         given = sum(n for (giver, _), n in self.moved.items() if giver == head)
         got = sum(n for (_, taker), n in self.moved.items() if taker == head)
-        return (self.parts.get(head, 0) + got - given - self.spent.get(head, 0) + self.regained.get(head, 0))
+        return self.parts.get(head, 0) + got - given - self.spent.get(head, 0) + self.regained.get(head, 0)
 
     def spends(self, head: int, units: int) -> bool:
         """By that head itself. False: its rights are not enough; another holder is asked, or one that has
--- a/gorsethread/debts/fills.py
+++ b/gorsethread/debts/fills.py
@@ -26,17 +26,26 @@
         ...
 
 
-def order_of(fill: Fill, balance: Balance, weights: Mapping[int, float],
-             near: Mapping[tuple[int, int], float]) -> list[int]:
+def order_of(
+    fill: Fill, balance: Balance, weights: Mapping[int, float], near: Mapping[tuple[int, int], float]
+) -> list[int]:
     """Holders, whom to ask first: the one that owes the taker most for its weight, as a fill from it pays
     that off; then the nearest; then by number."""
     left = [h for h in fill.holders if h not in fill.tried and h != fill.taker]
-    return sorted(left, key=lambda h: (balance.net(h, fill.taker) / weights.get(h, 1.0),
-                                       near.get((fill.taker, h), 0.0), h))
+    return sorted(
+        left,
+        key=lambda h: (balance.net(h, fill.taker) / weights.get(h, 1.0), near.get((fill.taker, h), 0.0), h),
+    )
 
 
-def chosen(waiting: Sequence[Fill], room: Mapping[int, int], balance: Balance, got: Mapping[int, int],
-           weights: Mapping[int, float], near: Mapping[tuple[int, int], float]) -> list[tuple[Fill, int]]:
+def chosen(
+    waiting: Sequence[Fill],
+    room: Mapping[int, int],
+    balance: Balance,
+    got: Mapping[int, int],
+    weights: Mapping[int, float],
+    near: Mapping[tuple[int, int], float],
+) -> list[tuple[Fill, int]]:
     """Fills that go now, each with its holder. room: fills that each partner gives at once. got: by taker,
     net units so far."""
     at: dict[int, list[int]] = {h: [] for h in room}  # by holder, places in waiting
@@ -60,8 +69,13 @@
 
     left = {f.taker: [n for n, g in enumerate(waiting) if g.taker == f.taker] for f in waiting}
     while left:
-        taker = min(left, key=lambda t: ((got.get(t, 0) + spent.get(t, 0) + waiting[left[t][0]].units)
-                                         / weights.get(t, 1.0), t))
+        taker = min(
+            left,
+            key=lambda t: (
+                (got.get(t, 0) + spent.get(t, 0) + waiting[left[t][0]].units) / weights.get(t, 1.0),
+                t,
+            ),
+        )
         n = left[taker].pop(0)
         if path(n, set()):
             went.add(n)
--- a/gorsethread/faults/branches.py
+++ b/gorsethread/faults/branches.py
@@ -50,11 +50,12 @@
         if accepted:
             self.recorder.saw("accepted", label=t.label, attempt=one.attempt, head=one.link.number)
             self.promised.update(dict.fromkeys(blocks, (t.label, now)))
-        elif how == "honoured" and t.operation == Opcode.READ and one.link.number in self.near[
-                t.volume.number]:
+        elif (
+            how == "honoured" and t.operation == Opcode.READ and one.link.number in self.near[t.volume.number]
+        ):
             for n, block in enumerate(blocks):
                 label, at = self.promised.get(block, (0, now))
-                if at < one.begun and not any(data[n * BLOCK:n * BLOCK + 16]):
+                if at < one.begun and not any(data[n * BLOCK : n * BLOCK + 16]):
                     self.recorder.saw("unseen", label=label)
         super().answered(one, how, completion, data)
         if accepted:
@@ -111,14 +112,18 @@
         elif r["e"] == "accepted" and r["label"] not in found.all:
             found.all.add(r["label"])
             # One whose answer was lost may have been taken by an earlier try.
-            begun = min(s["t"] for k in range(r["attempt"] + 1)
-                        if (s := sent.get((r["label"], k))) and (r["label"], k) not in back)
+            begun = min(
+                s["t"]
+                for k in range(r["attempt"] + 1)
+                if (s := sent.get((r["label"], k))) and (r["label"], k) not in back
+            )
             taken.append((begun, r["t"], r["who"], r["label"]))
     found.replayed = found.all & set(ran)
     found.lost = sorted(found.all - set(ran) - parked - waiting)
     found.unseen = sorted({r["label"] for r in records if r["e"] == "unseen"} - parked - waiting)
-    found.doubled = sorted(n for n in found.replayed if len(ran[n]) > 1
-                           and site.profile[profiles[n]].effect != pb.REDOABLE)
+    found.doubled = sorted(
+        n for n in found.replayed if len(ran[n]) > 1 and site.profile[profiles[n]].effect != pb.REDOABLE
+    )
     for who in {w for _, _, w, _ in taken}:
         mine = sorted((a, s, n) for s, a, w, n in taken if w == who)  # by when they were answered
         for begun, _, n in sorted((s, a, n) for s, a, w, n in taken if w == who):
--- a/gorsethread/faults/branchmutants.py
+++ b/gorsethread/faults/branchmutants.py
@@ -31,6 +31,7 @@
 
 def _core(head: Head, change: Callable[[Landing], None]) -> None:
     """Changes what a main site's head knows of branches' writes, as it is made."""
+
     def on(side: LandingSide) -> None:
         honest = side._known
 
@@ -69,8 +70,12 @@
 
 @mutant("branch: accepted before the other head has it")
 def _one_disk(head: Head) -> None:
-    _keeps(head, lambda promises, honest: lambda fact, done=None, here=False: honest(
-        fact, done, here or isinstance(fact, Queued)))
+    _keeps(
+        head,
+        lambda promises, honest: lambda fact, done=None, here=False: honest(
+            fact, done, here or isinstance(fact, Queued)
+        ),
+    )
 
 
 @mutant("branch: replayed in order of acceptance alone")
@@ -104,7 +109,8 @@
     branch = _branch(head)
     honest = branch.takes
     branch.takes = lambda io, waiting, volume, extent, data: io.command.opcode != Opcode.READ and honest(
-        io, waiting, volume, extent, data)
+        io, waiting, volume, extent, data
+    )
 
 
 @mutant("branch: live writes overtake what is queued")
@@ -112,7 +118,8 @@
     branch = _branch(head)
     honest = branch.takes
     branch.takes = lambda io, waiting, volume, extent, data: (
-        branch.link.queues or io.command.opcode == Opcode.READ) and honest(io, waiting, volume, extent, data)
+        branch.link.queues or io.command.opcode == Opcode.READ
+    ) and honest(io, waiting, volume, extent, data)
 
 
 @mutant("branch: once cut off, always cut off")
--- a/gorsethread/faults/branchworld.py
+++ b/gorsethread/faults/branchworld.py
@@ -22,8 +22,11 @@
             super()._do_here(act)
             return
         away = {n for b in self.site.branch for n in b.head}
-        others = ["list", *(f"shelf {n}" for n in range(self.script.shelves)),
-                  *(f"head {n}" for n in range(self.script.heads) if n not in away)]
+        others = [
+            "list",
+            *(f"shelf {n}" for n in range(self.script.shelves)),
+            *(f"head {n}" for n in range(self.script.heads) if n not in away),
+        ]
         ways = [(act.whom, other) for other in others] if act.by != 2 else []
         ways += [(other, act.whom) for other in others] if act.by != 1 else []
         for one, other in ways:
@@ -35,17 +38,31 @@
 
     def _unsettled(self) -> int:
         """Accepted writes that are neither in effect nor parked."""
-        return sum(h.stage is not Stage.PARKED for head in self.heads.values() if head.branch
-                   for h in head.branch.queue.held.values())
+        return sum(
+            h.stage is not Stage.PARKED
+            for head in self.heads.values()
+            if head.branch
+            for h in head.branch.queue.held.values()
+        )
 
     def _check_rest(self) -> None:
         super()._check_rest()
-        folders = [{path.rpartition("/")[2]: bytes(data) for path, data in self.disk.files.items()
-                    if path.startswith(own_of(self.records_of(n), n) + "/")} for n in self.heads]
+        folders = [
+            {
+                path.rpartition("/")[2]: bytes(data)
+                for path, data in self.disk.files.items()
+                if path.startswith(own_of(self.records_of(n), n) + "/")
+            }
+            for n in self.heads
+        ]
         records = sorted(self.records, key=lambda r: r["t"])
         a = self.accepted = judge(self.site, records, *on_disks(folders))
-        for what, labels in (("accepted and lost", a.lost), ("in effect twice", a.doubled),
-                             ("out of causal order", a.causal), ("accepted and not seen", a.unseen)):
+        for what, labels in (
+            ("accepted and lost", a.lost),
+            ("in effect twice", a.doubled),
+            ("out of causal order", a.causal),
+            ("accepted and not seen", a.unseen),
+        ):
             if labels:
                 self._defect(f"{what}: {len(labels)} of {len(a.all)}, first {labels[0]}")
         for number, head in self.heads.items():
--- a/gorsethread/faults/coldpart.py
+++ b/gorsethread/faults/coldpart.py
@@ -81,8 +81,11 @@
         if t is None or s is None:
             return
         told, truly = self.told_of.get((head, shelf), now), now - self.started.get(shelf, now)
-        if now > told + HEARD_WITHIN and truly < self.rule.warm_after - SAME_START and (
-                s.since <= 0 or policy.now - s.since > truly + SAME_START):
+        if (
+            now > told + HEARD_WITHIN
+            and truly < self.rule.warm_after - SAME_START
+            and (s.since <= 0 or policy.now - s.since > truly + SAME_START)
+        ):
             self.broken(f"takes a cold shelf for a warm one: shelf {shelf}, head {head}")
         if s.since <= 0:
             return
@@ -90,8 +93,9 @@
         if age >= self.rule.warm_after:
             return
         self.seen += 1
-        start = next((at for shelf, at in self.sent if shelf == s.id and abs(at - (now - age)) < SAME_START),
-                     now - age)
+        start = next(
+            (at for shelf, at in self.sent if shelf == s.id and abs(at - (now - age)) < SAME_START), now - age
+        )
         log = self.sent.setdefault((s.id, start), deque())
         log.append((now, t.units))
         while log[0][0] <= now - self.rule.span / SLACK:
--- a/gorsethread/faults/draw.py
+++ b/gorsethread/faults/draw.py
@@ -18,8 +18,15 @@
     heads on the operators' platform, whose machines have one Unix clock and no disk. kept: for heads that
     keep records, of which one machine at most is lost with its disk."""
 
-    def __init__(self, seed: int, volumes: Sequence[int], tenants: Sequence[str],
-                 seconds: float = 12.0, web: bool = False, kept: bool = False) -> None:
+    def __init__(
+        self,
+        seed: int,
+        volumes: Sequence[int],
+        tenants: Sequence[str],
+        seconds: float = 12.0,
+        web: bool = False,
+        kept: bool = False,
+    ) -> None:
         self.chance = Draws(f"{'web ' if web else 'kept ' if kept else ''}script {seed}")
         self.troubles = WEB_TROUBLES if web else KEPT_TROUBLES if kept else TROUBLES
         self.seed, self.volumes, self.tenants, self.seconds = seed, volumes, tenants, seconds
@@ -39,12 +46,22 @@
                 known[kind](self)
         clocks = {}
         if c.random() < 0.3:
-            clocks = {f"head {n}": Clock(round(c.uniform(-900.0, 900.0), 3), c.choice((0.0, 2e-5, -2e-5)))
-                      for n in range(self.heads)}
+            clocks = {
+                f"head {n}": Clock(round(c.uniform(-900.0, 900.0), 3), c.choice((0.0, 2e-5, -2e-5)))
+                for n in range(self.heads)
+            }
         factor = c.choice((0.7, 1.0, 1.0, 1.5, 2.5))
         leaves = c.choice((0.01, 0.01, 0.05, 0.2))
-        return Script(self.seed, self.heads, self.shelves, self.seconds, factor, leaves,
-                      tuple(sorted(self.acts)), clocks)
+        return Script(
+            self.seed,
+            self.heads,
+            self.shelves,
+            self.seconds,
+            factor,
+            leaves,
+            tuple(sorted(self.acts)),
+            clocks,
+        )
 
     # ---- parts
 
@@ -64,8 +81,17 @@
     def _client(self) -> str:
         return f"client {self.chance.choice(list(self.tenants))}"
 
-    def _add(self, kind: str, whom: str, least: float, most: float, to: str = "", both: bool = False,
-             by: float = 0.0, at: float | None = None) -> Act:
+    def _add(
+        self,
+        kind: str,
+        whom: str,
+        least: float,
+        most: float,
+        to: str = "",
+        both: bool = False,
+        by: float = 0.0,
+        at: float | None = None,
+    ) -> Act:
         when = self._at() if at is None else at
         act = Act(when, kind, whom, to, both, round(by, 3), self._lasts(when, least, most))
         self.acts.append(act)
@@ -97,14 +123,25 @@
         head = self._head()
         if head not in self.away:
             self.away.add(head)
-            self._add("stab", head, 0.2, 2.0, to=f"point {self.chance.choice(POINTS)}",
-                      by=1 + self.chance.randrange(60))
+            self._add(
+                "stab",
+                head,
+                0.2,
+                2.0,
+                to=f"point {self.chance.choice(POINTS)}",
+                by=1 + self.chance.randrange(60),
+            )
 
     def crash(self) -> None:
         """Just as a message comes: a head with a shelf's answer in hand, a shelf with a command in hand."""
-        struck, other = self.chance.choice((
-            (self._head(), self._shelf()), (self._head(), self._client()), (self._head(), "list"),
-            (self._shelf(), self._head())))
+        struck, other = self.chance.choice(
+            (
+                (self._head(), self._shelf()),
+                (self._head(), self._client()),
+                (self._head(), "list"),
+                (self._shelf(), self._head()),
+            )
+        )
         if struck not in self.away:
             self.away.add(struck)
             self._add("crash", struck, 0.2, 2.0, to=other, by=1 + self.chance.randrange(40))
@@ -114,10 +151,17 @@
         self._add("pause", whom, 0.1, 3.0)
 
     def cut(self) -> None:
-        one, other = self.chance.choice((
-            (self._head(), self._shelf()), (self._shelf(), self._head()), (self._head(), "list"),
-            ("list", self._head()), (self._client(), self._head()), (self._head(), self._client()),
-            (self._shelf(), "list")))
+        one, other = self.chance.choice(
+            (
+                (self._head(), self._shelf()),
+                (self._shelf(), self._head()),
+                (self._head(), "list"),
+                ("list", self._head()),
+                (self._client(), self._head()),
+                (self._head(), self._client()),
+                (self._shelf(), "list"),
+            )
+        )
         self._add("cut", one, 0.1, 4.0, to=other, both=self.chance.random() < 0.5)
 
     def room_cut(self) -> None:
@@ -127,8 +171,9 @@
             self._add("cut", f"room {room}", 0.5, 4.0, to=other, both=True, at=at)
 
     def reset(self) -> None:
-        one, other = self.chance.choice((
-            (self._head(), self._shelf()), (self._head(), "list"), (self._client(), self._head())))
+        one, other = self.chance.choice(
+            ((self._head(), self._shelf()), (self._head(), "list"), (self._client(), self._head()))
+        )
         self._add("reset", one, 0.001, 0.001, to=other)
 
     def drain(self) -> None:
@@ -137,8 +182,14 @@
             return
         act = self._add("drain", shelf, 1.0, 4.0)
         if self.chance.random() < 0.5:  # its news lost on the way just then
-            self._add("reset", self._head(), 0.001, 0.001, to="list",
-                      at=round(act.at + self.chance.uniform(0.0, 1.0), 3))
+            self._add(
+                "reset",
+                self._head(),
+                0.001,
+                0.001,
+                to="list",
+                at=round(act.at + self.chance.uniform(0.0, 1.0), 3),
+            )
         if self.chance.random() < 0.4:
             self.away.add(shelf)
             self._add("kill", shelf, 0.3, 1.0, at=round(act.at + self.chance.uniform(0.5, act.seconds), 3))
@@ -165,8 +216,13 @@
             self._add("kill", "list", 0.2, 2.5)
 
     def surge(self) -> None:
-        self._add("surge", f"volume {self.chance.choice(list(self.volumes))}", 0.5, 4.0,
-                  by=self.chance.uniform(2.0, 12.0))
+        self._add(
+            "surge",
+            f"volume {self.chance.choice(list(self.volumes))}",
+            0.5,
+            4.0,
+            by=self.chance.uniform(2.0, 12.0),
+        )
 
     def slow_connects(self) -> None:
         whom = self.chance.choice((self._head(), self._shelf(), self._shelf(), "list"))
@@ -207,43 +263,70 @@
         if self.away & {f"head {one}", f"head {other}"}:
             return
         self.away |= {f"head {one}", f"head {other}"}
-        self._add(kind, f"head {one}", 0.2, 2.0, to=f"head {other}" if kind == "swap" else "",
-                  by=self.chance.uniform(0.3, 3.0) if kind == "older" else 0.0)
+        self._add(
+            kind,
+            f"head {one}",
+            0.2,
+            2.0,
+            to=f"head {other}" if kind == "swap" else "",
+            by=self.chance.uniform(0.3, 3.0) if kind == "older" else 0.0,
+        )
 
     def kept_stab(self) -> None:
         """In the middle of keeping, or of coming back."""
         head = self._head()
         if head not in self.away:
             self.away.add(head)
-            self._add("stab", head, 0.2, 2.0, to=f"point {self.chance.choice(KEPT_POINTS)}",
-                      by=1 + self.chance.randrange(12))
+            self._add(
+                "stab",
+                head,
+                0.2,
+                2.0,
+                to=f"point {self.chance.choice(KEPT_POINTS)}",
+                by=1 + self.chance.randrange(12),
+            )
 
     def lag(self) -> None:
         self._add("lag", self._head(), 0.5, 3.0, by=self.chance.choice((0.01, 0.1, 0.1, 0.8)))
 
 
 TROUBLES: dict[str, Callable[[Draw], None]] = {
-    "half the heads": Draw.half_the_heads, "shelf dies": Draw.shelf_dies, "crash": Draw.crash,
+    "half the heads": Draw.half_the_heads,
+    "shelf dies": Draw.shelf_dies,
+    "crash": Draw.crash,
     "stab": Draw.stab,
-    "pause": Draw.pause, "cut": Draw.cut, "room cut": Draw.room_cut, "reset": Draw.reset,
-    "drain": Draw.drain, "still": Draw.still, "slow": Draw.slow, "errors": Draw.errors,
-    "late list": Draw.late_list, "refusing list": Draw.refusing_list, "list dies": Draw.list_dies,
+    "pause": Draw.pause,
+    "cut": Draw.cut,
+    "room cut": Draw.room_cut,
+    "reset": Draw.reset,
+    "drain": Draw.drain,
+    "still": Draw.still,
+    "slow": Draw.slow,
+    "errors": Draw.errors,
+    "late list": Draw.late_list,
+    "refusing list": Draw.refusing_list,
+    "list dies": Draw.list_dies,
     "surge": Draw.surge,
-    "slow connects": Draw.slow_connects, "disk": Draw.disk, "wall clock": Draw.wall,
+    "slow connects": Draw.slow_connects,
+    "disk": Draw.disk,
+    "wall clock": Draw.wall,
 }
 WEB_TROUBLES = {name: trouble for name, trouble in TROUBLES.items() if name not in ("disk", "wall clock")} | {
-    "term": Draw.term, "reload": Draw.reload, "spoil": Draw.spoil, "rude": Draw.rude,
+    "term": Draw.term,
+    "reload": Draw.reload,
+    "spoil": Draw.spoil,
+    "rude": Draw.rude,
 }
-KEPT_TROUBLES = TROUBLES | {"disk lost": Draw.disk_lost, "lag": Draw.lag,
-                            "stab in keeping": Draw.kept_stab}
+KEPT_TROUBLES = TROUBLES | {"disk lost": Draw.disk_lost, "lag": Draw.lag, "stab in keeping": Draw.kept_stab}
 
 
 class BranchDraw(Draw):
     """For a site with branches, whose heads are as many as it names: their links go, once at least."""
 
     def __init__(self, seed: int, site: pb.Site, seconds: float = 16.0) -> None:
-        super().__init__(seed, [v.number for v in site.volume], [t.name for t in site.tenant], seconds,
-                         kept=True)
+        super().__init__(
+            seed, [v.number for v in site.volume], [t.name for t in site.tenant], seconds, kept=True
+        )
         self.chance = Draws(f"branch script {seed}")
         self.troubles = BRANCH_TROUBLES
         self.heads, self.shelves = len(site.head), self.chance.choice((4, 6))
@@ -294,6 +377,7 @@
 
 
 BRANCH_TROUBLES: dict[str, Callable[[Any], None]] = {
-    name: trouble for name, trouble in KEPT_TROUBLES.items()
-    if name not in ("disk lost", "wall clock", "slow connects")} | {
-    "branch's disk lost": BranchDraw.branch_disk_lost, "another link": BranchDraw.link}
+    name: trouble
+    for name, trouble in KEPT_TROUBLES.items()
+    if name not in ("disk lost", "wall clock", "slow connects")
+} | {"branch's disk lost": BranchDraw.branch_disk_lost, "another link": BranchDraw.link}
--- a/gorsethread/faults/fleet.py
+++ b/gorsethread/faults/fleet.py
@@ -69,8 +69,13 @@
     """script: acts on heads, and cuts between them. plant: changes each view as it is made. make: what views
     are, a View or a baseline of its shape. Play it once."""
 
-    def __init__(self, script: Script, plant: Callable[[View], None] | None = None,
-                 calm: float | None = None, make: Callable[..., Any] = View) -> None:
+    def __init__(
+        self,
+        script: Script,
+        plant: Callable[[View], None] | None = None,
+        calm: float | None = None,
+        make: Callable[..., Any] = View,
+    ) -> None:
         self.script, self.plant, self.make = script, plant, make
         self.over_at: dict[tuple[int, int], list[float]] = {}  # by name and life: when each head held it over
         self._sent_before = 0
@@ -261,10 +266,17 @@
         after = self._settled_at - self.last
         at_rest = sum(n.sent_bytes for n in self.nodes.values()) - self._sent_before
         up = sum(n.up for n in self.nodes.values())
-        return Judged(self.script.heads, after, self.false_deaths, missed, self.revived,
-                      sum(n.sent_bytes for n in self.nodes.values()) / total,
-                      sum(n.sent for n in self.nodes.values()) / total, self.reasons,
-                      at_rest / max(1, up) / min(REST, self.until))
+        return Judged(
+            self.script.heads,
+            after,
+            self.false_deaths,
+            missed,
+            self.revived,
+            sum(n.sent_bytes for n in self.nodes.values()) / total,
+            sum(n.sent for n in self.nodes.values()) / total,
+            self.reasons,
+            at_rest / max(1, up) / min(REST, self.until),
+        )
 
     def _rests(self) -> None:
         self._sent_before = sum(n.sent_bytes for n in self.nodes.values())
@@ -297,8 +309,9 @@
         away.update(chosen)
         return chosen
 
-    def act(at: float, kind: str, whom: str, seconds: float, to: str = "", both: bool = False,
-            by: float = 0.0) -> None:
+    def act(
+        at: float, kind: str, whom: str, seconds: float, to: str = "", both: bool = False, by: float = 0.0
+    ) -> None:
         acts.append(Act(round(at, 3), kind, whom, to, both, round(by, 3), round(seconds, 3)))
 
     kinds = [k for k in HARD if c.random() < 0.35] or ["killed"]
--- a/gorsethread/faults/kept.py
+++ b/gorsethread/faults/kept.py
@@ -43,4 +43,4 @@
     """The middle half is gone."""
     half = len(data) // 2
     begin = half // 2
-    return data[:begin] + bytes(half) + data[begin + half:]
+    return data[:begin] + bytes(half) + data[begin + half :]
--- a/gorsethread/faults/mutants.py
+++ b/gorsethread/faults/mutants.py
@@ -41,11 +41,11 @@
     links.listed = listed
 
 
-
 def _override(link: ShelfLink, name: str, method: Callable[..., Any]) -> None:
     """Links have slots: another class of the same layout takes the method."""
-    link.__class__ = type("PlantedLink", (type(link),), {
-        "__slots__": (), name: lambda self, *arguments: method(*arguments)})
+    link.__class__ = type(
+        "PlantedLink", (type(link),), {"__slots__": (), name: lambda self, *arguments: method(*arguments)}
+    )
 
 
 # ---- the driver
@@ -106,7 +106,8 @@
 @mutant("driver: gives up by pushing back")
 def _pushes_back_all(head: Head) -> None:
     head.driver.give_up = lambda transaction: head.driver.push_back(  # type: ignore[method-assign]
-        transaction, 0.1)
+        transaction, 0.1
+    )
 
 
 @mutant("driver: a time-out is told as never sent")
@@ -118,7 +119,8 @@
 def _loses_wakes(head: Head) -> None:
     honest, now = head.driver.wake, sometimes(5)
     head.driver.wake = lambda delay, name: (  # type: ignore[method-assign]
-        None if now() else honest(delay, name))
+        None if now() else honest(delay, name)
+    )
 
 
 @mutant("driver: a push-back is not answered, one in five")
@@ -351,8 +353,11 @@
 @mutant("list: a shelf's restart is not noticed")
 def _deaf_to_restarts(head: Head) -> None:
     honest = head.driver.listed
-    head.driver.listed = lambda entries, whole, remembered: honest(  # type: ignore[method-assign]
-        [(*e[:4], 0.0) for e in entries], whole, remembered)
+
+    def listed(entries: list[Any], whole: bool, remembered: bool) -> None:
+        honest([(*e[:4], 0.0) for e in entries], whole, remembered)
+
+    head.driver.listed = listed  # type: ignore[method-assign]
 
 
 # ---- the module
@@ -428,8 +433,6 @@
     policy._next_in_line = lambda key: None if now() else honest(key)  # type: ignore[method-assign]
 
 
-
-
 # ---- membership
 
 
--- a/gorsethread/faults/planted.py
+++ b/gorsethread/faults/planted.py
@@ -110,5 +110,12 @@
     policy._free_slots = lambda s: 32 - len(s.out)  # type: ignore[method-assign]
 
 
-_PLANTS = {1: _lose_answers, 2: _twice, 3: _deaf_to_drains, 4: _push_over, 5: _out_of_turn, 6: _no_budget,
-           7: _no_limit}
+_PLANTS = {
+    1: _lose_answers,
+    2: _twice,
+    3: _deaf_to_drains,
+    4: _push_over,
+    5: _out_of_turn,
+    6: _no_budget,
+    7: _no_limit,
+}
--- a/gorsethread/faults/planting.py
+++ b/gorsethread/faults/planting.py
@@ -10,6 +10,7 @@
 
 def kept_in(register: dict[str, Planted]) -> Callable[[str], Callable[[Planted], Planted]]:
     """A decorator that keeps a defect under its name."""
+
     def mutant(name: str) -> Callable[[Planted], Planted]:
         def keep(change: Planted) -> Planted:
             register[name] = change
--- a/gorsethread/faults/recordsmutants.py
+++ b/gorsethread/faults/recordsmutants.py
@@ -41,7 +41,8 @@
 def _nothing(head: Head) -> None:
     promises = _promises(head)
     promises.placed = lambda place, shard, done: promises.transport.soon(  # type: ignore[method-assign]
-        lambda: done(True))
+        lambda: done(True)
+    )
 
 
 @mutant("records: what a disk does not take is told as kept")
@@ -63,7 +64,7 @@
     def opened() -> Any:
         found = honest()
         held = sorted(found.table.records.values())
-        found.table = store.table = Table(held[:len(held) // 2])
+        found.table = store.table = Table(held[: len(held) // 2])
         found.table.last = held[-1].number if held else NONE
         return found
 
@@ -116,7 +117,8 @@
     def change(r: Return) -> None:
         honest = r.answered
         r.answered = lambda other, last, life, now: honest(  # type: ignore[method-assign]
-            other, min(last, r.own), life, now)
+            other, min(last, r.own), life, now
+        )
 
     _returning(head, change)
 
@@ -180,7 +182,6 @@
 
     def placed(place: Any, shard: int, done: Callable[[bool], None]) -> None:
         promises.transport.soon(lambda: done(True))
-        promises.transport.at(promises.transport.now() + 0.5,
-                              lambda: honest(place, shard, lambda kept: None))
+        promises.transport.at(promises.transport.now() + 0.5, lambda: honest(place, shard, lambda kept: None))
 
     promises.placed = placed  # type: ignore[method-assign]
--- a/gorsethread/faults/recordsworld.py
+++ b/gorsethread/faults/recordsworld.py
@@ -19,8 +19,10 @@
 LOOKED_BACK = 0.25  # seconds between the copies of disks that `older` may bring back
 
 
-def parted(site: pb.Site, files: Mapping[tuple[int, int], bytes | bytearray],
-           ) -> dict[tuple[int, int], set[int]]:
+def parted(
+    site: pb.Site,
+    files: Mapping[tuple[int, int], bytes | bytearray],
+) -> dict[tuple[int, int], set[int]]:
     """files: of shelves, by shard and volume. The shards that hold bytes of each extent of volumes that are
     placed by their first write."""
     shards: dict[tuple[int, int], set[int]] = {}
@@ -28,7 +30,7 @@
     for (shard, volume), data in files.items():
         if (size := grown.get(volume)) is not None:
             for extent in range(-(-len(data) // size)):
-                if any(data[extent * size:(extent + 1) * size]):
+                if any(data[extent * size : (extent + 1) * size]):
                     shards.setdefault((volume, extent), set()).add(shard)
     return shards
 
@@ -62,8 +64,9 @@
 
     def _copy(self) -> None:
         now = self.loop.time()
-        self._past.append((now, {path: bytes(data) for path, data in self.disk.files.items()
-                                 if path.startswith("kept/")}))
+        self._past.append(
+            (now, {path: bytes(data) for path, data in self.disk.files.items() if path.startswith("kept/")})
+        )
         while self._past and self._past[0][0] < now - self._back - 2 * LOOKED_BACK:
             self._past.pop(0)
         self.loop.call_later(LOOKED_BACK, self._copy)
@@ -74,8 +77,11 @@
     def _take(self, head: int) -> dict[str, bytearray]:
         """All of a head's folder; it is empty then."""
         folder = self._folder(head)
-        return {path[len(folder):]: self.disk.files.pop(path) for path in list(self.disk.files)
-                if path.startswith(folder)}
+        return {
+            path[len(folder) :]: self.disk.files.pop(path)
+            for path in list(self.disk.files)
+            if path.startswith(folder)
+        }
 
     def _put(self, head: int, files: dict[str, bytearray]) -> None:
         self.disk.files.update({self._folder(head) + path: bytearray(data) for path, data in files.items()})
@@ -94,8 +100,14 @@
             self._take(head)
             past = [files for at, files in self._past if at <= self.loop.time() - act.by]
             folder = self._folder(head)
-            self._put(head, {path[len(folder):]: bytearray(data) for path, data in (past or [{}])[-1].items()
-                             if path.startswith(folder)})
+            self._put(
+                head,
+                {
+                    path[len(folder) :]: bytearray(data)
+                    for path, data in (past or [{}])[-1].items()
+                    if path.startswith(folder)
+                },
+            )
         elif act.kind == "rot":
             own = own_of(self.records_of(head), head) + "/"
             names = sorted(path for path in self.disk.files if path.startswith(own) and path.endswith(SUFFIX))
@@ -127,14 +139,19 @@
                 if p._waiting or p._unheld or head.driver.unkept:
                     self._defect(f"left behind: head {number}: promises that nobody was told of")
                 if (after := p.refuses()) > 0.0:
-                    self._defect(f"does not promise again: head {number}: {p.returning.stage.value}, "
-                                 f"{after:.1f} s, disk {p.store.disk.state(p.transport.now()).value}")
+                    self._defect(
+                        f"does not promise again: head {number}: {p.returning.stage.value}, "
+                        f"{after:.1f} s, disk {p.store.disk.state(p.transport.now()).value}"
+                    )
 
     def _check_parted(self) -> None:
         """Writes of one extent that ran at two shards."""
-        files = {(shard, v.number): self.disk.files[path] for v in self.site.volume
-                 for shard in {s.shard for s in self.site.shelf}
-                 if (path := f"disk/shard-{shard}-volume-{v.number}") in self.disk.files}
+        files = {
+            (shard, v.number): self.disk.files[path]
+            for v in self.site.volume
+            for shard in {s.shard for s in self.site.shelf}
+            if (path := f"disk/shard-{shard}-volume-{v.number}") in self.disk.files
+        }
         shards = parted(self.site, files)
         for (volume, extent), found in sorted(shards.items()):
             if len(found) > 1:
--- a/gorsethread/faults/runs.py
+++ b/gorsethread/faults/runs.py
@@ -44,12 +44,12 @@
 def drawn(site: pb.Site, seed: int, web: bool = False, kept: bool = False) -> Script:
     if site.branch:
         return BranchDraw(seed, site).script()
-    return Draw(seed, [v.number for v in site.volume], [t.name for t in site.tenant], web=web,
-                kept=kept).script()
+    return Draw(
+        seed, [v.number for v in site.volume], [t.name for t in site.tenant], web=web, kept=kept
+    ).script()
 
 
-def play(site: pb.Site, script: Script, mutant: str = "", web: bool = False,
-         kept: bool = False) -> Outcome:
+def play(site: pb.Site, script: Script, mutant: str = "", web: bool = False, kept: bool = False) -> Outcome:
     """Plays a script once, in a world of its own. web: with heads on the operators' platform; kept: with
     heads that keep records, as those of a site with branches always do."""
     if site.branch:
@@ -68,18 +68,33 @@
     try:
         outcome = play(site, drawn(site, seed, web, kept), mutant, web, kept)
     except Exception as error:
-        return Played(seed, [f"raised {type(error).__name__}"], "", 0, 0.0, cpu_seconds() - began,
-                      repr(error))
+        return Played(
+            seed, [f"raised {type(error).__name__}"], "", 0, 0.0, cpu_seconds() - began, repr(error)
+        )
     gc.collect()  # a world is one large cycle, and many of them were held at once
     first = str(outcome.verdict.breaks[0]) if outcome.verdict.breaks else ""
     if not first and outcome.as_it_came:
         first = str(outcome.as_it_came[0][1])
-    return Played(seed, outcome.reasons, outcome.digest, outcome.verdict.counts["taken"], outcome.seconds,
-                  cpu_seconds() - began, first or "; ".join(outcome.defects[:1]), outcome.states)
-
-
-def play_many(site: pb.Site, seeds: Sequence[int], at_once: int = 0, mutant: str = "",
-              web: bool = False, kept: bool = False) -> Iterator[Played]:
+    return Played(
+        seed,
+        outcome.reasons,
+        outcome.digest,
+        outcome.verdict.counts["taken"],
+        outcome.seconds,
+        cpu_seconds() - began,
+        first or "; ".join(outcome.defects[:1]),
+        outcome.states,
+    )
+
+
+def play_many(
+    site: pb.Site,
+    seeds: Sequence[int],
+    at_once: int = 0,
+    mutant: str = "",
+    web: bool = False,
+    kept: bool = False,
+) -> Iterator[Played]:
     """In the order of the seeds; at_once 0: as many as there are cores."""
     work = partial(play_one, site.SerializeToString(), mutant, web, kept)
     fresh = multiprocessing.get_context("spawn")
@@ -111,15 +126,19 @@
             self.failed.append(played)
 
     def unreached(self, web: bool = False) -> list[str]:
-        kinds = [kind for kind, k in KINDS.items()
-                 if not (k.fleet or k.relay or k.kept or k.branch)
-                 and not (k.web if not web else kind in NOT_ON_THE_PLATFORM)]
+        kinds = [
+            kind
+            for kind, k in KINDS.items()
+            if not (k.fleet or k.relay or k.kept or k.branch)
+            and not (k.web if not web else kind in NOT_ON_THE_PLATFORM)
+        ]
         pairs = [f"{kind} | {state}" for kind in kinds for state in (WEB_STATES if web else STATES)]
         return [pair for pair in pairs if pair not in self.states]
 
 
-def until_caught(site: pb.Site, mutant: str, most: int, at_once: int = 0, web: bool = False,
-                 kept: bool = False) -> Played | None:
+def until_caught(
+    site: pb.Site, mutant: str, most: int, at_once: int = 0, web: bool = False, kept: bool = False
+) -> Played | None:
     """The first seed, from 0, whose world shows the planted defect; None where none of so many does."""
     step = 8 * (at_once or os.cpu_count() or 1)
     for begin in range(0, most, step):
@@ -144,7 +163,7 @@
     while script.acts and part:
         at = 0
         while at < len(script.acts):
-            fewer = replace(script, acts=script.acts[:at] + script.acts[at + part:])
+            fewer = replace(script, acts=script.acts[:at] + script.acts[at + part :])
             if still(fewer):
                 script = fewer
                 say(f"{len(script.acts)} acts are enough")
@@ -168,8 +187,9 @@
     return script
 
 
-def fewer_volumes(script: Script, volumes: Sequence[int], fails: Callable[[Script], bool],
-                  say: Callable[[str], None]) -> Script:
+def fewer_volumes(
+    script: Script, volumes: Sequence[int], fails: Callable[[Script], bool], say: Callable[[str], None]
+) -> Script:
     """One volume if one is enough, else as many as matter."""
     for volume in volumes:
         if fails(one := replace(script, volumes=(volume,))):
@@ -183,8 +203,14 @@
     return replace(script, volumes=tuple(kept)) if len(kept) < len(volumes) else script
 
 
-def shrink(site: pb.Site, seed_or_script: Script, mutant: str, say: Callable[[str], None],
-           web: bool = False, kept: bool = False) -> Script:
+def shrink(
+    site: pb.Site,
+    seed_or_script: Script,
+    mutant: str,
+    say: Callable[[str], None],
+    web: bool = False,
+    kept: bool = False,
+) -> Script:
     """ValueError where it does not fail at all. What counts is that one of the same reasons stays."""
     wanted = set(play(site, seed_or_script, mutant, web, kept).reasons)
     if not wanted:
@@ -205,8 +231,16 @@
     begin = outcome.records[0]["t"] if outcome.records else 0.0
     lines: set[tuple[float, str]] = set()
     for r in outcome.records:
-        if r["e"] in ("fault", "head killed", "head back", "shelf killed", "shelf back", "list killed",
-                      "list back", "fell"):
+        if r["e"] in (
+            "fault",
+            "head killed",
+            "head back",
+            "shelf killed",
+            "shelf back",
+            "list killed",
+            "list back",
+            "fell",
+        ):
             what = r.get("act") or r["e"] + "".join(f" {r[k]}" for k in ("head", "shelf") if k in r)
             lines.add((r["t"] - begin, f"{r['t'] - site_zero:9.3f}  {'-- ' + str(what)}"))
     offset = site_zero - begin
--- a/gorsethread/faults/script.py
+++ b/gorsethread/faults/script.py
@@ -45,54 +45,99 @@
 
 
 KINDS = {
-    "kill": Kind(("head", "shelf", "list"), lasts=True,
-                 says="ends without warning; comes back after that time"),
+    "kill": Kind(
+        ("head", "shelf", "list"), lasts=True, says="ends without warning; comes back after that time"
+    ),
     "vanish": Kind(("head", "shelf"), lasts=True, says="its machine is gone, peers hear nothing; comes back"),
-    "pause": Kind(("head", "shelf", "list"), lasts=True,
-                  says="stands still; then all that was due is, at once"),
-    "cut": Kind((*PROCESSES, "room"), to=True, lasts=True,
-                says="nothing gets through that way (->), or both (<->)"),
+    "pause": Kind(
+        ("head", "shelf", "list"), lasts=True, says="stands still; then all that was due is, at once"
+    ),
+    "cut": Kind(
+        (*PROCESSES, "room"), to=True, lasts=True, says="nothing gets through that way (->), or both (<->)"
+    ),
     "reset": Kind(PROCESSES, to=True, says="their connections break, what was on the way is lost"),
-    "crash": Kind(("head", "shelf"), to=True, by=True, lasts=True,
-                  says="ends just as the by-th message of the other arrives, if that is within the time; "
-                  "comes back after as long"),
-    "stab": Kind(("head",), to=True, by=True, lasts=True,
-                 says="ends inside its own code, as it comes to a point for the by-th time; comes back"),
-    "drain": Kind(("shelf",), lasts=True,
-                  says="the list says that it drains, and after that time that it is back"),
+    "crash": Kind(
+        ("head", "shelf"),
+        to=True,
+        by=True,
+        lasts=True,
+        says="ends just as the by-th message of the other arrives, if that is within the time; "
+        "comes back after as long",
+    ),
+    "stab": Kind(
+        ("head",),
+        to=True,
+        by=True,
+        lasts=True,
+        says="ends inside its own code, as it comes to a point for the by-th time; comes back",
+    ),
+    "drain": Kind(
+        ("shelf",), lasts=True, says="the list says that it drains, and after that time that it is back"
+    ),
     "still": Kind(("shelf",), lasts=True, says="takes commands and works on none"),
     "slow": Kind(("shelf",), by=True, lasts=True, says="works that many times as long"),
     "errors": Kind(("shelf",), by=True, lasts=True, says="that part of its answers are failures"),
     "late": Kind(("list",), by=True, lasts=True, says="its news is that many seconds later"),
     "refuse": Kind(("list",), lasts=True, says="answers nobody"),
     "surge": Kind(("volume",), by=True, lasts=True, says="asks for that many times its usual"),
-    "connects": Kind(("head", "shelf", "list"), by=True, lasts=True,
-                     says="takes that many seconds more to connect to"),
+    "connects": Kind(
+        ("head", "shelf", "list"), by=True, lasts=True, says="takes that many seconds more to connect to"
+    ),
     "disk": Kind(("head",), lasts=True, says="its files can't be written"),
     "wall": Kind(("head",), by=True, says="its wall clock jumps by so many seconds"),
-    "term": Kind(("head",), lasts=True, web=True,
-                 says="is told to end, by SIGTERM, ends in order and comes back after that time"),
-    "reload": Kind(("head",), web=True,
-                   says="is told, by SIGHUP, that discovery is at another address"),
-    "spoil": Kind(("shelf",), by=True, lasts=True, web=True,
-                  says="that part of its answers can't be used, though it ran"),
-    "lose": Kind(("head",), by=True, lasts=True, fleet=True,
-                 says="that part of its datagrams, both ways, is lost"),
-    "starve": Kind(("head",), by=True, lasts=True, fleet=True,
-                   says="does all that it does that many seconds late"),
-    "mute": Kind(PROCESSES, to=True, relay=True,
-                 says="connections of now stay open and carry nothing more that way; new ones do"),
-    "lag": Kind(("head",), by=True, lasts=True, kept=True,
-                says="each flush to its disk takes that many seconds more"),
+    "term": Kind(
+        ("head",),
+        lasts=True,
+        web=True,
+        says="is told to end, by SIGTERM, ends in order and comes back after that time",
+    ),
+    "reload": Kind(("head",), web=True, says="is told, by SIGHUP, that discovery is at another address"),
+    "spoil": Kind(
+        ("shelf",),
+        by=True,
+        lasts=True,
+        web=True,
+        says="that part of its answers can't be used, though it ran",
+    ),
+    "lose": Kind(
+        ("head",), by=True, lasts=True, fleet=True, says="that part of its datagrams, both ways, is lost"
+    ),
+    "starve": Kind(
+        ("head",), by=True, lasts=True, fleet=True, says="does all that it does that many seconds late"
+    ),
+    "mute": Kind(
+        PROCESSES,
+        to=True,
+        relay=True,
+        says="connections of now stay open and carry nothing more that way; new ones do",
+    ),
+    "lag": Kind(
+        ("head",), by=True, lasts=True, kept=True, says="each flush to its disk takes that many seconds more"
+    ),
     "wipe": Kind(("head",), lasts=True, kept=True, says="is killed and its disk lost; comes back"),
-    "older": Kind(("head",), by=True, lasts=True, kept=True,
-                  says="is killed; comes back with its disk as it was that many seconds before"),
-    "rot": Kind(("head",), lasts=True, kept=True,
-                says="is killed, and half of its newest own records can't be read; comes back"),
-    "swap": Kind(("head",), to=True, lasts=True, kept=True,
-                 says="both are killed and come back with each other's disk"),
-    "link": Kind(("head",), by=True, lasts=True, branch=True,
-                 says="its branch's link is gone: both ways (by 0), what it sends (1), what it hears (2)"),
+    "older": Kind(
+        ("head",),
+        by=True,
+        lasts=True,
+        kept=True,
+        says="is killed; comes back with its disk as it was that many seconds before",
+    ),
+    "rot": Kind(
+        ("head",),
+        lasts=True,
+        kept=True,
+        says="is killed, and half of its newest own records can't be read; comes back",
+    ),
+    "swap": Kind(
+        ("head",), to=True, lasts=True, kept=True, says="both are killed and come back with each other's disk"
+    ),
+    "link": Kind(
+        ("head",),
+        by=True,
+        lasts=True,
+        branch=True,
+        says="its branch's link is gone: both ways (by 0), what it sends (1), what it hears (2)",
+    ),
     "rude": Kind(("head",), lasts=True, web=True, says="clients that send nonsense come to it"),
 }
 
@@ -154,12 +199,20 @@
     volumes: tuple[int, ...] = ()
 
     def __str__(self) -> str:
-        lines = [f"seed {self.seed}", f"heads {self.heads}", f"shelves {self.shelves}",
-                 f"seconds {self.seconds:g}", f"factor {self.factor:g}", f"leaves {self.leaves:g}"]
+        lines = [
+            f"seed {self.seed}",
+            f"heads {self.heads}",
+            f"shelves {self.shelves}",
+            f"seconds {self.seconds:g}",
+            f"factor {self.factor:g}",
+            f"leaves {self.leaves:g}",
+        ]
         if self.volumes:
             lines.append("volumes " + " ".join(map(str, self.volumes)))
-        lines += [f"clock {whom.replace(' ', '-')} {c.offset:+g} drift {c.drift:g}"
-                  for whom, c in sorted(self.clocks.items())]
+        lines += [
+            f"clock {whom.replace(' ', '-')} {c.offset:+g} drift {c.drift:g}"
+            for whom, c in sorted(self.clocks.items())
+        ]
         lines += [str(act) for act in sorted(self.acts)]
         return "\n".join(lines) + "\n"
 
@@ -196,9 +249,16 @@
         raise BadScript(faults)
     plain = Script()
     script = Script(
-        int(known.get("seed", plain.seed)), int(known.get("heads", plain.heads)),
-        int(known.get("shelves", plain.shelves)), known.get("seconds", plain.seconds),
-        known.get("factor", plain.factor), known.get("leaves", plain.leaves), tuple(acts), clocks, volumes)
+        int(known.get("seed", plain.seed)),
+        int(known.get("heads", plain.heads)),
+        int(known.get("shelves", plain.shelves)),
+        known.get("seconds", plain.seconds),
+        known.get("factor", plain.factor),
+        known.get("leaves", plain.leaves),
+        tuple(acts),
+        clocks,
+        volumes,
+    )
     if faults := _beyond(script):
         raise BadScript(faults)
     return script
@@ -259,5 +319,9 @@
 def _beyond(script: Script) -> list[str]:
     """Acts on what the world does not have."""
     sizes = {"head": script.heads, "shelf": script.shelves}
-    return [f"{act}: there is no {name}" for act in script.acts for name in (act.whom, act.to)
-            if name.split(" ")[0] in sizes and int(name.split(" ")[1]) >= sizes[name.split(" ")[0]]]
+    return [
+        f"{act}: there is no {name}"
+        for act in script.acts
+        for name in (act.whom, act.to)
+        if name.split(" ")[0] in sizes and int(name.split(" ")[1]) >= sizes[name.split(" ")[0]]
+    ]
--- a/gorsethread/faults/states.py
+++ b/gorsethread/faults/states.py
@@ -17,8 +17,9 @@
     "a shelf rests": lambda h: any(s.rest_until > h.driver.clock() for s in h.driver.policy.shelves.values()),
     "a shelf drains": lambda h: any(not s.ready for s in h.driver.policy.shelves.values()),
     "a rate is cut": lambda h: any(s.rate < FREE_RATE for s in h.driver.policy.shelves.values()),
-    "a limit holds": lambda h: any(v.plan.limit and v.limit_store < 1.0
-                                   for v in h.driver.policy.volumes.values()),
+    "a limit holds": lambda h: any(
+        v.plan.limit and v.limit_store < 1.0 for v in h.driver.policy.volumes.values()
+    ),
     "a further forward out": lambda h: any(n for s in h.driver.policy.shelves.values() for _, n in s.out),
 }
 STATES: States = DECIDED | {
@@ -26,8 +27,8 @@
     "the list is not followed": lambda h: h.follower._stream is None,
 }
 WEB_STATES: States = DECIDED | {
-    "a connection comes up": lambda h: h.pool.held > len(h.pool.busy) + sum(
-        len(link.kept) for link in h.driver.links.values()),
+    "a connection comes up": lambda h: h.pool.held
+    > len(h.pool.busy) + sum(len(link.kept) for link in h.driver.links.values()),
     "none is kept": lambda h: not h.pool.trust.holds(h.transport.now()),
     "the list is not followed": lambda h: h.discovery._stream is None,
 }
--- a/gorsethread/faults/webmutants.py
+++ b/gorsethread/faults/webmutants.py
@@ -181,13 +181,15 @@
 def _late_cut_off(head: LiveHead) -> None:
     honest = head.driver.take
     head.driver.take = (  # type: ignore[method-assign]
-        lambda *a, cut_off, **n: honest(*a, cut_off=cut_off + 0.5, **n))
+        lambda *a, cut_off, **n: honest(*a, cut_off=cut_off + 0.5, **n)
+    )
 
 
 @mutant("clients: what is given up is answered as pushed back")
 def _gives_up_as_pushed(head: LiveHead) -> None:
     head.driver.give_up = lambda transaction: head.driver.push_back(  # type: ignore[method-assign]
-        transaction, 0.1)
+        transaction, 0.1
+    )
 
 
 @mutant("clients: some are answered twice")
--- a/gorsethread/faults/webworld.py
+++ b/gorsethread/faults/webworld.py
@@ -100,14 +100,23 @@
         """Writes its configuration; the list it is told of is as this head last had it."""
         me = next(h for h in self.site.head if h.number == number)
         states = self.told.get(number, {})
-        known = [instance(s.number, s.address, s.shard, s.zone, states.get(s.number, "ready"), 0.0, number)
-                 for s in self.site.shelf if states.get(s.number) != "gone"]
+        known = [
+            instance(s.number, s.address, s.shard, s.zone, states.get(s.number, "ready"), 0.0, number)
+            for s in self.site.shelf
+            if states.get(s.number) != "gone"
+        ]
         host, _ = split_address(self.site.list.address)
-        order = {"name": f"n{number}", "listen": me.address, "discovery": f"{host}:{HEADS_FROM + number}",
-                 "seed": f"{self.script.seed * 1000 + number:016x}", "limits": LIMITS,
-                 "settings": {**settings_of(self.site), "index": self._index(number)},
-                 "peers": [self._peer(h) for h in self.site.head], "peer_listen": self._peer(me),
-                 "known": {"generation": 1, "reset": True, "instances": known}}
+        order = {
+            "name": f"n{number}",
+            "listen": me.address,
+            "discovery": f"{host}:{HEADS_FROM + number}",
+            "seed": f"{self.script.seed * 1000 + number:016x}",
+            "limits": LIMITS,
+            "settings": {**settings_of(self.site), "index": self._index(number)},
+            "peers": [self._peer(h) for h in self.site.head],
+            "peer_listen": self._peer(me),
+            "known": {"generation": 1, "reset": True, "instances": known},
+        }
         path = f"config/{number}.json"
         self.disk.files[path] = bytearray(json.dumps(order).encode())
         return path
@@ -151,9 +160,14 @@
 
     def _judge_end(self, name: str, taken: list[Any]) -> None:
         """Answers that were on their way as the head ended are there now."""
-        reached = [s for s in taken if not any(
-            begin <= self.loop.time() and s.sent["t"] <= until
-            for begin, until in self.online._away[s.sent["who"], s.sent["head"]])]
+        reached = [
+            s
+            for s in taken
+            if not any(
+                begin <= self.loop.time() and s.sent["t"] <= until
+                for begin, until in self.online._away[s.sent["who"], s.sent["head"]]
+            )
+        ]
         if any(s.how in ("", "unreachable") for s in reached):
             self._defect(f"ended under requests it had taken: {name}")
 
@@ -170,9 +184,14 @@
     def _stood_still(self, head: str, within: float) -> bool:
         """Whether a fault of the script held that head up or ended it in the last so many seconds."""
         now = self.loop.time() - self.zero
-        return any(a.kind in ("pause", "vanish", "kill", "stab", "crash", "term") and a.whom == head
-                   and a.at < now and a.end > now - within for a in self.script.acts
-                   if a.kind == "pause" or within == OWED_WITHIN)
+        return any(
+            a.kind in ("pause", "vanish", "kill", "stab", "crash", "term")
+            and a.whom == head
+            and a.at < now
+            and a.end > now - within
+            for a in self.script.acts
+            if a.kind == "pause" or within == OWED_WITHIN
+        )
 
     def _ends_soon(self, head: int) -> bool:
         """Whether it was told to end, and may close what is idle, or its machine closed all as it died."""
@@ -195,8 +214,10 @@
         pool, driver = head.pool, head.driver
         kept = sum(len(link.kept) for link in driver.links.values())
         if not 0 <= kept + len(pool.busy) <= pool.held <= pool.most:
-            self._defect(f"connections do not add up: head {number}: held {pool.held} of {pool.most}, kept "
-                         f"{kept}, busy {len(pool.busy)}")
+            self._defect(
+                f"connections do not add up: head {number}: held {pool.held} of {pool.most}, kept "
+                f"{kept}, busy {len(pool.busy)}"
+            )
         for connection in pool.busy.values():
             f = connection.out
             t = driver.open.get(f.transaction) if f is not None else None
@@ -211,4 +232,3 @@
         sent = sum(r["e"] == "sent" for r in self.records)
         if out > max(SHUT_OUT_FREE, SHUT_OUT_PART * sent):
             self._defect(f"no room: {out} of {sent} requests found none")
-
--- a/gorsethread/faults/world.py
+++ b/gorsethread/faults/world.py
@@ -38,6 +38,8 @@
 UNSENT_MOST = 4 << 20  # bytes one end of a connection may hold back
 LENT_UNITS = 3.0  # a head, that a cold shelf of every second world bears
 ACCOUNTS = "accounts"
+
+
 class Point(NamedTuple):
     """A method that a head may end itself behind: of which part of a Head, and its class, for processes."""
 
@@ -52,11 +54,26 @@
 
 
 POINTS = {
-    **_points("driver", "head.driver", "Driver", {
-        "take": "take", "forward": "forward", "push_back": "push_back", "give_up": "give_up",
-        "ended": "_ended", "listed": "listed", "work": "_work"}),
-    **_points("promises", "head.promises", "Promises", {
-        "promise": "placed", "flushed": "_flushed", "held": "_settle", "given": "_given"}),
+    **_points(
+        "driver",
+        "head.driver",
+        "Driver",
+        {
+            "take": "take",
+            "forward": "forward",
+            "push_back": "push_back",
+            "give_up": "give_up",
+            "ended": "_ended",
+            "listed": "listed",
+            "work": "_work",
+        },
+    ),
+    **_points(
+        "promises",
+        "head.promises",
+        "Promises",
+        {"promise": "placed", "flushed": "_flushed", "held": "_settle", "given": "_given"},
+    ),
     **_points("holding", "head.holding", "Holding", {"greeted": "_greeted"}),
     **_points("promises.store", "records.store", "Store", {"segment": "_forget"}),
 }
@@ -65,20 +82,38 @@
 
 def misfits(site: pb.Site, script: Script, web: bool = False, kept: bool = False) -> list[str]:
     """What a script names and this site, or its heads' front, does not have."""
-    there = {"volume": {str(v.number) for v in site.volume}, "client": {t.name for t in site.tenant},
-             "room": {str(s.zone) for s in site.shelf}}
-    named = [(str(act), *name.split(" ", 1)) for act in script.acts for name in (act.whom, act.to)
-             if name.split(" ")[0] in there]
+    there = {
+        "volume": {str(v.number) for v in site.volume},
+        "client": {t.name for t in site.tenant},
+        "room": {str(s.zone) for s in site.shelf},
+    }
+    named = [
+        (str(act), *name.split(" ", 1))
+        for act in script.acts
+        for name in (act.whom, act.to)
+        if name.split(" ")[0] in there
+    ]
     named += [("volumes", "volume", str(n)) for n in script.volumes]
-    foreign = [f"{act}: not for heads of this front" for act in script.acts
-               if KINDS[act.kind].web and not web or KINDS[act.kind].fleet
-               or KINDS[act.kind].relay or KINDS[act.kind].kept and not kept
-               or KINDS[act.kind].branch and not any(act.whom == f"head {n}" for b in site.branch
-                                                     for n in b.head)]
-    foreign += [f"{act}: not for heads without records" for act in script.acts
-                if act.kind == "stab" and act.to.split(" ")[1] in KEPT_POINTS and not kept]
-    return foreign + [f"{place}: the site has no {kind} {which}" for place, kind, which in named
-                      if which not in there[kind]]
+    foreign = [
+        f"{act}: not for heads of this front"
+        for act in script.acts
+        if KINDS[act.kind].web
+        and not web
+        or KINDS[act.kind].fleet
+        or KINDS[act.kind].relay
+        or KINDS[act.kind].kept
+        and not kept
+        or KINDS[act.kind].branch
+        and not any(act.whom == f"head {n}" for b in site.branch for n in b.head)
+    ]
+    foreign += [
+        f"{act}: not for heads without records"
+        for act in script.acts
+        if act.kind == "stab" and act.to.split(" ")[1] in KEPT_POINTS and not kept
+    ]
+    return foreign + [
+        f"{place}: the site has no {kind} {which}" for place, kind, which in named if which not in there[kind]
+    ]
 
 
 class Silent:
@@ -146,9 +181,12 @@
 
     def __init__(self, site: pb.Site, script: Script, change: Callable[[Any], None] | None = None) -> None:
         self.script, self.change = script, change
-        addresses = ["list:4400", *(f"head-{n}:4420" for n in range(script.heads)),
-                     *(f"shelf-{n}:4430" for n in range(script.shelves)),
-                     *(f"head-{n}:4520" for n in range(script.heads))]
+        addresses = [
+            "list:4400",
+            *(f"head-{n}:4420" for n in range(script.heads)),
+            *(f"shelf-{n}:4430" for n in range(script.shelves)),
+            *(f"head-{n}:4520" for n in range(script.heads)),
+        ]
         self.site = sized(site, script.heads, script.shelves, addresses)
         self.loop = VirtualLoop()
         self.network = Network(self.loop, script.seed)
@@ -163,10 +201,12 @@
         if script.seed % 2:
             # So little that one head lends it, over a network that loses, doubles and delays its messages.
             cold.units = LENT_UNITS * script.heads
-            self.network.weather = replace(self.network.weather, lost=0.05, doubled=0.05, late=0.05,
-                                           late_most=1.0)
-        self.cold_part = ColdPart(ColdRule(cold.units, cold.span, cold.warm_after, cold.first_part),
-                                  self._defect)
+            self.network.weather = replace(
+                self.network.weather, lost=0.05, doubled=0.05, late=0.05, late_most=1.0
+            )
+        self.cold_part = ColdPart(
+            ColdRule(cold.units, cold.span, cold.warm_after, cold.first_part), self._defect
+        )
         self.zero = self.loop.time() + START_UP
         self.day = self._process("day")
         self.processes: dict[str, VirtualTransport] = {}
@@ -220,19 +260,35 @@
 
     def _start_list(self) -> None:
         process = self._start("list")
-        script = [Fault(self.zero + a.at, a.kind, a.seconds, a.by) for a in self.script.acts
-                  if a.kind in ("late", "refuse") and self.zero + a.at > self.loop.time()]
+        script = [
+            Fault(self.zero + a.at, a.kind, a.seconds, a.by)
+            for a in self.script.acts
+            if a.kind in ("late", "refuse") and self.zero + a.at > self.loop.time()
+        ]
         self.list = self.lists(process, self.site, Remembering(self, process, "list"), script, Silent())
         self.list.start()
 
     def _start_shelf(self, number: int, warm: bool) -> None:
         name = f"shelf {number}"
         process = self._start(name)
-        script = [Fault(self.zero + a.at, a.kind, a.seconds, a.by) for a in self.script.acts
-                  if a.whom == name and a.kind in ("still", "slow", "errors", "spoil")
-                  and self.zero + a.at > self.loop.time()]
-        shelf = self.shelf_kind(process, self.site, number, Remembering(self, process, name), "disk", script,
-                                warm, Silent(), lambda: self._fell(number))
+        script = [
+            Fault(self.zero + a.at, a.kind, a.seconds, a.by)
+            for a in self.script.acts
+            if a.whom == name
+            and a.kind in ("still", "slow", "errors", "spoil")
+            and self.zero + a.at > self.loop.time()
+        ]
+        shelf = self.shelf_kind(
+            process,
+            self.site,
+            number,
+            Remembering(self, process, name),
+            "disk",
+            script,
+            warm,
+            Silent(),
+            lambda: self._fell(number),
+        )
         self.shelves[number] = shelf
         shelf.start()
 
@@ -242,8 +298,17 @@
     def _start_head(self, number: int) -> None:
         name = f"head {number}"
         process = self._start(name)
-        head = Head(process, self.site, number, self.script.seed * 1000 + number, f"remember/{number}",
-                    Silent(), accounts=ACCOUNTS, window=1.0, records=self.records_of(number))
+        head = Head(
+            process,
+            self.site,
+            number,
+            self.script.seed * 1000 + number,
+            f"remember/{number}",
+            Silent(),
+            accounts=ACCOUNTS,
+            window=1.0,
+            records=self.records_of(number),
+        )
         self.heads[number] = head
         self.cold_part.watch(head.driver, number, self.loop.time)
         if self.change:
@@ -257,11 +322,22 @@
     def _start_client(self, tenant: str) -> None:
         name = f"client {tenant}"
         process = self._start(name)
-        surges = [Surge(int(a.whom.split(" ")[1]), self.zero + a.at, a.seconds, a.by)
-                  for a in self.script.acts if a.kind == "surge"]
-        client = self.client_kind(process, self.site, tenant, Remembering(self, process, name),
-                                  self.script.factor, self.zero, self.zero + self.script.seconds, surges,
-                                  Silent())
+        surges = [
+            Surge(int(a.whom.split(" ")[1]), self.zero + a.at, a.seconds, a.by)
+            for a in self.script.acts
+            if a.kind == "surge"
+        ]
+        client = self.client_kind(
+            process,
+            self.site,
+            tenant,
+            Remembering(self, process, name),
+            self.script.factor,
+            self.zero,
+            self.zero + self.script.seconds,
+            surges,
+            Silent(),
+        )
         if self.script.volumes:
             client.volumes = [v for v in client.volumes if v.number in self.script.volumes]
         client.leaves = self.script.leaves
@@ -308,20 +384,25 @@
         if kind != "room":
             return [name]
         rooms = max((s.zone for s in self.site.shelf), default=0) + 1
-        return ([f"shelf {s.number}" for s in self.site.shelf if s.zone == int(which)]
-                + [f"head {n}" for n in range(self.script.heads) if n % rooms == int(which)])
+        return [f"shelf {s.number}" for s in self.site.shelf if s.zone == int(which)] + [
+            f"head {n}" for n in range(self.script.heads) if n % rooms == int(which)
+        ]
 
     def _pairs(self, act: Act) -> list[tuple[str, str]]:
-        pairs = [(one, other) for one in self._members(act.whom) for other in self._members(act.to)
-                 if one != other]
+        pairs = [
+            (one, other) for one in self._members(act.whom) for other in self._members(act.to) if one != other
+        ]
         return pairs + [(other, one) for one, other in pairs] if act.both else pairs
 
     def _apart(self, one: str, other: str, seconds: float) -> None:
         """The witness can't ask a head for answers to a client that it does not reach."""
         client, head = (one, other) if one.startswith("client") else (other, one)
         if client.startswith("client") and head.startswith("head"):
-            self.saw("day", "apart", {"client": client, "head": int(head.split(" ")[1]),
-                                      "until": self.loop.time() + seconds})
+            self.saw(
+                "day",
+                "apart",
+                {"client": client, "head": int(head.split(" ")[1]), "until": self.loop.time() + seconds},
+            )
 
     def _begins(self, act: Act) -> None:
         self.saw("day", "fault", {"act": str(act)})
@@ -433,9 +514,16 @@
         verdict = Witness(self.site, self.records, EXACT).judge()
         if not verdict.counts["honoured"]:
             self.defects.append("nothing was honoured: this world shows nothing")
-        return Outcome(self.script, verdict, self.defects, self.network.digest.hexdigest(),
-                       self.loop.time() - self.zero + START_UP, self.records, self.states,
-                       self.online.breaks)
+        return Outcome(
+            self.script,
+            verdict,
+            self.defects,
+            self.network.digest.hexdigest(),
+            self.loop.time() - self.zero + START_UP,
+            self.records,
+            self.states,
+            self.online.breaks,
+        )
 
     async def _play(self) -> None:
         self._start_list()
@@ -506,14 +594,18 @@
                 if f in driver.unkept:
                     continue  # waits for the disk, or for copies
                 if not f.over and (held is None or held.out.get(f.cid) is not f and f not in held.waiting):
-                    self._defect(f"forward that no link holds: head {number}, shelf {f.shelf}, transaction "
-                                 f"{owner.id}")
+                    self._defect(
+                        f"forward that no link holds: head {number}, shelf {f.shelf}, transaction "
+                        f"{owner.id}"
+                    )
         for link in driver.links.values():
             for f in (*link.out.values(), *link.waiting):
                 t = driver.open.get(f.transaction)
                 if not f.over and f.number >= 0 and (t is None or t.out.get(f.number) is not f):
-                    self._defect(f"forward without an owner: head {number}, shelf {link.shelf}, transaction "
-                                 f"{f.transaction}")
+                    self._defect(
+                        f"forward without an owner: head {number}, shelf {link.shelf}, transaction "
+                        f"{f.transaction}"
+                    )
 
     def _check_counts(self, number: int) -> None:
         """taken is the sum of what was answered, who left, and what is open."""
@@ -522,8 +614,10 @@
         waiting = sum(not t.answered for t in driver.open.values())
         answered = sum(counts[how] for how in COUNTED)
         if counts["taken"] != answered + waiting:
-            self._defect(f"counts do not add up: head {number}: taken {counts['taken']}, answered or left "
-                         f"{answered}, open {waiting}")
+            self._defect(
+                f"counts do not add up: head {number}: taken {counts['taken']}, answered or left "
+                f"{answered}, open {waiting}"
+            )
 
     def _check_accounts(self) -> None:
         """Every window that a head kept can be read, and each life in it is the sum of its stages."""
@@ -531,8 +625,10 @@
             raw = self.day.load(f"{ACCOUNTS}/{name}")
             window = decode(raw or b"", self.site.name)
             if window.remainders or window.disorders:
-                self._defect(f"accounts do not add up: {name}: {window.remainders} remainders, "
-                             f"{window.disorders} out of order")
+                self._defect(
+                    f"accounts do not add up: {name}: {window.remainders} remainders, "
+                    f"{window.disorders} out of order"
+                )
 
     def _check_rest(self) -> None:
         """The faults are over and nobody asks for anything: all is answered, nothing is left behind."""
@@ -554,8 +650,10 @@
             self._check_counts(number)
             driver, policy = head.driver, head.driver.policy
             left: dict[str, Sized] = {
-                "open transactions": driver.open, "transactions of the policy": policy.transactions,
-                "busy volumes": policy.busy, "lines of keys": policy.lines,
+                "open transactions": driver.open,
+                "transactions of the policy": policy.transactions,
+                "busy volumes": policy.busy,
+                "lines of keys": policy.lines,
                 "forwards at the policy's shelves": [o for s in policy.shelves.values() for o in s.out],
             }
             for what, things in left.items():
@@ -564,11 +662,14 @@
             listed = {n for n, (_, state, _) in self.list.entries.items() if state == "ready"}
             used = self._used(head)
             if listed != used:
-                self._defect(f"not what the list says: head {number} uses {sorted(used)}, ready are "
-                             f"{sorted(listed)}")
+                self._defect(
+                    f"not what the list says: head {number} uses {sorted(used)}, ready are "
+                    f"{sorted(listed)}"
+                )
             if sent_to.get(number, 0) >= ASKED and not honoured_by.get(number):
-                self._defect(f"does not serve again: head {number} honoured none of the last "
-                             f"{sent_to[number]}")
+                self._defect(
+                    f"does not serve again: head {number} honoured none of the last " f"{sent_to[number]}"
+                )
 
 
 async def _turns(number: int) -> None:
--- a/gorsethread/harness/branches.py
+++ b/gorsethread/harness/branches.py
@@ -36,20 +36,25 @@
 
     @property
     def good(self) -> bool:
-        return super().good and not (self.effects_doubled or self.accepted_lost or self.causal_breaks
-                                     or self.accepted_unseen)
+        return super().good and not (
+            self.effects_doubled or self.accepted_lost or self.causal_breaks or self.accepted_unseen
+        )
 
 
 class BranchTrial(KeptTrial):
     result_kind = Result
     client_kind = BranchClient
 
-    def __init__(self, transport: Any, processes: Any, known: pb.Site, log: Any, script: Script,
-                 plant: str = "") -> None:
+    def __init__(
+        self, transport: Any, processes: Any, known: pb.Site, log: Any, script: Script, plant: str = ""
+    ) -> None:
         super().__init__(transport, processes, known, log, script, plant)
         away = {n for b in self.site.branch for n in b.head}
-        self.cast.beyond = ["list", *(f"shelf {s.number}" for s in self.site.shelf),
-                            *(f"head {h.number}" for h in self.site.head if h.number not in away)]
+        self.cast.beyond = [
+            "list",
+            *(f"shelf {s.number}" for s in self.site.shelf),
+            *(f"head {h.number}" for h in self.site.head if h.number not in away),
+        ]
 
     def _begun(self) -> None:
         for when, head in self.copies_at:
--- a/gorsethread/harness/cast.py
+++ b/gorsethread/harness/cast.py
@@ -23,16 +23,28 @@
 
 def unplayable(script: Script, kinds: tuple[str, ...], parties: tuple[str, ...]) -> list[str]:
     """Acts that a scene with these kinds and parties is not put through."""
-    return [f"{act}: not for real processes" for act in script.acts if act.kind not in kinds
-            or not act.whom.startswith(parties) or act.to and not act.to.startswith(parties)]
+    return [
+        f"{act}: not for real processes"
+        for act in script.acts
+        if act.kind not in kinds
+        or not act.whom.startswith(parties)
+        or act.to
+        and not act.to.startswith(parties)
+    ]
 
 
 class Cast:
     """starts: how each party's process comes up. own: acts of a scene on what runs in this very process, by
     the party's kind; they return when it is over. saw: what judges are told of."""
 
-    def __init__(self, transport: Transport, processes: Processes, heads: int,
-                 starts: Callable[[str], Awaitable[None]], say: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        transport: Transport,
+        processes: Processes,
+        heads: int,
+        starts: Callable[[str], Awaitable[None]],
+        say: Callable[[str], None],
+    ) -> None:
         self.transport, self.processes, self.heads, self.say = transport, processes, heads, say
         self.starts = starts
         self.faults = Faults()
@@ -59,8 +71,12 @@
 
     def ways(self, act: Act) -> list[Way]:
         if act.kind == "link":
-            return [way for other in self.beyond for n, way in enumerate(
-                ((act.whom, other), (other, act.whom)), 1) if act.by in (0, n)]
+            return [
+                way
+                for other in self.beyond
+                for n, way in enumerate(((act.whom, other), (other, act.whom)), 1)
+                if act.by in (0, n)
+            ]
         pairs = [(a, b) for a in self.members(act.whom) for b in self.members(act.to) if a != b]
         return pairs + [(b, a) for a, b in pairs] if act.both else pairs
 
--- a/gorsethread/harness/kept.py
+++ b/gorsethread/harness/kept.py
@@ -45,8 +45,15 @@
     result_kind: Callable[[int], Any] = Result
     client_kind: type[LoadClient] = Forgetful
 
-    def __init__(self, transport: RealTransport, processes: Processes, known: pb.Site, log: Any,
-                 script: Script, plant: str = "") -> None:
+    def __init__(
+        self,
+        transport: RealTransport,
+        processes: Processes,
+        known: pb.Site,
+        log: Any,
+        script: Script,
+        plant: str = "",
+    ) -> None:
         super().__init__(transport, processes, known, log, script, plant)
         self.cast.folders = self._folders
         self.numbers = Numbers()
@@ -114,8 +121,12 @@
     def judge(self, verdict: Verdict) -> None:
         self._count()
         folder = self.processes.folder
-        files = {(s, v.number): path.read_bytes() for s in self.shards for v in self.site.volume
-                 if (path := folder / f"shard-{s}-volume-{v.number}").exists()}
+        files = {
+            (s, v.number): path.read_bytes()
+            for s in self.shards
+            for v in self.site.volume
+            if (path := folder / f"shard-{s}-volume-{v.number}").exists()
+        }
         found = parted(self.site, files)
         self.result.placed = len(found)
         self.result.parted = sum(len(shards) > 1 for shards in found.values())
--- a/gorsethread/harness/processes.py
+++ b/gorsethread/harness/processes.py
@@ -33,13 +33,24 @@
     def record(self, name: str) -> Path:
         return self.folder / f"{name.replace(' ', '-')}.jsonl"
 
-    async def start(self, name: str, *arguments: str, begins: tuple[str, ...] = ("-m", "gorsethread"),
-                    settings: dict[str, str] | None = None) -> None:
+    async def start(
+        self,
+        name: str,
+        *arguments: str,
+        begins: tuple[str, ...] = ("-m", "gorsethread"),
+        settings: dict[str, str] | None = None,
+    ) -> None:
         """begins: what the interpreter runs; settings: of the environment, besides this one's."""
         with (self.folder / f"{name.replace(' ', '-')}.log").open("ab") as log:
             self.running[name] = await asyncio.create_subprocess_exec(
-                sys.executable, *begins, *arguments, stdin=asyncio.subprocess.DEVNULL, stdout=log,
-                stderr=log, env={**os.environ, "PYTHONHASHSEED": "0", **(settings or {})})
+                sys.executable,
+                *begins,
+                *arguments,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "PYTHONHASHSEED": "0", **(settings or {})},
+            )
 
     def whose(self, peer: str) -> str:
         """The child whose end of a connection on this machine that is (host:port); "": none's."""
@@ -55,8 +66,9 @@
         process = self.running.get(name)
         return process.pid if process and process.returncode is None else None
 
-    async def end(self, name: str, number: signal.Signals = signal.SIGTERM,
-                  within: float = 15.0) -> int | None:
+    async def end(
+        self, name: str, number: signal.Signals = signal.SIGTERM, within: float = 15.0
+    ) -> int | None:
         """Its exit status; a process that does not end in time is killed."""
         process = self.running.pop(name, None)
         if process is None:
--- a/gorsethread/harness/relay.py
+++ b/gorsethread/harness/relay.py
@@ -53,14 +53,16 @@
 class DatagramRelay:
     """A port for each party, by which the others know it. private: the party's own port, all on loopback."""
 
-    def __init__(self, transport: Transport, faults: Faults, public: dict[str, int],
-                 private: dict[str, int]) -> None:
+    def __init__(
+        self, transport: Transport, faults: Faults, public: dict[str, int], private: dict[str, int]
+    ) -> None:
         self.transport, self.chance, self.faults = transport, transport.chance("relay"), faults
         self.private = private
         self.bytes = self.datagrams = 0
         self._senders = {port: name for name, port in private.items()}
         self._ports: dict[str, Datagrams] = {
-            name: transport.datagrams("127.0.0.1", port, self._taker(name)) for name, port in public.items()}
+            name: transport.datagrams("127.0.0.1", port, self._taker(name)) for name, port in public.items()
+        }
 
     def _taker(self, other: str) -> Callable[[bytes, Address], None]:
         return lambda data, source: self._pass(data, self._senders.get(source[1], ""), other)
@@ -78,8 +80,10 @@
             wait = c.uniform(0.0, LATE_MOST) if c.random() < LATE_PART else 0.0
             wait += faults.slow.get((one, other), 0.0)
             # It seems to come from the sender's own port here, as its peers know it.
-            self.transport.at(self.transport.now() + wait, lambda: self._ports[one].send(
-                ("127.0.0.1", self.private[other]), data))
+            self.transport.at(
+                self.transport.now() + wait,
+                lambda: self._ports[one].send(("127.0.0.1", self.private[other]), data),
+            )
 
     def close(self) -> None:
         for port in self._ports.values():
@@ -90,8 +94,9 @@
     """One connection led through: what comes on one side goes out on the other, in order, unless its way is
     cut: then it is held, and both sides stay open and hear nothing, as where a machine vanished."""
 
-    def __init__(self, relay: "StreamRelay", ways: tuple[Way, Way], near: Stream, far: Stream,
-                 loses: bool) -> None:
+    def __init__(
+        self, relay: "StreamRelay", ways: tuple[Way, Way], near: Stream, far: Stream, loses: bool
+    ) -> None:
         self.relay, self.ways, self.loses = relay, ways, loses
         self.ends = (near, far)
         self.muted = [False, False]  # from the near side, from the far one
@@ -142,16 +147,27 @@
         self.bytes = 0
         self._listeners: list[Listener] = []
 
-    def way(self, one: str | Callable[[Stream, bytes], str], other: str, at: Address, behind: Address,
-            loses: bool = False) -> None:
+    def way(
+        self,
+        one: str | Callable[[Stream, bytes], str],
+        other: str,
+        at: Address,
+        behind: Address,
+        loses: bool = False,
+    ) -> None:
         """Who connects to `at` is `one`, or who its stream and first bytes say it is, and is led to `other`,
         who listens at `behind`. loses: what a cut holds is lost, with its connection, once it is over: where
         it came late a judge could not tell when it was sent."""
         says = (lambda stream, first: one) if isinstance(one, str) else one
         self._listeners.append(self.transport.listen(*at, self._taker(says, other, behind, loses)))
 
-    def _taker(self, says: Callable[[Stream, bytes], str], other: str, behind: Address, loses: bool,
-               ) -> Callable[[Stream], Awaitable[None]]:
+    def _taker(
+        self,
+        says: Callable[[Stream, bytes], str],
+        other: str,
+        behind: Address,
+        loses: bool,
+    ) -> Callable[[Stream], Awaitable[None]]:
         async def take(near: Stream) -> None:
             came = self.transport.now()
             try:
--- a/gorsethread/harness/service.py
+++ b/gorsethread/harness/service.py
@@ -29,8 +29,7 @@
 from gorsethread.transport.real import RealTransport, free_ports
 from gorsethread.witness.judge import Verdict, Witness
 
-PLAYED = ("kill", "pause", "term", "cut", "lose", "drain", "refuse", "late", "reset", "mute",
-          "stab")
+PLAYED = ("kill", "pause", "term", "cut", "lose", "drain", "refuse", "late", "reset", "mute", "stab")
 PARTIES = ("head", "room", "shelf", "list", "point")
 HELD = 0.3  # seconds after a pause in which a head works on what came meanwhile
 START_WITHIN = 30.0  # seconds until all heads listen
@@ -75,9 +74,17 @@
     def __init__(self, trial: "ServiceTrial", number: int, warm: bool) -> None:
         self.transport = RealTransport(trial.script.seed * 100 + number)
         recorder = Kept(self.transport, f"shelf {number}", trial.records)
-        self.shelf = trial.made_shelf(self.transport, trial.site, number, recorder,
-                                      str(trial.processes.folder), [], warm, trial.log,
-                                      lambda: trial.fell(number))
+        self.shelf = trial.made_shelf(
+            self.transport,
+            trial.site,
+            number,
+            recorder,
+            str(trial.processes.folder),
+            [],
+            warm,
+            trial.log,
+            lambda: trial.fell(number),
+        )
         self.shelf.start()
 
     async def end(self) -> None:
@@ -94,8 +101,15 @@
     shelf_kind: type[Shelf] = WebShelf
     client_kind: type[LoadClient] = WebClient
 
-    def __init__(self, transport: RealTransport, processes: Processes, site: pb.Site, log: Any,
-                 script: Script, plant: str = "") -> None:
+    def __init__(
+        self,
+        transport: RealTransport,
+        processes: Processes,
+        site: pb.Site,
+        log: Any,
+        script: Script,
+        plant: str = "",
+    ) -> None:
         self.say: Callable[[str], None] = lambda line: None
         self.transport, self.processes, self.log, self.script = transport, processes, log, script
         self.plant = plant
@@ -103,9 +117,12 @@
         # Addresses of this process alone on loopback, so that trials may run beside each other.
         self.net = f"127.{64 + os.getpid() % 128}.{os.getpid() // 128 % 200}"
         ports = free_ports(3 * heads + 2 + shelves)
-        addresses = [f"{self.net}.250:{ports[0]}", *(f"127.0.0.1:{p}" for p in ports[1:1 + heads]),
-                     *(f"{self.net}.{1 + n}:{ports[1 + heads + n]}" for n in range(shelves)),
-                     *(f"127.0.0.1:{p}" for p in ports[1 + heads + shelves:1 + 2 * heads + shelves])]
+        addresses = [
+            f"{self.net}.250:{ports[0]}",
+            *(f"127.0.0.1:{p}" for p in ports[1 : 1 + heads]),
+            *(f"{self.net}.{1 + n}:{ports[1 + heads + n]}" for n in range(shelves)),
+            *(f"127.0.0.1:{p}" for p in ports[1 + heads + shelves : 1 + 2 * heads + shelves]),
+        ]
         self.site = sized(site, heads, shelves, addresses)
         self.list_led = f"{self.net}.251:{ports[-1]}"  # where heads of a site file find the list
         self.records: list[dict[str, Any]] = []
@@ -115,10 +132,14 @@
         self.cast.own = {"shelf": self._shelf_act, "list": self._list_act}
         self.cast.saw = self._struck
         names = [f"head {n}" for n in range(heads)]
-        self.private = ports[1 + 2 * heads + shelves:-1]
+        self.private = ports[1 + 2 * heads + shelves : -1]
         self.public = [int(h.peers.rpartition(":")[2]) for h in self.site.head]
-        self.relay = DatagramRelay(transport, self.cast.faults, dict(zip(names, self.public, strict=True)),
-                                   dict(zip(names, self.private, strict=True)))
+        self.relay = DatagramRelay(
+            transport,
+            self.cast.faults,
+            dict(zip(names, self.public, strict=True)),
+            dict(zip(names, self.private, strict=True)),
+        )
         self.streams = self.cast.streams = StreamRelay(transport, self.cast.faults)
         self.lives: dict[int, Life] = {}
         self.result = self.result_kind(heads)
@@ -136,26 +157,37 @@
 
     def _configure(self, number: int) -> str:
         """What it is told at its start: the list as it knew it before any shelf came back."""
-        known = [instance(s.number, s.address, s.shard, s.zone, "ready", 0.0, number)
-                 for s in self.site.shelf]
+        known = [
+            instance(s.number, s.address, s.shard, s.zone, "ready", 0.0, number) for s in self.site.shelf
+        ]
         settings = {**settings_of(self.site), "index": number}
-        order = {"name": f"n{number}", "listen": self.site.head[number].address,
-                 "discovery": f"{self.net}.251:{HEADS_FROM + number}",
-                 "seed": f"{self.script.seed * 1000 + number:016x}",
-                 "limits": {"cores": 1.0, "memory_mb": 96, "sockets": 512}, "settings": settings,
-                 "known": {"generation": 1, "reset": True, "instances": known},
-                 "peer_listen": f"127.0.0.1:{self.private[number]}",
-                 "peers": [f"127.0.0.1:{port}" for port in self.public]}
+        order = {
+            "name": f"n{number}",
+            "listen": self.site.head[number].address,
+            "discovery": f"{self.net}.251:{HEADS_FROM + number}",
+            "seed": f"{self.script.seed * 1000 + number:016x}",
+            "limits": {"cores": 1.0, "memory_mb": 96, "sockets": 512},
+            "settings": settings,
+            "known": {"generation": 1, "reset": True, "instances": known},
+            "peer_listen": f"127.0.0.1:{self.private[number]}",
+            "peers": [f"127.0.0.1:{port}" for port in self.public],
+        }
         path = self.processes.folder / f"config-{number}.json"
         path.write_text(json.dumps(order))
         return str(path)
 
     async def _start_head(self, name: str) -> None:
-        flags = {a.to.split(" ")[1]: self.cast.flag(a) for a in self.script.acts
-                 if a.kind == "stab" and a.whom == name}
+        flags = {
+            a.to.split(" ")[1]: self.cast.flag(a)
+            for a in self.script.acts
+            if a.kind == "stab" and a.whom == name
+        }
         points = planted(flags) if flags else ""
-        await self.processes.start(name, begins=("-c", f"{points}\n{self.plant}\n{HEAD}"),
-                                   settings={"GW_CONFIG": self._configure(int(name.split(" ")[1]))})
+        await self.processes.start(
+            name,
+            begins=("-c", f"{points}\n{self.plant}\n{HEAD}"),
+            settings={"GW_CONFIG": self._configure(int(name.split(" ")[1]))},
+        )
 
     async def _all_listen(self) -> None:
         by = self.transport.now() + START_WITHIN
@@ -176,15 +208,23 @@
         if event in ("cut", "reset", "mute"):
             client, head = (act.whom, act.to) if act.whom.startswith("client") else (act.to, act.whom)
             if client.startswith("client") and head.startswith("head"):
-                self.day.saw("apart", client=client, head=int(head.split(" ")[1]),
-                             until=self.transport.now() + act.seconds + HELD)
+                self.day.saw(
+                    "apart",
+                    client=client,
+                    head=int(head.split(" ")[1]),
+                    until=self.transport.now() + act.seconds + HELD,
+                )
             return
         number = int(act.whom.split(" ")[1])
         if event == "stopped":
             for t in self.site.tenant:
                 # What it did not take while it stood still, or had no time left for, is no loss of its.
-                self.day.saw("apart", client=f"client {t.name}", head=number,
-                             until=self.transport.now() + act.seconds + HELD)
+                self.day.saw(
+                    "apart",
+                    client=f"client {t.name}",
+                    head=number,
+                    until=self.transport.now() + act.seconds + HELD,
+                )
         elif event == "killed":
             self.day.saw("head killed", head=number)
 
@@ -209,8 +249,9 @@
         """What leads heads to the list, before any starts."""
         list_host = self.site.list.address.rpartition(":")[0]
         for n in range(self.script.heads):
-            self.streams.way(f"head {n}", "list", (f"{self.net}.251", HEADS_FROM + n),
-                             (list_host, HEADS_FROM + n))
+            self.streams.way(
+                f"head {n}", "list", (f"{self.net}.251", HEADS_FROM + n), (list_host, HEADS_FROM + n)
+            )
 
     def _begun(self) -> None:
         """Clients are there, and have sent nothing yet."""
@@ -228,13 +269,25 @@
             await asyncio.gather(*(self._start_head(f"head {h.number}") for h in site.head))
             await self._all_listen()
             self.zero = zero = transport.now() + 1.0
-            surges = [Surge(int(a.whom.split(" ")[1]), zero + a.at, a.seconds, a.by)
-                      for a in script.acts if a.kind == "surge"]
+            surges = [
+                Surge(int(a.whom.split(" ")[1]), zero + a.at, a.seconds, a.by)
+                for a in script.acts
+                if a.kind == "surge"
+            ]
             clients = self.clients = [
-                self.client_kind(transport, self._site_for(t.name), t.name,
-                                 Kept(transport, f"client {t.name}", self.records), script.factor, zero,
-                                 zero + script.seconds, surges, self.log)
-                for t in site.tenant]
+                self.client_kind(
+                    transport,
+                    self._site_for(t.name),
+                    t.name,
+                    Kept(transport, f"client {t.name}", self.records),
+                    script.factor,
+                    zero,
+                    zero + script.seconds,
+                    surges,
+                    self.log,
+                )
+                for t in site.tenant
+            ]
             runs = [asyncio.ensure_future(c.run()) for c in clients]
             self._begun()
             await self.cast.play(script, zero)
--- a/gorsethread/harness/site.py
+++ b/gorsethread/harness/site.py
@@ -24,8 +24,23 @@
 from gorsethread.transport.base import Stream
 from gorsethread.transport.real import RealTransport, free_ports
 
-PLAYED = ("kill", "pause", "term", "cut", "lose", "drain", "refuse", "late", "reset", "mute", "still", "slow",
-          "errors", "surge", "stab")
+PLAYED = (
+    "kill",
+    "pause",
+    "term",
+    "cut",
+    "lose",
+    "drain",
+    "refuse",
+    "late",
+    "reset",
+    "mute",
+    "still",
+    "slow",
+    "errors",
+    "surge",
+    "stab",
+)
 PARTIES = ("head", "room", "shelf", "list", "client", "volume", "point")
 WAYS = ("cut", "reset", "mute")
 MAIN = "import runpy; runpy.run_module('gorsethread', run_name='__main__', alter_sys=True)"
@@ -50,8 +65,15 @@
     shelf_kind = Shelf
     client_kind = LoadClient
 
-    def __init__(self, transport: RealTransport, processes: Processes, site: pb.Site, log: Any,
-                 script: Script, plant: str = "") -> None:
+    def __init__(
+        self,
+        transport: RealTransport,
+        processes: Processes,
+        site: pb.Site,
+        log: Any,
+        script: Script,
+        plant: str = "",
+    ) -> None:
         super().__init__(transport, processes, site, log, script, plant)
         self.cast.own["volume"] = self._volume_act
         # All traffic through the relay costs this process, so only where a script strikes there.
@@ -70,8 +92,13 @@
             self.behind = {s.number: port for s, port in zip(self.site.shelf, ports, strict=True)}
             for s in self.site.shelf:
                 host, port = split_address(s.address)
-                self.streams.way(lambda stream, first: self.processes.whose(stream.peer), f"shelf {s.number}",
-                                 (host, port), (host, self.behind[s.number]), loses=True)
+                self.streams.way(
+                    lambda stream, first: self.processes.whose(stream.peer),
+                    f"shelf {s.number}",
+                    (host, port),
+                    (host, self.behind[s.number]),
+                    loses=True,
+                )
 
     def made_shelf(self, *given: Any) -> Any:
         shelf = super().made_shelf(*given)
@@ -87,8 +114,13 @@
         told = pb.Site()
         told.CopyFrom(self.site)
         for head, port in zip(told.head, free_ports(len(told.head)), strict=True):
-            self.streams.way(f"client {tenant}", f"head {head.number}", ("127.0.0.1", port),
-                             split_address(head.address), loses=True)
+            self.streams.way(
+                f"client {tenant}",
+                f"head {head.number}",
+                ("127.0.0.1", port),
+                split_address(head.address),
+                loses=True,
+            )
             head.address = f"127.0.0.1:{port}"
         return told
 
@@ -106,10 +138,25 @@
         told.list.address = self.list_led
         path = self.processes.folder / "site-of-heads.txtpb"
         path.write_text(text_format.MessageToString(told))
-        flags = {a.to.split(" ")[1]: self.cast.flag(a) for a in self.script.acts
-                 if a.kind == "stab" and a.whom == name}
+        flags = {
+            a.to.split(" ")[1]: self.cast.flag(a)
+            for a in self.script.acts
+            if a.kind == "stab" and a.whom == name
+        }
         before = f"{planted(flags) if flags else ''}\n{self.plant}"
         await self.processes.start(
-            name, "head", "--site", str(path), "--head", str(number), "--seed",
-            str(self.script.seed * 1000 + number), *self._options(number), "--peers-listen",
-            f"127.0.0.1:{self.private[number]}", "--log", "json", begins=("-c", f"{before}\n{MAIN}"))
+            name,
+            "head",
+            "--site",
+            str(path),
+            "--head",
+            str(number),
+            "--seed",
+            str(self.script.seed * 1000 + number),
+            *self._options(number),
+            "--peers-listen",
+            f"127.0.0.1:{self.private[number]}",
+            "--log",
+            "json",
+            begins=("-c", f"{before}\n{MAIN}"),
+        )
--- a/gorsethread/head/accounting.py
+++ b/gorsethread/head/accounting.py
@@ -17,8 +17,16 @@
     """seconds: length of a window; windows begin at whole multiples of it on the head's wall clock, so that
     those of heads whose clocks agree fit together. A snapshot that can't be kept is lost; serving goes on."""
 
-    def __init__(self, transport: Transport, site: pb.Site, head: int, driver: Driver, folder: str,
-                 seconds: float, log: Any) -> None:
+    def __init__(
+        self,
+        transport: Transport,
+        site: pb.Site,
+        head: int,
+        driver: Driver,
+        folder: str,
+        seconds: float,
+        log: Any,
+    ) -> None:
         self.transport, self.driver, self.log = transport, driver, log
         self.site_name, self.head, self.folder, self.seconds = site.name, head, folder, seconds
         self.accounts = Accounts([p.promised for p in site.profile], transport.now())
@@ -28,8 +36,9 @@
         self.ended = False
         mine = f"head-{head}-"
         # By the time in their names; emptied as newer ones come.
-        self._kept = sorted(name for name in transport.names(folder)
-                            if name.startswith(mine) and name.endswith(SUFFIX))
+        self._kept = sorted(
+            name for name in transport.names(folder) if name.startswith(mine) and name.endswith(SUFFIX)
+        )
         driver.accounts = self.accounts
         self._look()
         self._next()
--- a/gorsethread/head/branching.py
+++ b/gorsethread/head/branching.py
@@ -86,9 +86,17 @@
     """open_at: whether a live transaction of that place is still open here. living: heads not held dead.
     copy: of the branch's other head, up to where its records are whole here (life, place)."""
 
-    def __init__(self, transport: Transport, site: pb.Site, head: int, promises: Promises,
-                 living: Callable[[], list[int]], open_at: Callable[[Place], bool],
-                 copy: Callable[[int], tuple[int, int]], log: Any) -> None:
+    def __init__(
+        self,
+        transport: Transport,
+        site: pb.Site,
+        head: int,
+        promises: Promises,
+        living: Callable[[], list[int]],
+        open_at: Callable[[Place], bool],
+        copy: Callable[[int], tuple[int, int]],
+        log: Any,
+    ) -> None:
         self.transport, self.site, self.head, self.promises = transport, site, head, promises
         self.living, self.open_at, self.copy, self.log = living, open_at, copy, log
         self.fleet = fleet_of(site)
@@ -101,8 +109,11 @@
         self.mate_number = next((n for n in me.head if n != head), -1)
         self.mate = Mate()
         held = [p for p in site.profile if p.held_when_cut_off]
-        self.queue = Queue(Bounds(me.queue_bytes, me.queue_writes, me.queue_age),
-                           tuple(p.value for p in held), self._mates_is_over)
+        self.queue = Queue(
+            Bounds(me.queue_bytes, me.queue_writes, me.queue_age),
+            tuple(p.value for p in held),
+            self._mates_is_over,
+        )
         self.link = Link(transport.now())
         self.pace, self.stand_in = Pace(), StandIn()
         self.shadow, self.bases = Shadow(BLOCK), Bases(BLOCK)
@@ -182,8 +193,12 @@
         if self._ready:
             self._say_parked()
         if found:
-            self.log.info("queued writes are back", writes=len(self.queue.held),
-                          parked=len(self.queue.parked), unsure=unsure)
+            self.log.info(
+                "queued writes are back",
+                writes=len(self.queue.held),
+                parked=len(self.queue.parked),
+                unsure=unsure,
+            )
 
     def _say_parked(self) -> None:
         for h in self.queue.parked:
@@ -191,9 +206,21 @@
 
     def _write(self, number: Number, f: Queued, anyway: bool = False) -> Write:
         p = self.site.profile[f.profile]
-        return Write(number, f.volume, f.block, f.key, p.value, len(f.data), f.at,
-                     tuple(Number(*n) for n in f.own), tuple(Number(*n) for n in f.others), f.base,
-                     p.when_changed == pb.PARK and not anyway, p.effect == pb.REDOABLE, f.label)
+        return Write(
+            number,
+            f.volume,
+            f.block,
+            f.key,
+            p.value,
+            len(f.data),
+            f.at,
+            tuple(Number(*n) for n in f.own),
+            tuple(Number(*n) for n in f.others),
+            f.base,
+            p.when_changed == pb.PARK and not anyway,
+            p.effect == pb.REDOABLE,
+            f.label,
+        )
 
     def _hides(self, number: Number, f: Queued) -> None:
         """It is parked: what its blocks hold is what the main site has."""
@@ -280,8 +307,12 @@
             queue = Queue(self.queue.bounds, (), lambda n: n not in self.queue.held)
             for number, f in sorted(self.mate.writes.items()):
                 sure = number in self.mate.sure
-                queue.accepted(self._write(number, f), Stage.UNKNOWN if sure else Stage.PARKED,
-                               "" if sure else UNSURE, tuple(self.homes[f.volume]) if sure else ())
+                queue.accepted(
+                    self._write(number, f),
+                    Stage.UNKNOWN if sure else Stage.PARKED,
+                    "" if sure else UNSURE,
+                    tuple(self.homes[f.volume]) if sure else (),
+                )
             self.mate.stood_for = queue
             self.mate.epoch = max(n.life for n in self.mate.writes) + 1
             self._note("stands in", None, f"for head {self.mate_number}: {len(queue.held)} writes")
@@ -316,12 +347,19 @@
             return say is not desk.Say.THROUGH
         context, key = self._context(io.host), f"{volume}/{extent}"
         theirs = self.mate.clients.get(io.host, Context()).seen
-        before = {n for n in (*context.seen, *theirs, *last, self.queue.last_of(key))
-                  if n is not None and not self._over(n)}
+        before = {
+            n
+            for n in (*context.seen, *theirs, *last, self.queue.last_of(key))
+            if n is not None and not self._over(n)
+        }
         before |= {n for n, f in self.mate.writes.items() if f.key == key}
         # What is parked is for a person, who may never decide: nothing that is new comes after it.
-        before = {n for n in before if n not in self.mate.parked and not (
-            n in self.queue.held and self.queue.held[n].stage is Stage.PARKED)}
+        before = {
+            n
+            for n in before
+            if n not in self.mate.parked
+            and not (n in self.queue.held and self.queue.held[n].stage is Stage.PARKED)
+        }
         may = self.site.profile[waiting.profile].held_when_cut_off
         say = desk.of_write(self.link.queues, may, bool(before))
         if say is desk.Say.HOLD:
@@ -370,8 +408,24 @@
             return
         number = Number(self.head, *self.promises.next)
         base = self.bases.of(c.nsid, c.first_block, c.blocks) if p.when_changed == pb.PARK else 0
-        fact = Queued(number.life, number.place, c.nsid, c.first_block, c.blocks, waiting.profile, key,
-                      io.host, c.label, c.attempt, c.hints, wall, [*named[0]], [*named[1]], base, data)
+        fact = Queued(
+            number.life,
+            number.place,
+            c.nsid,
+            c.first_block,
+            c.blocks,
+            waiting.profile,
+            key,
+            io.host,
+            c.label,
+            c.attempt,
+            c.hints,
+            wall,
+            [*named[0]],
+            [*named[1]],
+            base,
+            data,
+        )
         self.queue.taking(self._write(number, fact))
         taking = self._taking[number] = Taking(fact, waiting, io.host)
         taking.timer = self.transport.at(waiting.cut_off, lambda: self._time_is_up(number))
@@ -586,8 +640,24 @@
             return
         f = self._fact(number)
         base = f.base if h.write.parks else 0
-        way.stream.write(said(talk.Send(number, epoch, h.sending(name), f.profile, f.volume, f.block,
-                                        f.hints, f.label, f.attempt, base, h.anyway, f.data)))
+        way.stream.write(
+            said(
+                talk.Send(
+                    number,
+                    epoch,
+                    h.sending(name),
+                    f.profile,
+                    f.volume,
+                    f.block,
+                    f.hints,
+                    f.label,
+                    f.attempt,
+                    base,
+                    h.anyway,
+                    f.data,
+                )
+            )
+        )
 
     def _fact(self, number: Number) -> Queued:
         if number.branch != self.head:
@@ -673,8 +743,12 @@
                 self._hides(number, self._fact(number))
                 self.counts["parked"] += 1
                 self._note("parked", number, h.reason)
-                self.log.warning("a queued write waits for a person", number=list(number), reason=h.reason,
-                                 to_do="gorsethread branch parked, then release or discard")
+                self.log.warning(
+                    "a queued write waits for a person",
+                    number=list(number),
+                    reason=h.reason,
+                    to_do="gorsethread branch parked, then release or discard",
+                )
                 if number.branch == self.head:
                     self._step(number)
         for name in self._ways:
@@ -685,8 +759,12 @@
         for queue in self._queues():
             for number, h in list(queue.held.items()):
                 if h.stage in (Stage.UNKNOWN, Stage.ASKED) and h.since and now - h.since > PARKS_AFTER:
-                    self._park(queue, number, f"it may have run: heads {h.suspects} of the main site, which "
-                                              "would know, do not answer")
+                    self._park(
+                        queue,
+                        number,
+                        f"it may have run: heads {h.suspects} of the main site, which "
+                        "would know, do not answer",
+                    )
 
     def _shut_out(self, queue: Queue, number: Number, epoch: int, now: float) -> None:
         """Whoever else replays goes on; nothing more is sent from here."""
@@ -711,8 +789,14 @@
     def _note(self, what: str, number: Number | None, text: str) -> None:
         if number is None:
             self.log.info("branch", what=what, text=text)
-        self.history.append({"at": round(self.transport.wall(), 3), "what": what,
-                             "number": list(number) if number is not None else None, "text": text})
+        self.history.append(
+            {
+                "at": round(self.transport.wall(), 3),
+                "what": what,
+                "number": list(number) if number is not None else None,
+                "text": text,
+            }
+        )
 
     def answer(self, asked: talk.Question) -> dict[str, Any]:
         number = Number(*asked.number) if asked.number is not None else None
@@ -742,8 +826,9 @@
         h, f = queue.held[number], self._fact(number)
         if not queue.discard(number):
             return {"error": "another write depends on it: discard that first, or release this one"}
-        self._say(lambda: Discarded(number.life, number.place, f.volume, f.block, self.transport.wall(),
-                                    h.reason))
+        self._say(
+            lambda: Discarded(number.life, number.place, f.volume, f.block, self.transport.wall(), h.reason)
+        )
         self._ends(number)
         self._note("discarded", number, h.reason)
         for name in self._ways:
@@ -752,20 +837,35 @@
 
     def _described(self, h: Held) -> dict[str, Any]:
         w = h.write
-        return {"number": list(w.number), "volume": w.volume, "block": w.block, "bytes": w.size,
-                "waits_for": [list(n) for n in w.causes if not self._over(n)], "stage": h.stage.value,
-                "reason": h.reason, "age": round(self.transport.wall() - w.at, 1)}
+        return {
+            "number": list(w.number),
+            "volume": w.volume,
+            "block": w.block,
+            "bytes": w.size,
+            "waits_for": [list(n) for n in w.causes if not self._over(n)],
+            "stage": h.stage.value,
+            "reason": h.reason,
+            "age": round(self.transport.wall() - w.at, 1),
+        }
 
     def _shown(self) -> dict[str, Any]:
         held = list(self.queue.held.values())
         stood = self.mate.stood_for
-        return {"branch": self.name, "head": self.head, "link": self.link.state.value,
-                "link_since": round(self.transport.now() - self.link.since, 1), "writes": len(held),
-                "bytes": self.queue.size, "stages": dict(Counter(h.stage.value for h in held)),
-                "oldest": round(max((self.transport.wall() - h.write.at for h in held), default=0.0), 1),
-                "window": int(self.pace.window), "of_the_other_head": len(self.mate.writes),
-                "stands_in_for": len(stood.held) if stood is not None else 0,
-                "shut_out": self._fenced(self.transport.now()), "counts": dict(self.counts)}
+        return {
+            "branch": self.name,
+            "head": self.head,
+            "link": self.link.state.value,
+            "link_since": round(self.transport.now() - self.link.since, 1),
+            "writes": len(held),
+            "bytes": self.queue.size,
+            "stages": dict(Counter(h.stage.value for h in held)),
+            "oldest": round(max((self.transport.wall() - h.write.at for h in held), default=0.0), 1),
+            "window": int(self.pace.window),
+            "of_the_other_head": len(self.mate.writes),
+            "stands_in_for": len(stood.held) if stood is not None else 0,
+            "shut_out": self._fenced(self.transport.now()),
+            "counts": dict(self.counts),
+        }
 
 
 def as_json(found: dict[str, Any]) -> bytes:
--- a/gorsethread/head/clients.py
+++ b/gorsethread/head/clients.py
@@ -84,8 +84,15 @@
 class ClientSide:
     """The owner of I/O commands at a head's server."""
 
-    def __init__(self, transport: Transport, site: pb.Site, driver: Driver, placement: Placement,
-                 subsystem: Subsystem, log: Any) -> None:
+    def __init__(
+        self,
+        transport: Transport,
+        site: pb.Site,
+        driver: Driver,
+        placement: Placement,
+        subsystem: Subsystem,
+        log: Any,
+    ) -> None:
         self.transport, self.driver, self.placement = transport, driver, placement
         self.subsystem, self.log = subsystem, log
         self._sorter = Sorter(site)
@@ -95,8 +102,8 @@
         self._in_order = [p.in_order for p in site.profile]
         plans = {p.name: n for n, p in enumerate(site.plan)}
         self._volumes = {
-            v.number: Known(v.number, v.plan, plans[v.plan], v.extent_blocks,
-                            len(v.head)) for v in site.volume
+            v.number: Known(v.number, v.plan, plans[v.plan], v.extent_blocks, len(v.head))
+            for v in site.volume
         }
         self._shards = {s.shard for s in site.shelf}
         self.draining = False
@@ -154,11 +161,20 @@
             onward = command._replace(sgl_address=0, cdw3=command.cdw3 & 0xFF)
         key = f"{volume.number}/{extent}" if self._in_order[waiting.profile] else None
         waiting.taken = self.driver.take(
-            waiting, Order(onward, data, length if command.opcode == Opcode.READ else 0),
-            profile=waiting.profile, plan=volume.plan_number, key=key, cut_off=waiting.cut_off,
-            volume=volume.number, place=(volume.number, extent),
-            units=float(units_of(length, self._unit_bytes)), shard=shard, heads=volume.heads,
-            repeat=command.repeat, arrived=io.arrived, awaited=waiting.timer is not None,
+            waiting,
+            Order(onward, data, length if command.opcode == Opcode.READ else 0),
+            profile=waiting.profile,
+            plan=volume.plan_number,
+            key=key,
+            cut_off=waiting.cut_off,
+            volume=volume.number,
+            place=(volume.number, extent),
+            units=float(units_of(length, self._unit_bytes)),
+            shard=shard,
+            heads=volume.heads,
+            repeat=command.repeat,
+            arrived=io.arrived,
+            awaited=waiting.timer is not None,
         )
 
     def left(self, io: IoCommand) -> None:
