--- a/gorsethread/head/driver.py
+++ b/gorsethread/head/driver.py
@@ -51,8 +51,15 @@
 class Driver:
     """The host of one policy. All times are the transport's."""
 
-    def __init__(self, transport: Transport, facts: StartFacts, seed: int, placement: Placement,
-                 follow_list: Callable[[], None], log: Any) -> None:
+    def __init__(
+        self,
+        transport: Transport,
+        facts: StartFacts,
+        seed: int,
+        placement: Placement,
+        follow_list: Callable[[], None],
+        log: Any,
+    ) -> None:
         self.transport, self.placement, self.log = transport, placement, log
         self._follow_list = follow_list
         self._now = transport.now()
@@ -93,9 +100,24 @@
             self._due = True
             self.transport.soon(self._work)
 
-    def take(self, client: Client, payload: Any, *, profile: int, plan: int, key: str | None, cut_off: float,
-             volume: int | str, units: float, shard: int, heads: int, repeat: bool, arrived: float,
-             place: Place | None = None, awaited: bool = False) -> Open:
+    def take(
+        self,
+        client: Client,
+        payload: Any,
+        *,
+        profile: int,
+        plan: int,
+        key: str | None,
+        cut_off: float,
+        volume: int | str,
+        units: float,
+        shard: int,
+        heads: int,
+        repeat: bool,
+        arrived: float,
+        place: Place | None = None,
+        awaited: bool = False,
+    ) -> Open:
         self._last_id = (self._last_id + 1) % 2**32
         while self._last_id in self.open:
             self._last_id = (self._last_id + 1) % 2**32
@@ -210,8 +232,9 @@
         now = self.transport.now()
         honoured = how is Ending.HONOURED and not t.answered
         if self.accounts is not None:
-            self.accounts.ended(t.id, f.number, how, told.service, now,
-                                Outcome.HONOURED if honoured else None)
+            self.accounts.ended(
+                t.id, f.number, how, told.service, now, Outcome.HONOURED if honoured else None
+            )
         t.out.pop(f.number, None)
         self.counts["forwards honoured" if how is Ending.HONOURED else f"forwards {how.value}"] += 1
         if f.first_write:
@@ -221,8 +244,9 @@
             t.answered = True
             self.counts["honoured"] += 1
             t.client.honoured(self.shards.get(f.shelf, UNPLACED), told.data)
-        end = AttemptEnded(t.id, f.number, how, f.shelf, now - f.sent_at, t.answered, told.elsewhere,
-                           told.usage)
+        end = AttemptEnded(
+            t.id, f.number, how, f.shelf, now - f.sent_at, t.answered, told.elsewhere, told.usage
+        )
         self.happened("attempt_ended", end)
         self._close(t)
 
@@ -245,8 +269,12 @@
         t.forwards += 1
         t.out[f.number] = f
         link = self.links.get(shelf)
-        if t.answered or self._now >= t.cut_off or link is None or not (
-                t.shard == self.shards[shelf] if t.shard != UNPLACED else self._holds(t, f)):
+        if (
+            t.answered
+            or self._now >= t.cut_off
+            or link is None
+            or not (t.shard == self.shards[shelf] if t.shard != UNPLACED else self._holds(t, f))
+        ):
             f.over = True
             self._ended(f, Ending.NOT_SENT, NOTHING)
             return
--- a/gorsethread/head/facts.py
+++ b/gorsethread/head/facts.py
@@ -49,8 +49,13 @@
         # Out of the schema's types once, as each command is sorted.
         self._by_plan: dict[str, list[tuple[int, int, int, int, int]]] = {
             plan.name: [
-                (number, OPERATIONS[p.match.operation], p.match.least_bytes, p.match.most_bytes or NO_BOUND,
-                 p.match.hints if p.match.HasField("hints") else ANY_HINTS)
+                (
+                    number,
+                    OPERATIONS[p.match.operation],
+                    p.match.least_bytes,
+                    p.match.most_bytes or NO_BOUND,
+                    p.match.hints if p.match.HasField("hints") else ANY_HINTS,
+                )
                 for number, p in enumerate(site.profile)
                 if not p.match.plan or plan.name in p.match.plan
             ]
--- a/gorsethread/head/fleet.py
+++ b/gorsethread/head/fleet.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from gorsethread.membership.view import Pace, View
+from gorsethread.membership.view import USUAL_PACE, Pace, View
 from gorsethread.membership.words import PAST, Address, Kind, Message, State, Unreadable, Word, read, write
 from gorsethread.transport.base import Transport
 
@@ -17,8 +17,17 @@
     """me: this head's name and place, its address as the others reach it; its life is this start. listen:
     where datagrams come in. peers: where others' may come from; none: anywhere."""
 
-    def __init__(self, transport: Transport, me: Word, listen: Address, contacts: tuple[Address, ...],
-                 peers: frozenset[Address], fleet: int, log: Any, pace: Pace = Pace()) -> None:  # noqa: B008
+    def __init__(
+        self,
+        transport: Transport,
+        me: Word,
+        listen: Address,
+        contacts: tuple[Address, ...],
+        peers: frozenset[Address],
+        fleet: int,
+        log: Any,
+        pace: Pace = USUAL_PACE,
+    ) -> None:
         self.transport, self.listen, self.peers, self.fleet, self.log = transport, listen, peers, fleet, log
         self.pace = pace
         # Milliseconds of the wall clock name a start; one whose clock was set back hears it from the others.
@@ -36,8 +45,13 @@
         self._port = self.transport.datagrams(*self.listen, self._came)
         self.port = self._port.port
         self._tick()
-        self.log.info("fleet's view begins", name=self.view.me.name, life=self.view.me.life, port=self.port,
-                      fleet=self.fleet)
+        self.log.info(
+            "fleet's view begins",
+            name=self.view.me.name,
+            life=self.view.me.life,
+            port=self.port,
+            fleet=self.fleet,
+        )
 
     def stop(self) -> None:
         """In order: the others are told."""
@@ -90,6 +104,13 @@
         now = self.view.me.life, self.view.settled
         if now != self._told:
             self._told = now
-            self.log.info("fleet's view", life=now[0], settled=now[1], alive=len(self.view.alive),
-                          apart=self.view.apart, minority=self.view.minority, doubles=self.view.doubles,
-                          wrong=dict(self.wrong))
+            self.log.info(
+                "fleet's view",
+                life=now[0],
+                settled=now[1],
+                alive=len(self.view.alive),
+                apart=self.view.apart,
+                minority=self.view.minority,
+                doubles=self.view.doubles,
+                wrong=dict(self.wrong),
+            )
--- a/gorsethread/head/holding.py
+++ b/gorsethread/head/holding.py
@@ -44,8 +44,9 @@
 
 
 class Holding:
-    def __init__(self, transport: Transport, site: pb.Site, head: int, folder: str, log: Any,
-                 listen: str = "") -> None:
+    def __init__(
+        self, transport: Transport, site: pb.Site, head: int, folder: str, log: Any, listen: str = ""
+    ) -> None:
         self.transport, self.folder, self.log, self.head = transport, folder, log, head
         self.fleet = fleet_of(site)
         self.heads = {h.number for h in site.head}
@@ -63,8 +64,9 @@
         """OSError where its address can't be had."""
         if self.address is not None:
             most = STREAMS_MOST * len(self.heads)
-            self._listener = self.transport.listen(*self.address, self._serve,
-                                                   lambda: len(self._streams) < most)
+            self._listener = self.transport.listen(
+                *self.address, self._serve, lambda: len(self._streams) < most
+            )
 
     def stop(self) -> None:
         if self.address is not None:
--- a/gorsethread/head/landing.py
+++ b/gorsethread/head/landing.py
@@ -27,8 +27,9 @@
 class Landed:
     """A branch's write, or the look before it, as the driver's client."""
 
-    def __init__(self, ended: Callable[["Landed", Answer, bytes, float], None], redoable: bool,
-                 driver: Driver) -> None:
+    def __init__(
+        self, ended: Callable[["Landed", Answer, bytes, float], None], redoable: bool, driver: Driver
+    ) -> None:
         self.ended, self.redoable, self.driver = ended, redoable, driver
         self.taken: Open | None = None
 
@@ -50,8 +51,15 @@
 
 
 class LandingSide:
-    def __init__(self, transport: Transport, site: pb.Site, promises: Promises, driver: Driver,
-                 placement: Placement, log: Any) -> None:
+    def __init__(
+        self,
+        transport: Transport,
+        site: pb.Site,
+        promises: Promises,
+        driver: Driver,
+        placement: Placement,
+        log: Any,
+    ) -> None:
         self.transport, self.site, self.promises, self.log = transport, site, promises, log
         self.driver, self.placement = driver, placement
         self.volumes = {v.number: v for v in site.volume}
@@ -96,8 +104,11 @@
                     self.promises.keep(Gone([EFFECT, m.branch, *place]))
         elif isinstance(m, talk.Ask | talk.Send):
             if not 0 <= m.profile < len(self.site.profile) or isinstance(m, talk.Send) and not self._fits(m):
-                self.log.error("a branch's write fits nothing in this head's site file", number=m.number,
-                               to_do="give all heads of the site the same site file")
+                self.log.error(
+                    "a branch's write fits nothing in this head's site file",
+                    number=m.number,
+                    to_do="give all heads of the site the same site file",
+                )
                 landing = None
             if landing is None:
                 self._tell(stream, Number(*m.number), Answer.AGAIN, after=AGAIN)
@@ -108,12 +119,18 @@
 
     def _fits(self, m: talk.Send) -> bool:
         v = self.volumes.get(m.volume)
-        return v is not None and len(m.data) % BLOCK == 0 and m.data != b"" and (
-            0 <= m.block <= v.blocks - len(m.data) // BLOCK) and 0 <= m.hints <= 0xFF and (
-            0 <= m.label < 1 << 64 and 0 <= m.attempt <= 0x7F)
-
-    def _tell(self, stream: Stream, number: Number, answer: Answer, sending: int = 0,
-              after: float = 0.0) -> None:
+        return (
+            v is not None
+            and len(m.data) % BLOCK == 0
+            and m.data != b""
+            and (0 <= m.block <= v.blocks - len(m.data) // BLOCK)
+            and 0 <= m.hints <= 0xFF
+            and (0 <= m.label < 1 << 64 and 0 <= m.attempt <= 0x7F)
+        )
+
+    def _tell(
+        self, stream: Stream, number: Number, answer: Answer, sending: int = 0, after: float = 0.0
+    ) -> None:
         stream.write(said(talk.Told(number, int(answer), sending, after)))
 
     def _redoable(self, profile: int) -> bool:
@@ -171,24 +188,45 @@
         self._take(m, Opcode.READ, Landed(looked, True, self.driver))
 
     def _write(self, m: talk.Send) -> None:
-        self._take(m, Opcode.WRITE, Landed(
-            lambda one, answer, data, after: self._wrote(Number(*m.number), answer, after),
-            self._redoable(m.profile), self.driver))
+        self._take(
+            m,
+            Opcode.WRITE,
+            Landed(
+                lambda one, answer, data, after: self._wrote(Number(*m.number), answer, after),
+                self._redoable(m.profile),
+                self.driver,
+            ),
+        )
 
     def _take(self, m: talk.Send, operation: Opcode, landed: Landed) -> None:
         v, blocks = self.volumes[m.volume], len(m.data) // BLOCK
         reads = operation == Opcode.READ
         profile = self.sorter.profile(v.plan, operation, len(m.data), 0) if reads else m.profile
         known, extent, now = self.site.profile[profile], m.block // v.extent_blocks, self.transport.now()
-        command = io_command(operation, m.volume, m.block, blocks, hints=0 if reads else m.hints,
-                             attempt=0 if reads else m.attempt, label=0 if reads else m.label)
+        command = io_command(
+            operation,
+            m.volume,
+            m.block,
+            blocks,
+            hints=0 if reads else m.hints,
+            attempt=0 if reads else m.attempt,
+            label=0 if reads else m.label,
+        )
         landed.taken = self.driver.take(
-            landed, Order(command, b"" if reads else m.data, len(m.data) if reads else 0), profile=profile,
-            plan=self.plans[v.plan], key=f"{m.volume}/{extent}" if known.in_order else None,
-            cut_off=now + max(0.001, known.cut_off - self.site.rules.answer_slack), volume=m.volume,
+            landed,
+            Order(command, b"" if reads else m.data, len(m.data) if reads else 0),
+            profile=profile,
+            plan=self.plans[v.plan],
+            key=f"{m.volume}/{extent}" if known.in_order else None,
+            cut_off=now + max(0.001, known.cut_off - self.site.rules.answer_slack),
+            volume=m.volume,
             units=float(units_of(len(m.data), self.site.links.unit_bytes)),
-            shard=self.placement.shard_of(m.volume, extent), heads=len(v.head), repeat=m.attempt > 0,
-            arrived=now, place=(m.volume, extent))
+            shard=self.placement.shard_of(m.volume, extent),
+            heads=len(v.head),
+            repeat=m.attempt > 0,
+            arrived=now,
+            place=(m.volume, extent),
+        )
 
     def _wrote(self, number: Number, answer: Answer, after: float) -> None:
         if answer is Answer.IN_EFFECT:
--- a/gorsethread/head/links.py
+++ b/gorsethread/head/links.py
@@ -89,8 +89,14 @@
         if self.signs is not None:
             self.signs.asked()
         try:
-            association = await dial(self.transport, self.address, self.names, within=self.connect_within,
-                                     size=self.queue_size, digests=self.digests)
+            association = await dial(
+                self.transport,
+                self.address,
+                self.names,
+                within=self.connect_within,
+                size=self.queue_size,
+                digests=self.digests,
+            )
         except Unreachable as error:
             self.connecting = False
             self.log.info("shelf not reached", shelf=self.shelf, reason=str(error))
@@ -132,8 +138,9 @@
         order: Order = f.payload
         if self.signs is not None:
             self.signs.asked()
-        f.cid = queue.submit(order.command, lambda done, data: self._done(f, done, data), order.data,
-                             order.read)
+        f.cid = queue.submit(
+            order.command, lambda done, data: self._done(f, done, data), order.data, order.read
+        )
         self.out[f.cid] = f
 
     def _done(self, f: Forward, completion: Completion, data: bytes) -> None:
--- a/gorsethread/head/listing.py
+++ b/gorsethread/head/listing.py
@@ -56,8 +56,9 @@
 class ListFollower:
     """driver is set before start(). path: where the last list is kept; "" keeps it nowhere."""
 
-    def __init__(self, transport: Transport, address: str, head: int, path: str, links: Any,
-                 log: Any) -> None:
+    def __init__(
+        self, transport: Transport, address: str, head: int, path: str, links: Any, log: Any
+    ) -> None:
         self.transport, self.head, self.path, self.log = transport, head, path, log
         self.address = split_address(address)
         self.links = links
@@ -78,8 +79,9 @@
         try:
             kept: Remembered = msgspec.json.decode(raw, type=Remembered)
         except msgspec.DecodeError as error:
-            self.log.warning("remembered list can't be read; starting without", path=self.path,
-                             reason=str(error))
+            self.log.warning(
+                "remembered list can't be read; starting without", path=self.path, reason=str(error)
+            )
             return
         now = self.transport.now()
         # After the machine itself restarted its clock did too: a start that lies ahead is taken as now.
@@ -163,12 +165,14 @@
                 self.shelves.pop(s.number, None)
             else:
                 self.shelves[s.number] = (s, since)
-        self.log.info("list", kind=told.kind, version=told.version,
-                      shelves={s.number: s.state for s in told.shelves})
+        self.log.info(
+            "list", kind=told.kind, version=told.version, shelves={s.number: s.state for s in told.shelves}
+        )
         freed: list[int] = []
         if self.peers is not None:
-            freed = self.peers.list_said(told.life, told.version,
-                                         [(s.number, s.start, s.state) for s in told.shelves], whole)
+            freed = self.peers.list_said(
+                told.life, told.version, [(s.number, s.start, s.state) for s in told.shelves], whole
+            )
         self._pass_on(entries, whole, False)
         self.again(freed)
         self._save()
--- a/gorsethread/head/messages.py
+++ b/gorsethread/head/messages.py
@@ -30,8 +30,14 @@
     """me: this head's place among the addresses, which are all heads' as the others' datagrams come from and
     go to them. told: what hears them."""
 
-    def __init__(self, transport: Transport, listen: Address, addresses: tuple[Address, ...], me: int,
-                 told: Callable[[int, str], None]) -> None:
+    def __init__(
+        self,
+        transport: Transport,
+        listen: Address,
+        addresses: tuple[Address, ...],
+        me: int,
+        told: Callable[[int, str], None],
+    ) -> None:
         self.transport, self.listen, self.addresses = transport, listen, addresses
         self.me, self.told = me, told
         self.fleet = crc32(repr(addresses).encode())  # of another list, numbers may mean other heads
@@ -52,8 +58,9 @@
             self.counts["not carried"] += 1
             return
         self.counts["sent"] += 1
-        self._port.send(self.addresses[head], write(Message(Kind.TOLD, self.me, 0, 0, 0, (), said=words),
-                                                    self.fleet))
+        self._port.send(
+            self.addresses[head], write(Message(Kind.TOLD, self.me, 0, 0, 0, (), said=words), self.fleet)
+        )
 
     def _came(self, data: bytes, source: Address) -> None:
         try:
--- a/gorsethread/head/peers.py
+++ b/gorsethread/head/peers.py
@@ -28,8 +28,9 @@
     """follower: where the own list is heard, and what peers stop is passed on. Without an address of its own
     for peers a head hears and tells nothing. listen: where messages come in, if not at that address."""
 
-    def __init__(self, transport: Transport, site: pb.Site, head: int, follower: Any, log: Any,
-                 listen: str = "") -> None:
+    def __init__(
+        self, transport: Transport, site: pb.Site, head: int, follower: Any, log: Any, listen: str = ""
+    ) -> None:
         self.transport, self.follower, self.log, self.head = transport, follower, log, head
         self.addresses: dict[int, Address] = {h.number: split_address(h.peers) for h in site.head if h.peers}
         self.numbers = {address: number for number, address in self.addresses.items()}
@@ -46,8 +47,15 @@
             others = tuple(a for number, a in sorted(self.addresses.items()) if number != head)
             zone = next(h.zone for h in site.head if h.number == head)
             me = Word(head, 0, 0, State.ALIVE, zone, 0, *self.addresses[head], head)
-            self.side = FleetSide(transport, me, split_address(listen) if listen else self.addresses[head],
-                                  others, frozenset(others), fleet_of(site), log)
+            self.side = FleetSide(
+                transport,
+                me,
+                split_address(listen) if listen else self.addresses[head],
+                others,
+                frozenset(others),
+                fleet_of(site),
+                log,
+            )
             self.side.also = {Kind.NEWS: self._heard, Kind.TOLD: self._peer_told}
 
     @property
@@ -71,8 +79,9 @@
 
     # ---- from the own list
 
-    def list_said(self, life: int, version: int, shelves: list[tuple[int, int, str]],
-                  whole: bool) -> list[int]:
+    def list_said(
+        self, life: int, version: int, shelves: list[tuple[int, int, str]], whole: bool
+    ) -> list[int]:
         """Shelves that may be used again."""
         freed, fresh = self.core.list_said(life, version, shelves, whole, self.transport.now())
         if fresh:
@@ -90,7 +99,7 @@
             self.follower.again(freed)
         if news := self.core.to_tell(now):
             self._begin = self._begin % len(news) if len(news) > PIECE * PIECES_MOST else 0
-            self._tell((news[self._begin:] + news[:self._begin])[:PIECE * PIECES_MOST], False)
+            self._tell((news[self._begin :] + news[: self._begin])[: PIECE * PIECES_MOST], False)
             self._begin += PIECE * PIECES_MOST
         self.transport.at(now + EVERY, self._round)
 
@@ -100,16 +109,24 @@
         for peer in self.core.whom_to_tell(fresh, [w.name for w in self.side.view.alive]):
             for begin in range(0, len(news), PIECE):
                 if self.news.takes(self.transport.now()):
-                    self.side.send(self.addresses[peer], Message(
-                        Kind.NEWS, self.head, 0, 0, 0, (), news=tuple(news[begin:begin + PIECE])))
+                    self.side.send(
+                        self.addresses[peer],
+                        Message(Kind.NEWS, self.head, 0, 0, 0, (), news=tuple(news[begin : begin + PIECE])),
+                    )
 
     def tell(self, place: int, words: str) -> None:
         """What the decisions tell another head, by its place in the list."""
         known = 0 <= place < len(self.heads) and self.heads[place] in self.addresses
-        if self.side is not None and known and len(words) <= WORDS_MOST and self.told.takes(
-                self.transport.now()):
-            self.side.send(self.addresses[self.heads[place]],
-                           Message(Kind.TOLD, self.head, 0, 0, self.list, (), said=words))
+        if (
+            self.side is not None
+            and known
+            and len(words) <= WORDS_MOST
+            and self.told.takes(self.transport.now())
+        ):
+            self.side.send(
+                self.addresses[self.heads[place]],
+                Message(Kind.TOLD, self.head, 0, 0, self.list, (), said=words),
+            )
 
     # ---- from peers
 
--- a/gorsethread/head/program.py
+++ b/gorsethread/head/program.py
@@ -35,9 +35,20 @@
     records: folder for what others rely on, and for copies of others'. peers_listen: where other heads'
     messages come in, if that is not the address by which they know this one (behind a forwarder)."""
 
-    def __init__(self, transport: Transport, site: pb.Site, number: int, seed: int, remember: str, log: Any,
-                 most_connections: int = 0, accounts: str = "", window: float = 10.0,
-                 records: str = "", peers_listen: str = "") -> None:
+    def __init__(
+        self,
+        transport: Transport,
+        site: pb.Site,
+        number: int,
+        seed: int,
+        remember: str,
+        log: Any,
+        most_connections: int = 0,
+        accounts: str = "",
+        window: float = 10.0,
+        records: str = "",
+        peers_listen: str = "",
+    ) -> None:
         self.transport, self.site, self.number, self.log = transport, site, number, log
         placement = SitePlacement(site)
         self.branch: BranchSide | None = None
@@ -45,25 +56,38 @@
         names, known = Names(site.subsystem, host_name, number.to_bytes(16, "little")), site.links
         rank, heads = sum(h.number < number for h in site.head), len(site.head)
         opens = Opens(known.opens, rank, heads)
-        links = LinkTable(lambda shelf, address: ShelfLink(
-            transport, shelf, address, names, known.connect_within, known.queue_size, known.digests, log,
-            opens=lambda: opens.wait(transport.wall()), signs=self.branch))
+        links = LinkTable(
+            lambda shelf, address: ShelfLink(
+                transport,
+                shelf,
+                address,
+                names,
+                known.connect_within,
+                known.queue_size,
+                known.digests,
+                log,
+                opens=lambda: opens.wait(transport.wall()),
+                signs=self.branch,
+            )
+        )
         self.follower = ListFollower(transport, site.list.address, number, remember, links, log)
-        self.peers = self.follower.peers = PeerSide(transport, site, number, self.follower, log,
-                                                          peers_listen)
-        facts = replace(start_facts(site), index=self.peers.heads.index(number),
-                        may_tell=self.peers.all_may_tell)
+        self.peers = self.follower.peers = PeerSide(transport, site, number, self.follower, log, peers_listen)
+        facts = replace(
+            start_facts(site), index=self.peers.heads.index(number), may_tell=self.peers.all_may_tell
+        )
         self.driver = Driver(transport, facts, seed, placement, self.follower.follow, log)
         self.follower.driver = links.driver = self.driver
         self.peers.driver = self.driver
         self.driver.teller = self.peers.tell
         delays = tuple(sorted({*RETRY_DELAYS, max(RETRY_DELAYS[-1], site.rules.longest_return)}))
         admits = Tenants(site, number).admits
-        self.subsystem = Subsystem(site.subsystem, admits, f"head-{number}", "gorsethread",
-                                   site.links.largest_bytes, delays)
+        self.subsystem = Subsystem(
+            site.subsystem, admits, f"head-{number}", "gorsethread", site.links.largest_bytes, delays
+        )
         self.clients = ClientSide(transport, site, self.driver, placement, self.subsystem, log)
-        self.server = QueueServer(transport, self.subsystem, self.clients,
-                                  most_connections or site.links.connections, log)
+        self.server = QueueServer(
+            transport, self.subsystem, self.clients, most_connections or site.links.connections, log
+        )
         self.book: AccountBook | None = None
         if accounts:
             self.book = AccountBook(transport, site, number, self.driver, accounts, window, log)
@@ -80,9 +104,12 @@
     def _branches(self, placement: SitePlacement) -> None:
         assert self.promises is not None and self.holding is not None
         if any(self.number in b.head for b in self.site.branch):
+
             def writes_at(place: Place) -> bool:
-                return any(t.place == place and t.payload.command.opcode == Opcode.WRITE
-                           for t in self.driver.open.values())
+                return any(
+                    t.place == place and t.payload.command.opcode == Opcode.WRITE
+                    for t in self.driver.open.values()
+                )
 
             holding = self.holding
 
@@ -91,8 +118,15 @@
                 return held.store.table.last if held.filled else NONE
 
             branch = self.branch = self.clients.branch = BranchSide(
-                self.transport, self.site, self.number, self.promises, self.peers.living, writes_at, copy,
-                self.log)
+                self.transport,
+                self.site,
+                self.number,
+                self.promises,
+                self.peers.living,
+                writes_at,
+                copy,
+                self.log,
+            )
             self.holding.asked = lambda asked: as_json(branch.answer(asked))
             self.holding.kept = branch.heard_of
         else:
--- a/gorsethread/head/promises.py
+++ b/gorsethread/head/promises.py
@@ -46,16 +46,27 @@
 class Promises:
     """The owner's side. living: heads that the view does not hold dead."""
 
-    def __init__(self, transport: Transport, site: pb.Site, head: int, folder: str, placement: SitePlacement,
-                 living: Callable[[], list[int]], log: Any) -> None:
+    def __init__(
+        self,
+        transport: Transport,
+        site: pb.Site,
+        head: int,
+        folder: str,
+        placement: SitePlacement,
+        living: Callable[[], list[int]],
+        log: Any,
+    ) -> None:
         self.transport, self.head, self.log, self.placement = transport, head, log, placement
         self.fleet, self.copies, self.living = fleet_of(site), int(site.records.copies), living
         self.folder = folder
         self.store = Store(transport, own_of(folder, head), self.fleet, head, log)
         self.places = {h.number: At(h.zone, h.machine or f"of head {h.number}") for h in site.head}
         beside = heads_beside(site, head)
-        self.others: dict[int, Address] = {h.number: split_address(h.peers) for h in site.head
-                                           if h.peers and h.number in beside} if self.copies else {}
+        self.others: dict[int, Address] = (
+            {h.number: split_address(h.peers) for h in site.head if h.peers and h.number in beside}
+            if self.copies
+            else {}
+        )
         self.given_back: Callable[[], None] = lambda: None  # others had more of this head's than it had
         self.sender = Sender(min(site.records.held_by, len(self.others)))
         self.returning: Return
@@ -75,11 +86,24 @@
         # After an exchange of disks the copies that another held of this head's stand here.
         found.table.merge(strays(self.transport, copies_of(self.folder, self.head), self.fleet, self.head))
         now = self.transport.now()
-        self.returning = Return(now, found.table.last, found.whole, found.empty, self.store.accepted(),
-                                frozenset(self.others), self.sender.held_by)
+        self.returning = Return(
+            now,
+            found.table.last,
+            found.whole,
+            found.empty,
+            self.store.accepted(),
+            frozenset(self.others),
+            self.sender.held_by,
+        )
         self.placement.known(found.table.placed())
-        self.log.info("own records", extents=len(found.table.placed()), last=found.table.last,
-                      whole=found.whole, empty=found.empty, torn=found.torn)
+        self.log.info(
+            "own records",
+            extents=len(found.table.placed()),
+            last=found.table.last,
+            whole=found.whole,
+            empty=found.empty,
+            torn=found.torn,
+        )
 
     def start(self) -> None:
         self.transport.spawn(self._return())
@@ -107,8 +131,11 @@
                 return
             if r.lost and not told:
                 told = True
-                self.log.error("records are lost and too few others answer", wanted=r.wanted(),
-                               to_do="bring those heads back, or accept: gorsethread records accept")
+                self.log.error(
+                    "records are lost and too few others answer",
+                    wanted=r.wanted(),
+                    to_do="bring those heads back, or accept: gorsethread records accept",
+                )
             if r.lost and self.store.accepted():
                 r.accept(self.transport.now())
         if self.store.holes:
@@ -291,8 +318,13 @@
             self._pump(other)
         elif isinstance(m, talk.Have | talk.Over):
             self.sender.shut_out = True
-            self.log.error("a later life of this head is known; nothing is promised any more", by=other,
-                           life=m.life, own=self.life, to_do="end one of the two processes of this head")
+            self.log.error(
+                "a later life of this head is known; nothing is promised any more",
+                by=other,
+                life=m.life,
+                own=self.life,
+                to_do="end one of the two processes of this head",
+            )
         elif isinstance(m, talk.Holds):
             full = self.sender.has(other, m.last)
             held = self.sender.held
@@ -315,7 +347,8 @@
             return
         piece = self.sender.piece(other, self.store.table, self.store.flushed)
         if piece is not None:
-            stream.write(talk.said(talk.Put(self.life, piece.begins, talk.entries(piece.records), piece.last,
-                                            piece.more)))
-
-
+            stream.write(
+                talk.said(
+                    talk.Put(self.life, piece.begins, talk.entries(piece.records), piece.last, piece.more)
+                )
+            )
--- a/gorsethread/http1/asking.py
+++ b/gorsethread/http1/asking.py
@@ -40,8 +40,11 @@
         if body:
             headers = [*headers, (b"content-length", b"%d" % len(body))]
         wire = self._wire
-        said = [wire.send(h11.Request(method=method, target=target, headers=headers)),
-                wire.send(h11.Data(data=body)) if body else b"", wire.send(h11.EndOfMessage())]
+        said = [
+            wire.send(h11.Request(method=method, target=target, headers=headers)),
+            wire.send(h11.Data(data=body)) if body else b"",
+            wire.send(h11.EndOfMessage()),
+        ]
         self.waiting = True
         return b"".join(part for part in said if part)
 
--- a/gorsethread/http1/serving.py
+++ b/gorsethread/http1/serving.py
@@ -31,8 +31,9 @@
 
 def last_words(status: int) -> bytes:
     """An answer without a body that ends its connection, also where no request could be read."""
-    return (f"HTTP/1.1 {status} {HTTPStatus(status).phrase}\r\n"
-            "Content-Length: 0\r\nConnection: close\r\n\r\n").encode()
+    return (
+        f"HTTP/1.1 {status} {HTTPStatus(status).phrase}\r\n" "Content-Length: 0\r\nConnection: close\r\n\r\n"
+    ).encode()
 
 
 class Serving:
@@ -125,11 +126,15 @@
         framing: Headers = [(b"content-length", b"%d" % len(body))]
         if last:
             framing.append((b"connection", b"close"))
-        head = h11.Response(status_code=status, headers=headers + framing,
-                            reason=HTTPStatus(status).phrase.encode())
+        head = h11.Response(
+            status_code=status, headers=headers + framing, reason=HTTPStatus(status).phrase.encode()
+        )
         wire = self._wire
-        said = [wire.send(head), wire.send(h11.Data(data=body)) if body else b"",
-                wire.send(h11.EndOfMessage())]
+        said = [
+            wire.send(head),
+            wire.send(h11.Data(data=body)) if body else b"",
+            wire.send(h11.EndOfMessage()),
+        ]
         self.open = False
         goes_on = not last and wire.our_state is h11.DONE and wire.their_state is h11.DONE
         if goes_on:
--- a/gorsethread/lab/accounts.py
+++ b/gorsethread/lab/accounts.py
@@ -65,20 +65,38 @@
     named = Truth(frozenset(found.slow) | frozenset(found.stopped), frozenset(found.floods))
     lives = sum(row.lives for row in found.whole.all_rows())
     return {
-        "seed": seed, "scenario": scenario,
-        "slow": sorted(day.truth.slow), "floods": sorted(day.truth.floods),
-        "named_slow": sorted(named.slow), "named_floods": sorted(named.floods), "right": named == day.truth,
+        "seed": seed,
+        "scenario": scenario,
+        "slow": sorted(day.truth.slow),
+        "floods": sorted(day.truth.floods),
+        "named_slow": sorted(named.slow),
+        "named_floods": sorted(named.floods),
+        "right": named == day.truth,
         "accused": bool((named.slow - day.truth.slow) | (named.floods - day.truth.floods)),
-        "sentence": report.top(found).sentence, "pressure": round(found.pressure, 3),
+        "sentence": report.top(found).sentence,
+        "pressure": round(found.pressure, 3),
         "stalled": [round(p.stalled, 3) for p in found.paces.values()],
-        "unknown": round(found.unknown, 3), "lives": lives, "remainders": found.whole.remainders,
-        "disorders": found.whole.disorders, "rules": result.verdict.rules, "good": result.good,
-        "defects": result.defects, "breaks": [str(b) for b in result.verdict.breaks],
+        "unknown": round(found.unknown, 3),
+        "lives": lives,
+        "remainders": found.whole.remainders,
+        "disorders": found.whole.disorders,
+        "rules": result.verdict.rules,
+        "good": result.good,
+        "defects": result.defects,
+        "breaks": [str(b) for b in result.verdict.breaks],
     }
 
 
-async def experiment(site: pb.Site, seeds: list[int], seconds: float, heads: int, shelves: int, at_once: int,
-                     say: Callable[[str], None], keep: Path | None = None) -> dict[str, Any]:
+async def experiment(
+    site: pb.Site,
+    seeds: list[int],
+    seconds: float,
+    heads: int,
+    shelves: int,
+    at_once: int,
+    say: Callable[[str], None],
+    keep: Path | None = None,
+) -> dict[str, Any]:
     """Every scenario of every seed. keep: folder for the days' records and snapshots."""
     room = asyncio.Semaphore(at_once)
     done: list[dict[str, Any]] = []
@@ -93,8 +111,10 @@
                 plan = DayPlan(seed, heads, shelves, seconds, 1.0, (), 0, WINDOW)
                 got = await _play(site, seed, scenario, plan, folder)
                 done.append(got)
-                say(f"{len(done)}/{whole} seed {seed} {scenario}: {'right' if got['right'] else 'WRONG'}: "
-                    f"{got['sentence']}")
+                say(
+                    f"{len(done)}/{whole} seed {seed} {scenario}: {'right' if got['right'] else 'WRONG'}: "
+                    f"{got['sentence']}"
+                )
 
         await asyncio.gather(*(one(seed, scenario) for seed in seeds for scenario in SCENARIOS))
     done.sort(key=lambda r: (r["seed"], SCENARIOS.index(r["scenario"])))
@@ -157,8 +177,10 @@
         "right_of_all": sum(r["right"] for r in runs) / len(runs),
         "accused_on_quiet_days": sum(r["accused"] for r in by["neither"]) / max(1, len(by["neither"])),
         "accused_wrongly": sum(r["accused"] for r in runs) / len(runs),
-        "remainders": sum(r["remainders"] for r in runs), "lives": sum(r["lives"] for r in runs),
-        "days_not_good": [f"{r['seed']} {r['scenario']}: {r['rules']} {r['defects']}" for r in runs
-                          if not r["good"]],
+        "remainders": sum(r["remainders"] for r in runs),
+        "lives": sum(r["lives"] for r in runs),
+        "days_not_good": [
+            f"{r['seed']} {r['scenario']}: {r['rules']} {r['defects']}" for r in runs if not r["good"]
+        ],
         "runs": len(runs),
     }
--- a/gorsethread/lab/allseeing.py
+++ b/gorsethread/lab/allseeing.py
@@ -113,8 +113,9 @@
     return World(draw(made), v.policy, v.told, STEP).play()
 
 
-def compared(scenes: Sequence[dict[str, Any]], variants: Sequence[str],
-             at_once: int) -> Iterator[tuple[str, dict[str, Any], Score]]:
+def compared(
+    scenes: Sequence[dict[str, Any]], variants: Sequence[str], at_once: int
+) -> Iterator[tuple[str, dict[str, Any], Score]]:
     """Each variant on each scene, the same seeds for all, in a fixed order."""
     jobs = [(name, scene) for name in variants for scene in scenes]
     fresh = multiprocessing.get_context("spawn")
--- a/gorsethread/lab/alternate.py
+++ b/gorsethread/lab/alternate.py
@@ -44,6 +44,10 @@
             return {}
         quarter = len(ratios) // 4
         mean = {on: statistics.fmean(r for was, r in settled[:-2] if was is on) for on in (True, False)}
-        return {"whole": round(mean[True] / mean[False], 3), "median": round(statistics.median(ratios), 3),
-                "lower_quartile": round(ratios[quarter], 3),
-                "upper_quartile": round(ratios[-1 - quarter], 3), "pairs": len(ratios)}
+        return {
+            "whole": round(mean[True] / mean[False], 3),
+            "median": round(statistics.median(ratios), 3),
+            "lower_quartile": round(ratios[quarter], 3),
+            "upper_quartile": round(ratios[-1 - quarter], 3),
+            "pairs": len(ratios),
+        }
--- a/gorsethread/lab/asking.py
+++ b/gorsethread/lab/asking.py
@@ -43,8 +43,9 @@
     return shown
 
 
-async def ask_past(transport: Transport, head: Address, fleet: int,
-                   within: float = 2.0) -> list[tuple[float, Word]]:
+async def ask_past(
+    transport: Transport, head: Address, fleet: int, within: float = 2.0
+) -> list[tuple[float, Word]]:
     """The changes of its view that it keeps, oldest first: how many seconds ago, and what it then held."""
     found = []
     async for message in _pieces(transport, head, fleet, within, PAST):
@@ -53,8 +54,14 @@
     return found
 
 
-async def ask_branch(transport: Transport, head: Address, fleet: int, what: str,
-                     number: tuple[int, int, int] | None = None, within: float = 3.0) -> dict[str, Any]:
+async def ask_branch(
+    transport: Transport,
+    head: Address,
+    fleet: int,
+    what: str,
+    number: tuple[int, int, int] | None = None,
+    within: float = 3.0,
+) -> dict[str, Any]:
     """What a branch's head answers to a question (branch/talk.py). NoAnswer where none came in time."""
     where = f"{head[0]}:{head[1]}"
     try:
@@ -77,8 +84,9 @@
         stream.close()
 
 
-async def _pieces(transport: Transport, head: Address, fleet: int, within: float,
-                  target: int) -> AsyncIterator[Message]:
+async def _pieces(
+    transport: Transport, head: Address, fleet: int, within: float, target: int
+) -> AsyncIterator[Message]:
     came: asyncio.Queue[Message] = asyncio.Queue()
 
     def on_datagram(data: bytes, source: Address) -> None:
--- a/gorsethread/lab/bench.py
+++ b/gorsethread/lab/bench.py
@@ -51,11 +51,18 @@
     text = BENCH_SITE
     if others:
         text = text.replace('"127.0.0.1:2" }', '"127.0.0.1:2" peers: "127.0.0.1:90" }')
-        text += "".join(f'head {{ number: {n} address: "127.0.0.1:{10 + n}" peers: "127.0.0.1:{90 + n}" }}\n'
-                        for n in range(1, 1 + others)) + f"records {{ copies: {others} held_by: 1 }}\n"
+        text += (
+            "".join(
+                f'head {{ number: {n} address: "127.0.0.1:{10 + n}" peers: "127.0.0.1:{90 + n}" }}\n'
+                for n in range(1, 1 + others)
+            )
+            + f"records {{ copies: {others} held_by: 1 }}\n"
+        )
     text += "".join(
         f'volume {{ number: {n + 1} name: "v{n}" tenant: "t" plan: "plain" blocks: 8192 extent_blocks: 16 '
-        'placement: FIXED shard: 0 head: 0 }\n' for n in range(VOLUMES))
+        "placement: FIXED shard: 0 head: 0 }\n"
+        for n in range(VOLUMES)
+    )
     site = resized(parse_site(text), 1 + others, shelves)
     for volume in site.volume:
         volume.shard[:] = range(SINKS)
@@ -65,9 +72,17 @@
 class Stand:
     """One subject (head or relay) with sinks and list round it, for as many measurements as are wanted."""
 
-    def __init__(self, transport: Transport, folder: Path, subject: str, shelves: int,
-                 sampled: bool = False, accounts: bool = False, others: int = 0,
-                 records: bool = False) -> None:
+    def __init__(
+        self,
+        transport: Transport,
+        folder: Path,
+        subject: str,
+        shelves: int,
+        sampled: bool = False,
+        accounts: bool = False,
+        others: int = 0,
+        records: bool = False,
+    ) -> None:
         self.transport, self.subject, self.others = transport, subject, others
         folder.mkdir()
         self.site = bench_site(shelves, others)
@@ -82,14 +97,21 @@
         if accounts:
             (folder / "accounts").mkdir()
             self.alternated = folder / "alternated.json"
-            self.extra += ["--accounts", str(folder / "accounts"), "--window", "1",
-                           "--alternate", str(self.alternated)]
+            self.extra += [
+                "--accounts",
+                str(folder / "accounts"),
+                "--window",
+                "1",
+                "--alternate",
+                str(self.alternated),
+            ]
 
     async def start(self) -> None:
         await self.processes.start("list", "list", "--site", self.path)
         for n in range(SINKS):
-            await self.processes.start(f"shelf {n}", "bench-peer", "sink", "--site", self.path, "--number",
-                                       str(n))
+            await self.processes.start(
+                f"shelf {n}", "bench-peer", "sink", "--site", self.path, "--number", str(n)
+            )
         await self._until_reached(split_address(self.site.list.address))
         for shelf in self.site.shelf[SINKS:]:
             stream = await self.transport.connect(*split_address(self.site.list.address), 5.0)
@@ -97,14 +119,23 @@
             stream.write(msgspec.json.encode(line) + b"\n")
             self.idle.append(stream)
         if self.subject == "head":
-            await self.processes.start("subject", "head", "--site", self.path, "--head", "0", "--log-level",
-                                       "warning", *self.extra)
+            await self.processes.start(
+                "subject", "head", "--site", self.path, "--head", "0", "--log-level", "warning", *self.extra
+            )
         else:
             await self.processes.start("subject", "bench-peer", "relay", "--site", self.path, "--number", "0")
         for n in range(1, 1 + self.others):
-            await self.processes.start(f"head {n}", "head", "--site", self.path, "--head", str(n),
-                                       "--log-level", "warning",
-                                       *(["--records", self.records[n]] if self.records else []))
+            await self.processes.start(
+                f"head {n}",
+                "head",
+                "--site",
+                self.path,
+                "--head",
+                str(n),
+                "--log-level",
+                "warning",
+                *(["--records", self.records[n]] if self.records else []),
+            )
         for head in self.site.head:
             await self._until_reached(split_address(head.address))
         await self.transport.sleep(1.0)
@@ -127,20 +158,39 @@
         for n, out in enumerate(outs):
             out.unlink(missing_ok=True)
             await self.processes.start(
-                f"load {n}", "bench-peer", "load", "--site", self.path, "--number", str(n), "--seconds",
-                str(seconds), "--start-at", str(start_at), "--rate", str(rate / LOADS), "--depth", str(depth),
-                "--out", str(out))
+                f"load {n}",
+                "bench-peer",
+                "load",
+                "--site",
+                self.path,
+                "--number",
+                str(n),
+                "--seconds",
+                str(seconds),
+                "--start-at",
+                str(start_at),
+                "--rate",
+                str(rate / LOADS),
+                "--depth",
+                str(depth),
+                "--out",
+                str(out),
+            )
         for n in range(LOADS):
             await asyncio.wait_for(self.processes.running[f"load {n}"].wait(), START_UP + seconds + 60)
         cpu = sum(process.cpu_times()[:2]) - before
         got = [json.loads(out.read_text()) for out in outs]
         honoured = sum(g["honoured"] for g in got)
         return {
-            "a_second": sum(g["honoured"] / g["seconds"] for g in got), "honoured": honoured,
+            "a_second": sum(g["honoured"] / g["seconds"] for g in got),
+            "honoured": honoured,
             "busy": cpu / max(g["seconds"] for g in got),
-            "failed": sum(g["failed"] for g in got), "cpu_us": 1e6 * cpu / max(1, honoured),
-            "median_us": max(g["median_us"] for g in got), "p99_us": max(g["p99_us"] for g in got),
-            "own_p99_us": max(g["own_p99_us"] for g in got), "memory_mib": process.memory_info().rss / 2**20,
+            "failed": sum(g["failed"] for g in got),
+            "cpu_us": 1e6 * cpu / max(1, honoured),
+            "median_us": max(g["median_us"] for g in got),
+            "p99_us": max(g["p99_us"] for g in got),
+            "own_p99_us": max(g["own_p99_us"] for g in got),
+            "memory_mib": process.memory_info().rss / 2**20,
         }
 
     async def end(self) -> None:
@@ -149,8 +199,9 @@
         await self.processes.end_all()
 
 
-async def run_bench(transport: Transport, seconds: float, rounds: int,
-                    say: Callable[[str], None]) -> dict[str, Any]:
+async def run_bench(
+    transport: Transport, seconds: float, rounds: int, say: Callable[[str], None]
+) -> dict[str, Any]:
     """Pairs of a relay and a head, the order turned each round; ratios are of one run's pairs."""
     pairs: list[dict[str, dict[str, float]]] = []
     idle: list[float] = []
@@ -168,8 +219,11 @@
                     await stand.load(1.0)  # warm-up
                     pair[subject] = await stand.load(seconds)
                     calm = await stand.load(seconds, CALM_RATE)
-                    pair[subject] |= {"calm_median_us": calm["median_us"], "calm_p99_us": calm["p99_us"],
-                                      "calm_own_p99_us": calm["own_p99_us"]}
+                    pair[subject] |= {
+                        "calm_median_us": calm["median_us"],
+                        "calm_p99_us": calm["p99_us"],
+                        "calm_own_p99_us": calm["own_p99_us"],
+                    }
                 finally:
                     await stand.end()
             pairs.append(pair)
@@ -178,15 +232,19 @@
             turns.append(turn)
             for depth, what in ((DEPTH, "nothing waits"), (HELD_DEPTH, "volumes wait for slots")):
                 found = turn[depth]
-                say(f"pair {number + 1}, {what}: head at {found['rate']['median']:.2f} of the relay's "
+                say(
+                    f"pair {number + 1}, {what}: head at {found['rate']['median']:.2f} of the relay's "
                     f"transactions a second (middle half of {found['pairs']} stretches: "
                     f"{found['rate']['lower_quartile']:.2f} to {found['rate']['upper_quartile']:.2f}), CPU a "
-                    f"transaction {found['cpu']['median']:.2f} times")
+                    f"transaction {found['cpu']['median']:.2f} times"
+                )
             counted = await _alternated(transport, Path(scratch) / f"{number}-accounts", 3 * seconds)
             accounts.append(counted)
-            say(f"pair {number + 1}: with accounts the head is at {counted['whole']:.3f} of itself without "
+            say(
+                f"pair {number + 1}: with accounts the head is at {counted['whole']:.3f} of itself without "
                 f"(middle half of {counted['pairs']} stretches: {counted['lower_quartile']:.3f} to "
-                f"{counted['upper_quartile']:.3f})")
+                f"{counted['upper_quartile']:.3f})"
+            )
             stand = Stand(transport, Path(scratch) / f"{number}-idle", "head", SHELVES)
             try:
                 await stand.start()
@@ -196,17 +254,25 @@
                 await stand.end()
             shares = shares or await _sampled(transport, Path(scratch) / "sampled", seconds)
             idle.append(many["cpu_us"] / head["cpu_us"])
-            say(f"pair {number + 1}: with {SHELVES - SINKS} idle shelves in the list CPU a transaction is "
-                f"{idle[-1]:.2f} times that without")
+            say(
+                f"pair {number + 1}: with {SHELVES - SINKS} idle shelves in the list CPU a transaction is "
+                f"{idle[-1]:.2f} times that without"
+            )
     return {
-        "head_to_relay": _median(turns, DEPTH, "rate"), "cpu_ratio": _median(turns, DEPTH, "cpu"),
+        "head_to_relay": _median(turns, DEPTH, "rate"),
+        "cpu_ratio": _median(turns, DEPTH, "cpu"),
         "held_head_to_relay": _median(turns, HELD_DEPTH, "rate"),
-        "held_cpu_ratio": _median(turns, HELD_DEPTH, "cpu"), "turns": turns,
+        "held_cpu_ratio": _median(turns, HELD_DEPTH, "cpu"),
+        "turns": turns,
         "one_after_the_other": _ratio(pairs, "a_second"),
-        "accounts_to_head": _spread([a["whole"] for a in accounts]), "accounts": accounts,
+        "accounts_to_head": _spread([a["whole"] for a in accounts]),
+        "accounts": accounts,
         "accounts_footprint": footprint(),
-        "calm_median_ratio": _ratio(pairs, "calm_median_us"), "calm_p99_ratio": _ratio(pairs, "calm_p99_us"),
-        "idle_shelves_cpu_ratio": _spread(idle), "head_cpu_shares": shares, "pairs": pairs,
+        "calm_median_ratio": _ratio(pairs, "calm_median_us"),
+        "calm_p99_ratio": _ratio(pairs, "calm_p99_us"),
+        "idle_shelves_cpu_ratio": _spread(idle),
+        "head_cpu_shares": shares,
+        "pairs": pairs,
         "failed": sum(p[s]["failed"] for p in pairs for s in p),
     }
 
@@ -218,8 +284,10 @@
     try:
         for stand in stands:
             await stand.start()
-        return {depth: await in_turn(transport, stands, LOADS, depth, seconds, folder)
-                for depth in (DEPTH, HELD_DEPTH)}
+        return {
+            depth: await in_turn(transport, stands, LOADS, depth, seconds, folder)
+            for depth in (DEPTH, HELD_DEPTH)
+        }
     finally:
         for stand in stands:
             await stand.end()
@@ -258,5 +326,8 @@
 
 
 def _spread(values: list[float]) -> dict[str, float]:
-    return {"least": round(min(values), 3), "median": round(statistics.median(values), 3),
-            "most": round(max(values), 3)}
+    return {
+        "least": round(min(values), 3),
+        "median": round(statistics.median(values), 3),
+        "most": round(max(values), 3),
+    }
--- a/gorsethread/lab/branch.py
+++ b/gorsethread/lab/branch.py
@@ -31,6 +31,13 @@
             for head in branch:
                 acts.append(Act(back + 2.3, "link", f"head {head}", by=by, seconds=1.5))
         elif kind == 5:
-            acts.append(Act(back + 2.0 + c.uniform(0.1, 0.8), "reset", f"head {head}",
-                            f"head {c.choice(main)}", seconds=0.001))
+            acts.append(
+                Act(
+                    back + 2.0 + c.uniform(0.1, 0.8),
+                    "reset",
+                    f"head {head}",
+                    f"head {c.choice(main)}",
+                    seconds=0.001,
+                )
+            )
     return Script(seed, heads, shelves, FIRST + cycles * CYCLE, factor, acts=tuple(sorted(acts)))
--- a/gorsethread/lab/crowd.py
+++ b/gorsethread/lab/crowd.py
@@ -44,9 +44,11 @@
 PRICES = (0.96, 1.0, 1.5)
 LATE_WORTH = (0.15, 0.2, 0.25)
 MIX = (0.55, 0.3, 0.15)
-PROFILES = (Profile(2.2, Effect.REDOABLE, Group.ALL, 36.0, False, 2.0),
-            Profile(2.9, Effect.IRREVERSIBLE, Group.ALL, 36.0, True, 3.0),
-            Profile(10.9, Effect.REDOABLE, Group.ALL, 36.0, False, 1.0))
+PROFILES = (
+    Profile(2.2, Effect.REDOABLE, Group.ALL, 36.0, False, 2.0),
+    Profile(2.9, Effect.IRREVERSIBLE, Group.ALL, 36.0, True, 3.0),
+    Profile(10.9, Effect.REDOABLE, Group.ALL, 36.0, False, 1.0),
+)
 CUT_OFFS = (14.6, 18.0, 36.5)
 COLD = ColdRule(6.0, 3.0, 13.0, 0.19)
 FALLS = 4.0  # times what a cold shelf can do in the span: so much sent in it pushes it over
@@ -124,10 +126,13 @@
         excess -= (times - 1.0) * s.usual * max(0.0, min(scene.seconds, begins + lasts) - max(0.0, begins))
     sizes = (1.0, 1.5, 3.0)
     least = sum(s.usual / sizes[s.plan] for s in stores) / number
-    plans = tuple(Plan(0.0, float(n + 1), 10.0 * least * size if n < 2 else 0.0, 48.0 if n < 2 else 0.0,
-                       least * size) for n, size in enumerate(sizes))
-    facts = StartFacts(PROFILES, plans, scene.heads, False, 0.0, 1.0, COLD, None, 0.0, 4, 1.0, 8, 1.0, True,
-                       may_tell=True)
+    plans = tuple(
+        Plan(0.0, float(n + 1), 10.0 * least * size if n < 2 else 0.0, 48.0 if n < 2 else 0.0, least * size)
+        for n, size in enumerate(sizes)
+    )
+    facts = StartFacts(
+        PROFILES, plans, scene.heads, False, 0.0, 1.0, COLD, None, 0.0, 4, 1.0, 8, 1.0, True, may_tell=True
+    )
     asks = sorted(ask for n, s in enumerate(stores) for ask in _asks(scene, n, s, c))
     return Day(scene, facts, speeds, stores, asks)
 
@@ -169,8 +174,9 @@
         units = sizes[_pick(c, chances)]
         # Two draws: a spread of 0.7 of the mean, as works of one size have.
         work = 0.5 * units * UNIT_WORK * (c.expovariate(1.0) + c.expovariate(1.0))
-        found.append(Ask(at, head, number, _pick(c, list(MIX)), units, s.shards[c.randrange(len(s.shards))],
-                         work))
+        found.append(
+            Ask(at, head, number, _pick(c, list(MIX)), units, s.shards[c.randrange(len(s.shards))], work)
+        )
     return found
 
 
@@ -262,7 +268,8 @@
         self.world, self.number, self.kind = world, number, policy
         self.life = 0
         self.told: dict[int, tuple[int, int, int, bool, float]] = {
-            n: (n, 0, n, True, 0.0) for n in range(world.day.scene.shelves)}  # entries as its list has them
+            n: (n, 0, n, True, 0.0) for n in range(world.day.scene.shelves)
+        }  # entries as its list has them
         self._begin()
 
     def _begin(self) -> None:
@@ -270,8 +277,11 @@
         self.open: dict[int, _Held] = {}
         self.life += 1
         self.away = False
-        self.policy = self.kind(self, replace(self.world.day.facts, index=self.number),
-                                (scene.seed * 1000 + self.number) * 8 + self.life)
+        self.policy = self.kind(
+            self,
+            replace(self.world.day.facts, index=self.number),
+            (scene.seed * 1000 + self.number) * 8 + self.life,
+        )
         self._listed(list(self.told.values()), True)
 
     def _listed(self, entries: list[tuple[int, int, int, bool, float]], whole: bool) -> None:
@@ -303,9 +313,20 @@
             return
         store = self.world.day.stores[ask.volume]
         t = self.open[id] = _Held(ask, self.world.now + CUT_OFFS[ask.profile])
-        self.policy.request_taken(RequestTaken(
-            id, ask.profile, store.plan, None, t.cut_off, f"v{ask.volume}", float(ask.units), ask.shard,
-            len(store.heads), False))
+        self.policy.request_taken(
+            RequestTaken(
+                id,
+                ask.profile,
+                store.plan,
+                None,
+                t.cut_off,
+                f"v{ask.volume}",
+                float(ask.units),
+                ask.shard,
+                len(store.heads),
+                False,
+            )
+        )
         self.policy.batch_ended()
         self.world.at(t.cut_off, lambda: self._cut_off(id))
 
@@ -385,8 +406,13 @@
 class World:
     """One play of a day. told: what an all-seeing variant tells each head every so often, if anything."""
 
-    def __init__(self, day: Day, policy: Callable[..., Policy] = Policy,
-                 told: "Callable[[World], None] | None" = None, every: float = 0.1) -> None:
+    def __init__(
+        self,
+        day: Day,
+        policy: Callable[..., Policy] = Policy,
+        told: "Callable[[World], None] | None" = None,
+        every: float = 0.1,
+    ) -> None:
         self.day, self.now = day, 0.0
         self._agenda: list[tuple[float, int, Callable[[], Any]]] = []
         self._order = 0
@@ -408,10 +434,12 @@
     def _draw_troubles(self) -> None:
         scene, c = self.day.scene, Draws(f"{self.day.scene.seed}/troubles")
         begins = scene.seconds / 3.0
-        shards = sorted(range(scene.shelves), key=lambda n: c.random())[:round(scene.renewed * scene.shelves)]
+        shards = sorted(range(scene.shelves), key=lambda n: c.random())[
+            : round(scene.renewed * scene.shelves)
+        ]
         for shard in shards:
             self.at(begins + c.uniform(0.0, RENEWED_WITHIN), partial(self._renew, shard, c))
-        heads = sorted(range(scene.heads), key=lambda n: c.random())[:round(scene.restarted * scene.heads)]
+        heads = sorted(range(scene.heads), key=lambda n: c.random())[: round(scene.restarted * scene.heads)]
         for n in heads:
             self.at(begins + c.uniform(0.0, 10.0), self.heads[n].killed)
 
@@ -420,8 +448,7 @@
         new = len(self.machines)
         self.machines.append(_Machine(self, new, self.day.speeds[shard], self.now))
         for head in self.heads:
-            self.at(self.now + c.uniform(*TOLD_AFTER),
-                    partial(head.renewed, shard, new, shard, self.now))
+            self.at(self.now + c.uniform(*TOLD_AFTER), partial(head.renewed, shard, new, shard, self.now))
 
     def tell(self, origin: int, head: int, words: str) -> None:
         self.messages += 1
@@ -536,8 +563,17 @@
     times = sorted(elapsed for _, elapsed in world.served)
     power = sum(day.speeds) * 2 / UNIT_WORK * day.scene.seconds
     return Score(
-        sum(earned.values()) / sum(wanted.values()), min(earned[p] / wanted[p] for p in wanted if wanted[p]),
-        len(day.asks), world.ends["pushed back"] / len(day.asks), late / len(day.asks), world.forwards,
-        sum(ask.units for ask in day.asks) / power, times[len(times) // 2] if times else 0.0,
-        sum(m.fallen for m in world.machines), world.over_part, world.messages / len(day.asks),
-        dict(world.ends), [round(a / b, 2) for _, (a, b) in sorted(by_second.items())])
+        sum(earned.values()) / sum(wanted.values()),
+        min(earned[p] / wanted[p] for p in wanted if wanted[p]),
+        len(day.asks),
+        world.ends["pushed back"] / len(day.asks),
+        late / len(day.asks),
+        world.forwards,
+        sum(ask.units for ask in day.asks) / power,
+        times[len(times) // 2] if times else 0.0,
+        sum(m.fallen for m in world.machines),
+        world.over_part,
+        world.messages / len(day.asks),
+        dict(world.ends),
+        [round(a / b, 2) for _, (a, b) in sorted(by_second.items())],
+    )
--- a/gorsethread/lab/day.py
+++ b/gorsethread/lab/day.py
@@ -62,22 +62,34 @@
     def as_json(self) -> dict[str, Any]:
         v, c = self.verdict, self.verdict.counts
         return {
-            "seed": self.plan.seed, "heads": self.plan.heads, "shelves": self.plan.shelves,
-            "seconds": self.plan.seconds, "troubles": list(self.plan.troubles),
-            "taken": c["taken"], "honoured": c["honoured"], "pushed_back": c["pushed back"],
-            "given_up": c["given up"], "left": c["left"], "unreachable": c["unreachable"],
-            "not_sent": c["not sent"], "lost": v.lost, "duplicated": v.duplicated,
-            "wrong_reads": v.wrong_reads, "rules": v.rules,
+            "seed": self.plan.seed,
+            "heads": self.plan.heads,
+            "shelves": self.plan.shelves,
+            "seconds": self.plan.seconds,
+            "troubles": list(self.plan.troubles),
+            "taken": c["taken"],
+            "honoured": c["honoured"],
+            "pushed_back": c["pushed back"],
+            "given_up": c["given up"],
+            "left": c["left"],
+            "unreachable": c["unreachable"],
+            "not_sent": c["not sent"],
+            "lost": v.lost,
+            "duplicated": v.duplicated,
+            "wrong_reads": v.wrong_reads,
+            "rules": v.rules,
             "volumes": {str(n): {"in_time": won, "due": due} for n, (won, due) in v.volumes.items()},
             "memory_mib": {k: list(m) for k, m in self.memory.items()},
             "descriptors": {k: list(d) for k, d in self.descriptors.items()},
-            "defects": self.defects, "accounts": self.accounts,
+            "defects": self.defects,
+            "accounts": self.accounts,
         }
 
 
 class Day:
-    def __init__(self, transport: RealTransport, site: pb.Site, plan: DayPlan, folder: Path,
-                 say: Callable[[str], None]) -> None:
+    def __init__(
+        self, transport: RealTransport, site: pb.Site, plan: DayPlan, folder: Path, say: Callable[[str], None]
+    ) -> None:
         self.transport, self.plan, self.say_line = transport, plan, say
         self.folder = folder
         if list(self.folder.glob("*.jsonl")):
@@ -111,14 +123,16 @@
         """Draws who is struck and when, from the seed alone."""
         plan, chance = self.plan, self.chance
         order = sorted(range(plan.shelves), key=lambda _: chance.random())
-        struck = {kind: order[n % plan.shelves]
-                  for n, kind in enumerate(("hang", "errors", "pause", "drain", "kill", "slow"))}
+        struck = {
+            kind: order[n % plan.shelves]
+            for n, kind in enumerate(("hang", "errors", "pause", "drain", "kill", "slow"))
+        }
         length = 0.2 * plan.seconds
         for trouble in plan.troubles:
             at = self._at(chance.uniform(0.1, 0.55))
             shelf = f"shelf {struck.get(trouble, 0)}"
             if trouble == "heads":
-                for head in sorted(range(plan.heads), key=lambda _: chance.random())[:(plan.heads + 1) // 2]:
+                for head in sorted(range(plan.heads), key=lambda _: chance.random())[: (plan.heads + 1) // 2]:
                     back = at + chance.uniform(0.05, 0.1) * plan.seconds
                     self.acts.append((at, partial(self._kill_head, head)))
                     self.acts.append((back, partial(self._start_head, head, "started again")))
@@ -169,16 +183,40 @@
         if self.plan.window:
             extra += ["--accounts", str(self.folder / "accounts"), "--window", str(self.plan.window)]
         await self.processes.start(
-            f"head {head}", "head", "--site", str(self.processes.site_path), "--head", str(head), "--seed",
-            str(seed), "--remember", str(self.folder / f"head-{head}.list"), "--log", "json", *extra)
+            f"head {head}",
+            "head",
+            "--site",
+            str(self.processes.site_path),
+            "--head",
+            str(head),
+            "--seed",
+            str(seed),
+            "--remember",
+            str(self.folder / f"head-{head}.list"),
+            "--log",
+            "json",
+            *extra,
+        )
 
     async def _start_shelf(self, shelf: int, warm: bool) -> None:
         if not warm:
             self.say(f"shelf {shelf}: started cold")
         name = f"shelf {shelf}"
-        arguments = ["shelf", "--site", str(self.processes.site_path), "--shelf", str(shelf), "--seed",
-                     str(self.plan.seed), "--folder", str(self.folder), "--log", "json",
-                     "--record", str(self.processes.record(name))]
+        arguments = [
+            "shelf",
+            "--site",
+            str(self.processes.site_path),
+            "--shelf",
+            str(shelf),
+            "--seed",
+            str(self.plan.seed),
+            "--folder",
+            str(self.folder),
+            "--log",
+            "json",
+            "--record",
+            str(self.processes.record(name)),
+        ]
         if warm:
             arguments.append("--warm")
         if name in self.scripts:
@@ -217,8 +255,20 @@
         script = self.folder / "list.script"
         script.write_bytes(msgspec.json.encode(self.scripts.get("list", [])))
         seed = str(self.plan.seed)
-        await self.processes.start("list", "list", "--site", path, "--seed", seed, "--script", str(script),
-                                   "--record", str(self.processes.record("list")), "--log", "json")
+        await self.processes.start(
+            "list",
+            "list",
+            "--site",
+            path,
+            "--seed",
+            seed,
+            "--script",
+            str(script),
+            "--record",
+            str(self.processes.record("list")),
+            "--log",
+            "json",
+        )
         for shelf in self.site.shelf:
             await self._start_shelf(shelf.number, True)
         for head in self.site.head:
@@ -228,17 +278,37 @@
         for tenant in self.site.tenant:
             name = f"client {tenant.name}"
             await self.processes.start(
-                name, "client", "--site", path, "--tenant", tenant.name, "--seed", seed, "--factor",
-                str(self.plan.factor), "--start-at", str(self.zero), "--seconds", str(self.plan.seconds),
-                "--surges", str(surges), "--record", str(self.processes.record(name)), "--log", "json")
+                name,
+                "client",
+                "--site",
+                path,
+                "--tenant",
+                tenant.name,
+                "--seed",
+                seed,
+                "--factor",
+                str(self.plan.factor),
+                "--start-at",
+                str(self.zero),
+                "--seconds",
+                str(self.plan.seconds),
+                "--surges",
+                str(surges),
+                "--record",
+                str(self.processes.record(name)),
+                "--log",
+                "json",
+            )
 
     # ---- the day
 
     async def play(self) -> DayResult:
         self.zero = self.transport.now() + START_UP
         self._write_script()
-        self.say(f"a day of {self.plan.seconds:g} s: {self.plan.heads} heads, {self.plan.shelves} shelves, "
-                 f"{len(self.site.volume)} volumes, seed {self.plan.seed}")
+        self.say(
+            f"a day of {self.plan.seconds:g} s: {self.plan.heads} heads, {self.plan.shelves} shelves, "
+            f"{len(self.site.volume)} volumes, seed {self.plan.seed}"
+        )
         early: dict[str, tuple[float, int]] = {}
         late: dict[str, tuple[float, int]] = {}
         if self.plan.window:
@@ -259,15 +329,26 @@
                     await asyncio.wait_for(process.wait(), self._at(1.0, longest) - self.transport.now())
         finally:
             exits = await self.processes.end_all()
-        self.defects += [f"{name} ended with status {status}" for name, status in exits.items()
-                         if status != 0 and not (self.plan.plant and name.startswith("shelf"))]
+        self.defects += [
+            f"{name} ended with status {status}"
+            for name, status in exits.items()
+            if status != 0 and not (self.plan.plant and name.startswith("shelf"))
+        ]
         both = [name for name in late if name in early]
         verdict = Witness(self.site, self.records()).judge()
         if not verdict.counts["honoured"]:
             self.defects.append("nothing was honoured: this day shows nothing")
         accounts = self._accounts()
-        return DayResult(self.plan, verdict, exits, {n: (early[n][0], late[n][0]) for n in both},
-                         {n: (early[n][1], late[n][1]) for n in both}, self.happened, self.defects, accounts)
+        return DayResult(
+            self.plan,
+            verdict,
+            exits,
+            {n: (early[n][0], late[n][0]) for n in both},
+            {n: (early[n][1], late[n][1]) for n in both},
+            self.happened,
+            self.defects,
+            accounts,
+        )
 
     def findings(self) -> causes.Findings | None:
         """What the heads' accounts hold together; None where there is none."""
@@ -280,8 +361,10 @@
         if found is None:
             return ""
         if found.whole.remainders or found.whole.disorders:
-            self.defects.append(f"accounts: {found.whole.remainders} transactions are not the sum of their "
-                                f"stages, {found.whole.disorders} events came out of order")
+            self.defects.append(
+                f"accounts: {found.whole.remainders} transactions are not the sum of their "
+                f"stages, {found.whole.disorders} events came out of order"
+            )
         return report.top(found).sentence
 
     def _sizes(self) -> dict[str, tuple[float, int]]:
--- a/gorsethread/lab/fleet.py
+++ b/gorsethread/lab/fleet.py
@@ -42,24 +42,41 @@
 class RealFleet:
     """Play it once. say: where progress goes."""
 
-    def __init__(self, transport: Transport, processes: Processes, script: Script,
-                 say: Callable[[str], None]) -> None:
+    def __init__(
+        self, transport: Transport, processes: Processes, script: Script, say: Callable[[str], None]
+    ) -> None:
         self.transport, self.processes, self.script, self.say = transport, processes, script, say
         ports = free_ports(2 * script.heads)
-        self.public, self.private = ports[:script.heads], ports[script.heads:]
+        self.public, self.private = ports[: script.heads], ports[script.heads :]
         self.cast = Cast(transport, processes, script.heads, self._start, say)
         names = [f"head {n}" for n in range(script.heads)]
-        self.relay = DatagramRelay(transport, self.cast.faults, dict(zip(names, self.public, strict=True)),
-                                   dict(zip(names, self.private, strict=True)))
+        self.relay = DatagramRelay(
+            transport,
+            self.cast.faults,
+            dict(zip(names, self.public, strict=True)),
+            dict(zip(names, self.private, strict=True)),
+        )
         self.result = Result(script.heads)
 
     async def _start(self, name: str) -> None:
         number = int(name.split(" ")[1])
         contacts = [f"127.0.0.1:{port}" for n, port in enumerate(self.public) if n != number]
-        await self.processes.start(name, "fleet", "agent", "--number", str(number), "--zone",
-                                   str(number % 2), "--listen", f"127.0.0.1:{self.private[number]}",
-                                   "--address", f"127.0.0.1:{self.public[number]}", "--fleet", str(FLEET),
-                                   *(part for c in contacts for part in ("--contact", c)))
+        await self.processes.start(
+            name,
+            "fleet",
+            "agent",
+            "--number",
+            str(number),
+            "--zone",
+            str(number % 2),
+            "--listen",
+            f"127.0.0.1:{self.private[number]}",
+            "--address",
+            f"127.0.0.1:{self.public[number]}",
+            "--fleet",
+            str(FLEET),
+            *(part for c in contacts for part in ("--contact", c)),
+        )
 
     async def play(self) -> Result:
         began = self.transport.now()
@@ -72,7 +89,7 @@
                 await self.transport.sleep(max(0.0, zero + act.at - self.transport.now()))
                 self.say(f"{self.transport.now() - began:7.1f} s  {act}")
                 ends = await self.cast.do(act)
-                following = sorted(self.script.acts)[number + 1:]
+                following = sorted(self.script.acts)[number + 1 :]
                 if not following or following[0].at - act.at > act.seconds + 1.0:
                     await self.transport.sleep(max(0.0, ends - self.transport.now()))
                     await self._settle(bound(self.script.heads), str(act))
--- a/gorsethread/lab/lending.py
+++ b/gorsethread/lab/lending.py
@@ -70,8 +70,15 @@
 
     result_kind = Result
 
-    def __init__(self, transport: RealTransport, processes: Processes, site: pb.Site, log: Any,
-                 script: Script, plant: str = "") -> None:
+    def __init__(
+        self,
+        transport: RealTransport,
+        processes: Processes,
+        site: pb.Site,
+        log: Any,
+        script: Script,
+        plant: str = "",
+    ) -> None:
         super().__init__(transport, processes, site, log, script, plant)
         self.jitter = JITTER
         self.site.rules.cold.units = LENT_UNITS * script.heads
--- a/gorsethread/lab/peers.py
+++ b/gorsethread/lab/peers.py
@@ -31,14 +31,23 @@
         names = Names(site.subsystem, f"nqn.2026-12.org.gorsethread:head:{number}")
         known = site.links
         self.links = {
-            s.shard: ShelfLink(transport, s.number, split_address(s.address), names, known.connect_within,
-                               known.queue_size, known.digests, log)
+            s.shard: ShelfLink(
+                transport,
+                s.number,
+                split_address(s.address),
+                names,
+                known.connect_within,
+                known.queue_size,
+                known.digests,
+                log,
+            )
             for s in site.shelf
         }
         self.volumes = {v.number: v for v in site.volume}
         namespaces = [Namespace(v.number, v.blocks, v.extent_blocks) for v in site.volume]
-        subsystem = Subsystem(site.subsystem, lambda _: namespaces, "relay", "gorsethread",
-                              known.largest_bytes)
+        subsystem = Subsystem(
+            site.subsystem, lambda _: namespaces, "relay", "gorsethread", known.largest_bytes
+        )
         self.server = QueueServer(transport, subsystem, self, known.connections, log)
 
     def start(self) -> None:
@@ -84,8 +93,9 @@
 class Load:
     """depth commands always out (rate 0), or open-loop at a rate a second, latency from when each was due."""
 
-    def __init__(self, transport: Transport, site: pb.Site, depth: int, rate: float, start_at: float,
-                 seconds: float) -> None:
+    def __init__(
+        self, transport: Transport, site: pb.Site, depth: int, rate: float, start_at: float, seconds: float
+    ) -> None:
         self.transport, self.site, self.depth, self.rate = transport, site, depth, rate
         self.first, self.until = start_at, start_at + seconds
         self.chance = transport.chance("load")
@@ -108,8 +118,11 @@
             await self.transport.sleep(0.01)
         h = self.histogram
         return {
-            "honoured": self.done, "failed": self.failed, "seconds": self.last - self.first,
-            "median_us": h.get_value_at_percentile(50), "p99_us": h.get_value_at_percentile(99),
+            "honoured": self.done,
+            "failed": self.failed,
+            "seconds": self.last - self.first,
+            "median_us": h.get_value_at_percentile(50),
+            "p99_us": h.get_value_at_percentile(99),
             "own_p99_us": self.own.get_value_at_percentile(99),
         }
 
--- a/gorsethread/lab/records.py
+++ b/gorsethread/lab/records.py
@@ -99,8 +99,9 @@
     return place, took
 
 
-async def compared(transport: Transport, folder: Path, depths: list[int], pairs: int,
-                   log: Any) -> list[dict[str, Any]]:
+async def compared(
+    transport: Transport, folder: Path, depths: list[int], pairs: int, log: Any
+) -> list[dict[str, Any]]:
     """For each depth: kept a second and the time that one of a hundred exceeds, log over embedded store,
     median and quartiles over neighbouring stretches."""
     (folder / "lmdb").mkdir(parents=True)
@@ -116,8 +117,15 @@
             if n:  # the first settles
                 rates.append(len(mine) / len(theirs))
                 times.append(_late(mine) / _late(theirs))
-        rows.append({"depth": depth, "pairs": pairs, "rate": _spread(rates), "late": _spread(times),
-                     "commits_a_record": round(own.disk.commits / place, 4)})
+        rows.append(
+            {
+                "depth": depth,
+                "pairs": pairs,
+                "rate": _spread(rates),
+                "late": _spread(times),
+                "commits_a_record": round(own.disk.commits / place, 4),
+            }
+        )
     own.close()
     other.close()
     return rows
@@ -127,8 +135,10 @@
     """A head with records and copies at two others over one without, on the ordinary path, in turn under one
     load at saturation: honoured a second and CPU a transaction, median and quartiles of neighbouring
     stretches."""
-    stands = [Stand(transport, folder / ("on" if on else "off"), "head", 3, others=2, records=on)
-              for on in (False, True)]
+    stands = [
+        Stand(transport, folder / ("on" if on else "off"), "head", 3, others=2, records=on)
+        for on in (False, True)
+    ]
     try:
         for stand in stands:
             await stand.start()
--- a/gorsethread/lab/returning.py
+++ b/gorsethread/lab/returning.py
@@ -92,9 +92,9 @@
 
 def full_after(parts: list[float], begins: float, until: float) -> float | None:
     """Seconds from an act until so many seconds in turn are as good as before the first."""
-    before = sum(parts[1:int(BEFORE)]) / (BEFORE - 1)
+    before = sum(parts[1 : int(BEFORE)]) / (BEFORE - 1)
     for n in range(int(begins) + 1, int(until) - IN_TURN + 1):
-        if all(part >= FULL * before for part in parts[n:n + IN_TURN]):
+        if all(part >= FULL * before for part in parts[n : n + IN_TURN]):
             return n - begins
     return None
 
@@ -148,8 +148,16 @@
         self._count()
 
 
-def judged(found: Found, script: Script, kinds: tuple[str, ...], site: pb.Site, records: list[dict[str, Any]],
-           zero: float, opened: list[float], bound: float) -> None:
+def judged(
+    found: Found,
+    script: Script,
+    kinds: tuple[str, ...],
+    site: pb.Site,
+    records: list[dict[str, Any]],
+    zero: float,
+    opened: list[float],
+    bound: float,
+) -> None:
     parts = served(records, site, zero, int(script.seconds))
     begins = [BEFORE + n * APART for n in range(len(kinds))]
     found.full_service_seconds = [full_after(parts, b, b + APART) for b in begins]
@@ -161,8 +169,9 @@
     found.state_lost = sum(a.kind == "wipe" for a in script.acts)
 
 
-def in_world(site: pb.Site, heads: int, shelves: int, seed: int, factor: float, kinds: tuple[str, ...],
-             alone: bool) -> Found:
+def in_world(
+    site: pb.Site, heads: int, shelves: int, seed: int, factor: float, kinds: tuple[str, ...], alone: bool
+) -> Found:
     script, opened = script_of(kinds, heads, shelves, seed, factor), list[float]()
     world_kind = type("World", (ReturnWorld,), {"alone": alone, "shelf_kind": counting(Shelf, opened.append)})
     world = world_kind(site_of(site, heads, shelves, alone), script)
@@ -172,11 +181,26 @@
     v = outcome.verdict
     # Where every disk is gone in the end nobody can know what was written.
     reasons = [r for r in outcome.reasons if r != "wrong reads" or not kinds[-1].endswith("lost")]
-    found = Found(heads, list(kinds), stale_decisions=v.rules[2] + v.rules[3] + forgotten.count, lost=v.lost,
-                  duplicated=v.duplicated, rules=v.rules, reasons=reasons,
-                  numbers_reused=sum("number" in d for d in outcome.defects))
-    judged(found, script, kinds, world.site, outcome.records, world.zero, opened,
-           site_of(site, heads, shelves, False).links.opens)
+    found = Found(
+        heads,
+        list(kinds),
+        stale_decisions=v.rules[2] + v.rules[3] + forgotten.count,
+        lost=v.lost,
+        duplicated=v.duplicated,
+        rules=v.rules,
+        reasons=reasons,
+        numbers_reused=sum("number" in d for d in outcome.defects),
+    )
+    judged(
+        found,
+        script,
+        kinds,
+        world.site,
+        outcome.records,
+        world.zero,
+        opened,
+        site_of(site, heads, shelves, False).links.opens,
+    )
     return found
 
 
@@ -204,9 +228,18 @@
             super()._denied(volume, extent)
 
 
-async def on_processes(transport: RealTransport, site: pb.Site, heads: int, shelves: int, seed: int,
-                       factor: float, kinds: tuple[str, ...], alone: bool, log: Any,
-                       say: Callable[[str], None]) -> Found:
+async def on_processes(
+    transport: RealTransport,
+    site: pb.Site,
+    heads: int,
+    shelves: int,
+    seed: int,
+    factor: float,
+    kinds: tuple[str, ...],
+    alone: bool,
+    log: Any,
+    say: Callable[[str], None],
+) -> Found:
     script, opened = script_of(kinds, heads, shelves, seed, factor), list[float]()
     known = site_of(site, heads, shelves, alone)
     with tempfile.TemporaryDirectory(prefix="gorsethread-return-") as folder:
@@ -216,11 +249,26 @@
         if kinds[-1].endswith("lost"):
             trial.forgets_from = BEFORE + APART * (len(kinds) - 1)
         r = await trial.play()
-    found = Found(heads, list(kinds), lost=r.lost, duplicated=r.duplicated, rules=r.rules,
-                  numbers_reused=r.numbers_reused, reasons=r.reasons,
-                  stale_decisions=r.rules[2] + r.rules[3] + r.denied)
-    judged(found, script, kinds, trial.site, trial.records, trial.zero, opened,
-           site_of(site, heads, shelves, False).links.opens)
+    found = Found(
+        heads,
+        list(kinds),
+        lost=r.lost,
+        duplicated=r.duplicated,
+        rules=r.rules,
+        numbers_reused=r.numbers_reused,
+        reasons=r.reasons,
+        stale_decisions=r.rules[2] + r.rules[3] + r.denied,
+    )
+    judged(
+        found,
+        script,
+        kinds,
+        trial.site,
+        trial.records,
+        trial.zero,
+        opened,
+        site_of(site, heads, shelves, False).links.opens,
+    )
     return found
 
 
@@ -229,9 +277,21 @@
     pairs = list(zip(mine.full_service_seconds, alone.full_service_seconds, strict=True))
     slower = [n for n, (a, b) in enumerate(pairs) if a is None or b is not None and a > b + 1.0]
     rules = [n for rule, n in enumerate(mine.rules, 1) if rule != 5]  # see harness/service.py
-    good = not (slower or max(mine.stampede_ratio, mine.first_forwards_ratio) > 1.0 or mine.stale_decisions
-                or mine.numbers_reused or mine.lost or mine.duplicated or any(rules) or mine.reasons)
-    return {**asdict(mine), "full_service_seconds_alone": alone.full_service_seconds,
-            "stampede_ratio_alone": alone.stampede_ratio,
-            "first_forwards_ratio_alone": alone.first_forwards_ratio,
-            "stale_decisions_alone": alone.stale_decisions, "good": good}
+    good = not (
+        slower
+        or max(mine.stampede_ratio, mine.first_forwards_ratio) > 1.0
+        or mine.stale_decisions
+        or mine.numbers_reused
+        or mine.lost
+        or mine.duplicated
+        or any(rules)
+        or mine.reasons
+    )
+    return {
+        **asdict(mine),
+        "full_service_seconds_alone": alone.full_service_seconds,
+        "stampede_ratio_alone": alone.stampede_ratio,
+        "first_forwards_ratio_alone": alone.first_forwards_ratio,
+        "stale_decisions_alone": alone.stale_decisions,
+        "good": good,
+    }
--- a/gorsethread/lab/scripted.py
+++ b/gorsethread/lab/scripted.py
@@ -34,8 +34,10 @@
     counts = verdict.counts
     whole = max(1, counts["taken"])
     return {
-        "rules": verdict.rules, "taken": counts["taken"],
+        "rules": verdict.rules,
+        "taken": counts["taken"],
         "parts": {k: round(counts[k] / whole, 3) for k in ("honoured", "pushed back", "given up", "left")},
-        "volumes": {str(n): round(won / due, 3) if due else None
-                    for n, (won, due) in verdict.volumes.items()},
+        "volumes": {
+            str(n): round(won / due, 3) if due else None for n, (won, due) in verdict.volumes.items()
+        },
     }
--- a/gorsethread/lab/sockets.py
+++ b/gorsethread/lab/sockets.py
@@ -34,8 +34,14 @@
     return total
 
 
-COUNTED = {"taken", "honoured", "pushed_back", "given_up", "left",
-           *(f"forwards_{name.replace(' ', '_')}" for name in OUTCOMES)}
+COUNTED = {
+    "taken",
+    "honoured",
+    "pushed_back",
+    "given_up",
+    "left",
+    *(f"forwards_{name.replace(' ', '_')}" for name in OUTCOMES),
+}
 
 
 def compare(logs: Iterable[Iterable[str]], report: dict[str, Any]) -> list[tuple[str, int, int]]:
@@ -44,8 +50,10 @@
     for lines in logs:
         heads.update(counts_of(lines))
     windows = report["windows"]
-    rows = [("transactions", heads["taken"], sum(w["client_tries"] for w in windows)),
-            ("pushed back", heads["pushed_back"], sum(w["refused"] for w in windows))]
+    rows = [
+        ("transactions", heads["taken"], sum(w["client_tries"] for w in windows)),
+        ("pushed back", heads["pushed_back"], sum(w["refused"] for w in windows)),
+    ]
     for place, name in enumerate(OUTCOMES):
         seen = sum(w["outcomes"][place] for w in windows)
         rows.append((f"forwards {name}", heads[f"forwards_{name.replace(' ', '_')}"], seen))
--- a/gorsethread/lab/turns.py
+++ b/gorsethread/lab/turns.py
@@ -31,8 +31,9 @@
 class TurnLoad:
     """depth commands always out at one of two subjects, in turn."""
 
-    def __init__(self, transport: Transport, sites: list[pb.Site], depth: int, start_at: float,
-                 stretches: int) -> None:
+    def __init__(
+        self, transport: Transport, sites: list[pb.Site], depth: int, start_at: float, stretches: int
+    ) -> None:
         self.transport, self.sites, self.depth = transport, sites, depth
         self.start_at, self.stretches = start_at, stretches
         self.chance = transport.chance("turns")
@@ -44,8 +45,9 @@
     async def run(self) -> dict[str, Any]:
         for site in self.sites:
             names = Names(site.subsystem, site.tenant[0].host[0])
-            self.associations.append(await dial(self.transport, split_address(site.head[0].address), names,
-                                                within=5.0, size=128))
+            self.associations.append(
+                await dial(self.transport, split_address(site.head[0].address), names, within=5.0, size=128)
+            )
         for stretch in range(self.stretches):
             at = self.start_at + stretch * STRETCH
             await self.transport.sleep(max(0.0, at - self.transport.now()))
@@ -80,8 +82,9 @@
         self.associations[whose(stretch)].io.queue.submit(command, done, data, 0 if write else BLOCK)
 
 
-async def in_turn(transport: Transport, stands: list[Any], loads: int, depth: int, seconds: float,
-                  folder: Path) -> dict[str, Any]:
+async def in_turn(
+    transport: Transport, stands: list[Any], loads: int, depth: int, seconds: float, folder: Path
+) -> dict[str, Any]:
     """stands: relay and head, both started (bench.Stand). Ratios of head to relay over neighbouring
     stretches."""
     stretches = SETTLING + max(4, round(2 * seconds / STRETCH))
@@ -89,9 +92,24 @@
     outs = [folder / f"turns-{depth}-{n}.json" for n in range(loads)]
     for n, out in enumerate(outs):
         await processes.start(
-            f"turns {n}", "bench-peer", "turns", "--site", stands[0].path, "--other", stands[1].path,
-            "--number", str(n), "--depth", str(depth), "--start-at", str(start_at), "--stretches",
-            str(stretches), "--out", str(out))
+            f"turns {n}",
+            "bench-peer",
+            "turns",
+            "--site",
+            stands[0].path,
+            "--other",
+            stands[1].path,
+            "--number",
+            str(n),
+            "--depth",
+            str(depth),
+            "--start-at",
+            str(start_at),
+            "--stretches",
+            str(stretches),
+            "--out",
+            str(out),
+        )
     subjects = [psutil.Process(stand.processes.pid("subject")) for stand in stands]
     cpu: list[float] = []
     for stretch in range(stretches):
@@ -108,11 +126,17 @@
 
 def ratios(honoured: list[int], cpu: list[float]) -> dict[str, Any]:
     """Head over relay, of each two neighbouring stretches, the settled ones only."""
-    pairs = [(n, n + 1) if whose(n) else (n + 1, n) for n in range(SETTLING, len(honoured) - 1)
-             if whose(n) != whose(n + 1)]
+    pairs = [
+        (n, n + 1) if whose(n) else (n + 1, n)
+        for n in range(SETTLING, len(honoured) - 1)
+        if whose(n) != whose(n + 1)
+    ]
     rates = sorted(honoured[head] / honoured[relay] for head, relay in pairs if honoured[relay])
-    costs = sorted((cpu[head] / honoured[head]) / (cpu[relay] / honoured[relay]) for head, relay in pairs
-                   if honoured[head] and honoured[relay] and cpu[relay])
+    costs = sorted(
+        (cpu[head] / honoured[head]) / (cpu[relay] / honoured[relay])
+        for head, relay in pairs
+        if honoured[head] and honoured[relay] and cpu[relay]
+    )
     return {"rate": _spread(rates), "cpu": _spread(costs), "pairs": len(rates)}
 
 
--- a/gorsethread/lab/views.py
+++ b/gorsethread/lab/views.py
@@ -33,8 +33,15 @@
 class Heartbeats:
     """The baseline: each tells all of itself once a period, and holds dead whom it does not hear."""
 
-    def __init__(self, me: Word, contacts: tuple[Address, ...], now: float, draw: Callable[[], float],
-                 pace: Pace, most: int) -> None:
+    def __init__(
+        self,
+        me: Word,
+        contacts: tuple[Address, ...],
+        now: float,
+        draw: Callable[[], float],
+        pace: Pace,
+        most: int,
+    ) -> None:
         self.me, self.contacts, self.pace = me, contacts, pace
         self.words: dict[int, Word] = {me.name: me}
         self.heard_at: dict[int, float] = {}
@@ -53,8 +60,11 @@
                 self._believe(self.words[name]._replace(state=State.DEAD, by=self.me.name))
         if now >= self._next:
             self._next = now + self.pace.period
-            self.out += [(to, Message(Kind.PING, self.me.name, 0, 0, 0, (self.me,)))
-                         for to in self.contacts if to != self.me.address]
+            self.out += [
+                (to, Message(Kind.PING, self.me.name, 0, 0, 0, (self.me,)))
+                for to in self.contacts
+                if to != self.me.address
+            ]
 
     def heard(self, source: Address, m: Message) -> None:
         for w in m.words:
@@ -84,9 +94,15 @@
     world = FleetWorld(read_script(text), calm=WATCHED, make=KINDS[kind])
     judged = world.play()
     times = sorted(max(0.0, at - LOST_AT) for at in world.over_at.get((1, 2), []) if at >= LOST_AT)
-    return {"kind": kind, "heads": heads, "lossy": lossy, "noticed": times[0] if times else math.inf,
-            "spread": times[heads - 2] if len(times) >= heads - 1 else math.inf,
-            "rest_bytes": judged.rest_bytes, "false_deaths": _held_in_error(world)}
+    return {
+        "kind": kind,
+        "heads": heads,
+        "lossy": lossy,
+        "noticed": times[0] if times else math.inf,
+        "spread": times[heads - 2] if len(times) >= heads - 1 else math.inf,
+        "rest_bytes": judged.rest_bytes,
+        "false_deaths": _held_in_error(world),
+    }
 
 
 def _held_in_error(world: FleetWorld) -> int:
@@ -143,13 +159,24 @@
 def page(rows: list[dict[str, Any]], worlds: list[dict[str, Any]]) -> str:
     rows = sorted(rows, key=lambda r: (r["kind"], r["lossy"], r["heads"]))
     figure = Figure(figsize=(9.0, 3.0), layout="constrained")
-    for place, (field, label) in enumerate((("noticed", "first notice, s"), ("spread", "known to all, s"),
-                                            ("rest_bytes", "bytes a head a second")), 1):
+    for place, (field, label) in enumerate(
+        (
+            ("noticed", "first notice, s"),
+            ("spread", "known to all, s"),
+            ("rest_bytes", "bytes a head a second"),
+        ),
+        1,
+    ):
         axes = figure.add_subplot(1, 3, place)
         for kind, colour in COLOURS.items():
             own = [r for r in rows if r["kind"] == kind and not r["lossy"] and math.isfinite(r[field])]
-            axes.plot([r["heads"] for r in own], [r[field] for r in own], MARKS[kind] + "-", color=colour,
-                      label=kind)
+            axes.plot(
+                [r["heads"] for r in own],
+                [r[field] for r in own],
+                MARKS[kind] + "-",
+                color=colour,
+                label=kind,
+            )
         axes.set_xscale("log")
         if field == "rest_bytes":
             axes.set_yscale("log")
@@ -164,5 +191,6 @@
     text = into.getvalue()
     failed = sorted(w["seed"] for w in worlds if w["reasons"])
     longest = max((w["settled"] for w in worlds), default=0.0)
-    return PAGE.render(drawn=Markup(text[text.index("<svg"):]), rows=rows, worlds=worlds, failed=failed,
-                       longest=longest)
+    return PAGE.render(
+        drawn=Markup(text[text.index("<svg") :]), rows=rows, worlds=worlds, failed=failed, longest=longest
+    )
--- a/gorsethread/membership/news.py
+++ b/gorsethread/membership/news.py
@@ -68,8 +68,9 @@
 
     # ---- what is heard
 
-    def list_said(self, life: int, version: int, shelves: Iterable[tuple[int, int, str]], whole: bool,
-                  now: float) -> tuple[list[int], list[News]]:
+    def list_said(
+        self, life: int, version: int, shelves: Iterable[tuple[int, int, str]], whole: bool, now: float
+    ) -> tuple[list[int], list[News]]:
         """(shelf, start, state) of each; a whole list names all there are. Back come the shelves that peers'
         news stopped and that may be used again by the own list's word, and what is news to tell at once."""
         told = {(n.shelf, n.start, n.state) for n in self.to_tell(now)}
@@ -108,8 +109,11 @@
                     self.latest[n.shelf] = n
                     if self.beyond.pop(n.shelf, None) is not None:
                         fresh.append(n)
-            elif own.state >= n.state and own.start == n.start or (
-                    n.shelf not in self.beyond and len(self.beyond) >= NEWS_MOST):
+            elif (
+                own.state >= n.state
+                and own.start == n.start
+                or (n.shelf not in self.beyond and len(self.beyond) >= NEWS_MOST)
+            ):
                 self.ignored += 1
             else:
                 self.latest[n.shelf] = n
@@ -135,9 +139,11 @@
     def to_tell(self, now: float) -> list[News]:
         """All that this head knows of shelves that are not ready, or were not lately: its own list's words
         and its peers'."""
-        mine = [News(s, o.start, o.state, self.life, self.version) for s, o in sorted(self.own.items())
-                if s not in self.beyond
-                and now - (o.stopped_at if o.state is State.READY else o.at) <= KEPT_FOR]
+        mine = [
+            News(s, o.start, o.state, self.life, self.version)
+            for s, o in sorted(self.own.items())
+            if s not in self.beyond and now - (o.stopped_at if o.state is State.READY else o.at) <= KEPT_FOR
+        ]
         return mine + [b.news for _, b in sorted(self.beyond.items())]
 
     def whom_to_tell(self, fresh: bool, living: Iterable[int] = ()) -> list[int]:
--- a/gorsethread/membership/view.py
+++ b/gorsethread/membership/view.py
@@ -58,6 +58,9 @@
     patience: float = 0.3
 
 
+USUAL_PACE = Pace()
+
+
 class Change(NamedTuple):
     at: float
     word: Word
@@ -87,8 +90,15 @@
     """me: this head's own word, in its first incarnation. contacts: where others may be found. most: names
     that a fleet may have. draw: chance from 0 to 1. out: (where to, what), to be taken after each call."""
 
-    def __init__(self, me: Word, contacts: tuple[Address, ...], now: float, draw: Callable[[], float],
-                 pace: Pace = Pace(), most: int = 1024) -> None:  # noqa: B008
+    def __init__(
+        self,
+        me: Word,
+        contacts: tuple[Address, ...],
+        now: float,
+        draw: Callable[[], float],
+        pace: Pace = USUAL_PACE,
+        most: int = 1024,
+    ) -> None:
         self.me, self.contacts, self.draw, self.pace, self.most = me, contacts, draw, pace, most
         self.words: dict[int, Word] = {me.name: me}  # one a name; a word stays when its head is gone
         self.since: dict[int, float] = {me.name: now}  # of the state that each is in
@@ -214,8 +224,9 @@
     def show(self, begin: int) -> Message:
         """For an operator: the own word, and the table from a name on, with what this head says of itself."""
         words, after = self._table(begin)
-        said = sum(held << bit for bit, held in enumerate(
-            (self.settled, self.apart, self.minority, self.leaving)))
+        said = sum(
+            held << bit for bit, held in enumerate((self.settled, self.apart, self.minority, self.leaving))
+        )
         return Message(Kind.SHOWN, self.me.name, said, after, self.digest, words)
 
     def past(self, begin: int, now: float) -> Message:
@@ -232,8 +243,16 @@
             words.append(change.word)
             ages.append(age)
         after = begin + len(ages)
-        return Message(Kind.SHOWN, self.me.name, 0, after if ages and after < len(kept) else 0, self.digest,
-                       tuple(words), PAST, ",".join(ages))
+        return Message(
+            Kind.SHOWN,
+            self.me.name,
+            0,
+            after if ages and after < len(kept) else 0,
+            self.digest,
+            tuple(words),
+            PAST,
+            ",".join(ages),
+        )
 
     def leave(self) -> None:
         """In order: the others hear it from this head itself, a few of them at once."""
@@ -427,8 +446,9 @@
 
     # ---- messages
 
-    def _send(self, to: Address, kind: Kind, seq: int, words: tuple[Word, ...], cursor: int,
-              target: int = -1) -> None:
+    def _send(
+        self, to: Address, kind: Kind, seq: int, words: tuple[Word, ...], cursor: int, target: int = -1
+    ) -> None:
         self.out.append((to, Message(kind, self.me.name, seq, cursor, self.digest, words, target)))
 
     def _piece(self, begin: int, other: int) -> tuple[tuple[Word, ...], int]:
@@ -450,8 +470,9 @@
                 del self._news[name]
         return self._table(begin, room, chosen)
 
-    def _table(self, begin: int, room: int = MOST_BYTES - HEADER_MOST,
-               chosen: dict[int, Word] | None = None) -> tuple[tuple[Word, ...], int]:
+    def _table(
+        self, begin: int, room: int = MOST_BYTES - HEADER_MOST, chosen: dict[int, Word] | None = None
+    ) -> tuple[tuple[Word, ...], int]:
         """More words from a name on, as far as they fit, and the name after them; 0 at the table's end."""
         if chosen is None:
             chosen, room = {self.me.name: self.me}, room - self._sizes[self.me.name]
--- a/gorsethread/membership/words.py
+++ b/gorsethread/membership/words.py
@@ -123,8 +123,21 @@
 def write(message: Message, fleet: int) -> bytes:
     """ValueError over the bound: who fills a message keeps to it by size_of()."""
     m = message
-    raw = _encode(_Wire(VERSION, fleet, m.kind, m.sender, m.seq, m.cursor, m.digest, m.target,
-                        list(m.words), m.said, list(m.news)))
+    raw = _encode(
+        _Wire(
+            VERSION,
+            fleet,
+            m.kind,
+            m.sender,
+            m.seq,
+            m.cursor,
+            m.digest,
+            m.target,
+            list(m.words),
+            m.said,
+            list(m.news),
+        )
+    )
     if len(raw) > MOST_BYTES:
         raise ValueError(f"{len(raw)} bytes of a message")
     return raw
@@ -143,9 +156,16 @@
     if m.fleet != fleet:
         raise Unreadable("another fleet")
     words = tuple(Word(*w) for w in m.words)
-    if m.kind not in list(Kind) or min(m.sender, m.seq, m.cursor, m.digest, m.target + 1) < 0 or any(
-            w.state not in list(State) or min(w.name, w.life, w.incarnation, w.zone, w.machine) < 0
-            or not 0 < w.port < 65536 for w in words) or any(
-            min(n) < 0 or n[2] not in NEWS_STATES for n in m.news):
+    if (
+        m.kind not in list(Kind)
+        or min(m.sender, m.seq, m.cursor, m.digest, m.target + 1) < 0
+        or any(
+            w.state not in list(State)
+            or min(w.name, w.life, w.incarnation, w.zone, w.machine) < 0
+            or not 0 < w.port < 65536
+            for w in words
+        )
+        or any(min(n) < 0 or n[2] not in NEWS_STATES for n in m.news)
+    ):
         raise Unreadable("out of bounds")
     return Message(m.kind, m.sender, m.seq, m.cursor, m.digest, words, m.target, m.said, tuple(m.news))
--- a/gorsethread/nvme/command.py
+++ b/gorsethread/nvme/command.py
@@ -89,9 +89,27 @@
 
     def pack_as(self, cid: int, sgl_type: int, sgl_length: int) -> bytes:
         """The entry under another command id and with another description of its data."""
-        return SQE.pack(self.opcode, PSDT_SGL, cid, self.nsid, self.cdw2, self.cdw3, self.metadata,
-                        self.sgl_address, sgl_length, 0, 0, 0, sgl_type, self.cdw10, self.cdw11,
-                        self.cdw12, self.cdw13, self.cdw14, self.cdw15)
+        return SQE.pack(
+            self.opcode,
+            PSDT_SGL,
+            cid,
+            self.nsid,
+            self.cdw2,
+            self.cdw3,
+            self.metadata,
+            self.sgl_address,
+            sgl_length,
+            0,
+            0,
+            0,
+            sgl_type,
+            self.cdw10,
+            self.cdw11,
+            self.cdw12,
+            self.cdw13,
+            self.cdw14,
+            self.cdw15,
+        )
 
     @property
     def first_block(self) -> int:
@@ -140,13 +158,29 @@
     return Command(opcode, cid, nsid, cdw2, cdw3, metadata, address, length, sgl, *rest)
 
 
-def io_command(opcode: Opcode, volume: int, first_block: int = 0, blocks: int = 1, *, hints: int = 0,
-               patience: float = 0.0, attempt: int = 0, shard: int = -1, label: int = 0) -> Command:
+def io_command(
+    opcode: Opcode,
+    volume: int,
+    first_block: int = 0,
+    blocks: int = 1,
+    *,
+    hints: int = 0,
+    patience: float = 0.0,
+    attempt: int = 0,
+    shard: int = -1,
+    label: int = 0,
+) -> Command:
     """A Read, Write or Flush; patience in seconds, the free fields left 0 where not given."""
     return Command(
-        opcode, nsid=volume, cdw2=round(patience * 1000), metadata=label,
+        opcode,
+        nsid=volume,
+        cdw2=round(patience * 1000),
+        metadata=label,
         cdw3=(1 if attempt else 0) | (attempt & 0x7F) << 1 | (shard + 1) << 16,
-        cdw10=first_block & 0xFFFFFFFF, cdw11=first_block >> 32, cdw12=blocks - 1, cdw13=hints,
+        cdw10=first_block & 0xFFFFFFFF,
+        cdw11=first_block >> 32,
+        cdw12=blocks - 1,
+        cdw13=hints,
     )
 
 
@@ -204,8 +238,13 @@
 
 def connect(queue: int, size: int, keep_alive: float = 0.0) -> Command:
     """Fabrics Connect; size in entries, keep_alive in seconds (0: none)."""
-    return Command(Opcode.FABRICS, nsid=Fabrics.CONNECT, cdw10=queue << 16, cdw11=size - 1,
-                   cdw12=round(keep_alive * 1000))
+    return Command(
+        Opcode.FABRICS,
+        nsid=Fabrics.CONNECT,
+        cdw10=queue << 16,
+        cdw11=size - 1,
+        cdw12=round(keep_alive * 1000),
+    )
 
 
 def connect_data(host_id: bytes, controller: int, subsystem: str, host: str) -> bytes:
--- a/gorsethread/nvme/controller_queue.py
+++ b/gorsethread/nvme/controller_queue.py
@@ -53,9 +53,14 @@
     """send: bytes for the host; announced: a command's capsule came, and whether its data is wanted (else it
     has been answered); taken: it is here with its data; ended: why nothing more comes. most_data in bytes."""
 
-    def __init__(self, send: Callable[[bytes], None], announced: Callable[[Command], bool],
-                 taken: Callable[[Command, bytes], None], ended: Callable[[str], None],
-                 most_data: int) -> None:
+    def __init__(
+        self,
+        send: Callable[[bytes], None],
+        announced: Callable[[Command], bool],
+        taken: Callable[[Command, bytes], None],
+        ended: Callable[[str], None],
+        most_data: int,
+    ) -> None:
         self._send, self._announced, self._taken, self._ended = send, announced, taken, ended
         self.most_data = most_data
         self.size = 64  # entries; set by Connect
@@ -97,7 +102,7 @@
         self._open.discard(cid)
         self._drop_incoming(cid)
         for at in range(0, len(data), C2H_MOST):
-            part = data[at:at + C2H_MOST]
+            part = data[at : at + C2H_MOST]
             last = at + len(part) == len(data)
             self._send(self._encoder.data(PduType.C2H_DATA, cid, 0, at, part, last))
         self._head = (self._head + 1) % self.size
--- a/gorsethread/nvme/host_queue.py
+++ b/gorsethread/nvme/host_queue.py
@@ -50,8 +50,14 @@
     The number of commands out is bounded by the queue's size: submit() of one more raises OverflowError.
     """
 
-    def __init__(self, send: Callable[[bytes], None], ready: Callable[[], None], ended: Callable[[str], None],
-                 size: int, digests: bool = False) -> None:
+    def __init__(
+        self,
+        send: Callable[[bytes], None],
+        ready: Callable[[], None],
+        ended: Callable[[str], None],
+        size: int,
+        digests: bool = False,
+    ) -> None:
         self._send, self._ready, self._ended = send, ready, ended
         self.size = size
         self.in_capsule = 8192  # Connect and admin commands; I/O queues learn theirs from Identify
@@ -131,8 +137,11 @@
             # other answers belongs to which command can't be known any more. Costs all commands out here.
             self._fatal(FatalError.SEQUENCE_ERROR, f"answer to command {completion.cid}, which is not out")
             return
-        if out.incoming is not None and completion.honoured and (
-                out.incoming and out.expected or not out.intact):
+        if (
+            out.incoming is not None
+            and completion.honoured
+            and (out.incoming and out.expected or not out.intact)
+        ):
             wrong = Status.DATA_TRANSFER_ERROR if out.expected else Status.TRANSIENT_TRANSPORT_ERROR
             completion = completion._replace(status=wrong)
         out.done(completion, bytes(out.incoming or b""))
@@ -146,7 +155,7 @@
         if pdu.offset != got or len(pdu.data) > out.expected:
             self._fatal(FatalError.DATA_OUT_OF_RANGE, f"data at {pdu.offset} for command {pdu.cid}", 12)
             return
-        out.incoming[got:got + len(pdu.data)] = pdu.data
+        out.incoming[got : got + len(pdu.data)] = pdu.data
         out.expected -= len(pdu.data)
         out.intact = out.intact and pdu.intact
 
@@ -157,7 +166,7 @@
             return
         end = pdu.offset + pdu.length
         while out.sent < end:
-            part = out.data[out.sent:min(end, out.sent + self._most_h2c)]
+            part = out.data[out.sent : min(end, out.sent + self._most_h2c)]
             last = out.sent + len(part) == end
             self._send(self._encoder.data(PduType.H2C_DATA, pdu.cid, pdu.tag, out.sent, part, last))
             out.sent += len(part)
--- a/gorsethread/nvme/pdu.py
+++ b/gorsethread/nvme/pdu.py
@@ -44,8 +44,14 @@
 DATA_BODY = struct.Struct("<HHIII")
 TERM_BODY = struct.Struct("<HI")
 HEADER_LENGTHS = {
-    PduType.IC_REQ: 128, PduType.IC_RESP: 128, PduType.H2C_TERM: 24, PduType.C2H_TERM: 24,
-    PduType.CAPSULE_CMD: 72, PduType.CAPSULE_RESP: 24, PduType.H2C_DATA: 24, PduType.C2H_DATA: 24,
+    PduType.IC_REQ: 128,
+    PduType.IC_RESP: 128,
+    PduType.H2C_TERM: 24,
+    PduType.C2H_TERM: 24,
+    PduType.CAPSULE_CMD: 72,
+    PduType.CAPSULE_RESP: 24,
+    PduType.H2C_DATA: 24,
+    PduType.C2H_DATA: 24,
     PduType.R2T: 24,
 }
 CARRIES_DATA = {PduType.CAPSULE_CMD, PduType.H2C_DATA, PduType.C2H_DATA}
@@ -200,7 +206,7 @@
         while not self.ended and (pdu := self._next()):
             found.append(pdu)
             self.ended = isinstance(pdu, Malformed)
-        del self._held[:self._at]
+        del self._held[: self._at]
         self._at = 0
         return found
 
@@ -208,7 +214,7 @@
         self.header_digest, self.data_digest = header_digest, data_digest
 
     def _malformed(self, error: FatalError, information: int, reason: str) -> Malformed:
-        return Malformed(error, information, bytes(self._held[self._at:self._at + TERM_DATA_MOST]), reason)
+        return Malformed(error, information, bytes(self._held[self._at : self._at + TERM_DATA_MOST]), reason)
 
     def _next(self) -> "Pdu | Malformed | None":
         held, at = self._held, self._at
@@ -234,12 +240,11 @@
             most = least
         if not least <= length <= most:
             return self._malformed(bad, 4, f"PDU length {length} in {type.name}")
-        if carries and length > least and not least <= data_offset <= min(
-                length, least + PADDING_MOST):
+        if carries and length > least and not least <= data_offset <= min(length, least + PADDING_MOST):
             return self._malformed(bad, 3, f"data offset {data_offset} in {type.name}")
         if len(held) - at < length:
             return None
-        pdu = bytes(held[at:at + length])
+        pdu = bytes(held[at : at + length])
         if header_digest and _digest(pdu[:header_length]) != pdu[header_length:least]:
             got = int.from_bytes(pdu[header_length:least], "little")
             return self._malformed(FatalError.HEADER_DIGEST_ERROR, got, "header digest does not fit")
@@ -248,8 +253,9 @@
             self._at += length
         return parsed
 
-    def _parse(self, type: PduType, flags: int, data_offset: int, pdu: bytes, least: int,
-               carries: bool) -> "Pdu | Malformed":
+    def _parse(
+        self, type: PduType, flags: int, data_offset: int, pdu: bytes, least: int, carries: bool
+    ) -> "Pdu | Malformed":
         if type is PduType.CAPSULE_RESP:
             return CapsuleResp(pdu[8:24])
         if type in (PduType.IC_REQ, PduType.IC_RESP):
--- a/gorsethread/nvme/subsystem.py
+++ b/gorsethread/nvme/subsystem.py
@@ -73,8 +73,15 @@
     """name: its NQN; admits: the namespaces of a host NQN, None where the host is not known;
     retry_delays: up to three return times in seconds a push-back may name (CRDT1 to CRDT3)."""
 
-    def __init__(self, name: str, admits: "Callable[[str], Iterable[Namespace] | None]", serial: str,
-                 model: str, most_data: int, retry_delays: tuple[float, ...] = ()) -> None:
+    def __init__(
+        self,
+        name: str,
+        admits: "Callable[[str], Iterable[Namespace] | None]",
+        serial: str,
+        model: str,
+        most_data: int,
+        retry_delays: tuple[float, ...] = (),
+    ) -> None:
         self.name, self.admits, self.serial, self.model = name, admits, serial, model
         self.most_data = most_data
         self.retry_delays = retry_delays
@@ -171,8 +178,12 @@
             ready = 1 if controller.enabled else 0
             # MQES, CQR, TO of 2 s, NVM command set
             cap = (QUEUE_MOST - 1) | 1 << 16 | 4 << 24 | 1 << 37
-            values = {CAPABILITIES: cap, VERSION: 0x20000, CONFIGURATION: 0x460000 | ready,
-                      CONTROLLER_STATUS: ready}
+            values = {
+                CAPABILITIES: cap,
+                VERSION: 0x20000,
+                CONFIGURATION: 0x460000 | ready,
+                CONTROLLER_STATUS: ready,
+            }
             wide = command.cdw10 & 7 == 1
             if offset not in values or wide != (offset == CAPABILITIES):
                 return _fail(cid, Status.INVALID_FIELD)
--- a/gorsethread/platform/clients.py
+++ b/gorsethread/platform/clients.py
@@ -119,9 +119,19 @@
         connection.id = w.id
         self.open[w.id] = connection
         connection.taken = self.driver.take(
-            connection, Parcel(request.method, request.target, headers, request.body, cut_off),
-            profile=w.profile, plan=w.plan, key=w.key, cut_off=cut_off, volume=w.volume, units=w.units,
-            shard=w.shard, heads=w.heads, repeat=w.repeat, arrived=connection.arrived)
+            connection,
+            Parcel(request.method, request.target, headers, request.body, cut_off),
+            profile=w.profile,
+            plan=w.plan,
+            key=w.key,
+            cut_off=cut_off,
+            volume=w.volume,
+            units=w.units,
+            shard=w.shard,
+            heads=w.heads,
+            repeat=w.repeat,
+            arrived=connection.arrived,
+        )
 
     def sweep(self) -> None:
         """Ends connections whose request does not come whole, and those idle for long."""
--- a/gorsethread/platform/config.py
+++ b/gorsethread/platform/config.py
@@ -124,15 +124,23 @@
         {s["name"].encode(): n for n, s in enumerate(settings["services"])},
         {g["name"].encode(): n for n, g in enumerate(settings["grades"])},
         {name: n for n, name in enumerate(settings.get("azs", []))},
-        facts.largest_units, settings["specifics"]["shards"],
+        facts.largest_units,
+        settings["specifics"]["shards"],
     )
     return Order(
-        str(_field(given, "name", str)), address_of(_field(given, "listen"), "listen"),
-        address_of(_field(given, "discovery"), "discovery"), seed, sockets, known, facts, naming,
+        str(_field(given, "name", str)),
+        address_of(_field(given, "listen"), "listen"),
+        address_of(_field(given, "discovery"), "discovery"),
+        seed,
+        sockets,
+        known,
+        facts,
+        naming,
         float(_field(settings, "permissions.dialTimeout", int, float)),
         float(_field(settings, "permissions.connIdle", int, float)),
         float(max(s.get("giveUp", 0.0) for s in settings["services"])),
-        peer_listen, peers,
+        peer_listen,
+        peers,
     )
 
 
--- a/gorsethread/platform/connection.py
+++ b/gorsethread/platform/connection.py
@@ -25,8 +25,20 @@
 class Connection:
     """One client's connection; it is the driver's client for the request that is open on it."""
 
-    __slots__ = ("side", "stream", "codec", "taken", "id", "began", "served", "arrived", "over", "paused",
-                 "_dropped", "_looks_again")
+    __slots__ = (
+        "side",
+        "stream",
+        "codec",
+        "taken",
+        "id",
+        "began",
+        "served",
+        "arrived",
+        "over",
+        "paused",
+        "_dropped",
+        "_looks_again",
+    )
 
     def __init__(self, side: "ClientSide", stream: Stream, now: float) -> None:
         self.side, self.stream = side, stream
--- a/gorsethread/platform/discovery.py
+++ b/gorsethread/platform/discovery.py
@@ -36,8 +36,9 @@
 class Discovery:
     """wait: seconds that a call may wait for news at most. driver and pool are set before start()."""
 
-    def __init__(self, transport: Transport, address: Address, naming: Naming, links: LinkTable, wait: float,
-                 log: Any) -> None:
+    def __init__(
+        self, transport: Transport, address: Address, naming: Naming, links: LinkTable, wait: float, log: Any
+    ) -> None:
         self.transport, self.address, self.naming, self.links = transport, address, naming, links
         self.wait, self.log, self.chance = wait, log, transport.chance("discovery")
         self.driver: Driver
@@ -159,8 +160,12 @@
         # counting refusals of long ago, and wait after the next silence as after many.
         if told.instances or told.reset or not self._heard:
             self._heard = True
-            self.log.info("list", generation=told.generation, whole=told.reset,
-                          shelves={s.instance_id: s.lifecycle for s in told.instances[:20]})
+            self.log.info(
+                "list",
+                generation=told.generation,
+                whole=told.reset,
+                shelves={s.instance_id: s.lifecycle for s in told.instances[:20]},
+            )
             self._pass_on(told.instances, told.reset, False)
         return news
 
--- a/gorsethread/platform/program.py
+++ b/gorsethread/platform/program.py
@@ -45,16 +45,24 @@
         self.discovery = Discovery(transport, order.discovery, order.naming, links, wait, log)
         self.driver = Driver(transport, order.facts, order.seed, NoPlacement(), self.discovery.follow, log)
         self.discovery.driver = links.driver = self.driver
-        self.pool = Pool(transport, self.driver.links, int(order.sockets * SHELVES_PART), order.dial_within,
-                         order.idle, log)
+        self.pool = Pool(
+            transport,
+            self.driver.links,
+            int(order.sockets * SHELVES_PART),
+            order.dial_within,
+            order.idle,
+            log,
+        )
         self.discovery.pool = self.pool
         self.pool.may_begin = self.driver.policy.may_begin
-        self.clients = ClientSide(transport, self.driver, order.naming, int(order.sockets * CLIENTS_PART),
-                                  log)
+        self.clients = ClientSide(
+            transport, self.driver, order.naming, int(order.sockets * CLIENTS_PART), log
+        )
         self.messages: Messages | None = None
         if order.peer_listen is not None:
-            self.messages = Messages(transport, order.peer_listen, order.peers, order.facts.index,
-                                     self.driver.peer_told)
+            self.messages = Messages(
+                transport, order.peer_listen, order.peers, order.facts.index, self.driver.peer_told
+            )
             self.driver.teller = self.messages.tell
         self.ended = False
 
@@ -63,20 +71,25 @@
         if self.messages is not None:
             self.messages.start()
         self.discovery.start(self.order.known)
-        self._listener = self.transport.listen(*self.order.listen, self.clients.on_stream,
-                                               self.clients.admits)
+        self._listener = self.transport.listen(
+            *self.order.listen, self.clients.on_stream, self.clients.admits
+        )
         self._sweep()
         self._report()
-        self.log.info("head serves", address=f"{self.order.listen[0]}:{self.order.listen[1]}",
-                      shelves=len(self.discovery.known))
+        self.log.info(
+            "head serves",
+            address=f"{self.order.listen[0]}:{self.order.listen[1]}",
+            shelves=len(self.discovery.known),
+        )
 
     def reload(self) -> None:
         """Reads the configuration again; of it, what a running head can follow is where discovery is."""
         try:
             order = read_order(self.transport.load(self.path), self.path)
         except Unusable as error:
-            self.log.error("the new configuration can't be used; the old one stands", reason=str(error),
-                           do=error.action)
+            self.log.error(
+                "the new configuration can't be used; the old one stands", reason=str(error), do=error.action
+            )
             return
         # All else stays as this process was started with: requests in flight were taken under it.
         self.order = replace(self.order, discovery=order.discovery)
@@ -118,7 +131,15 @@
     def _count(self, what: str) -> None:
         counts = {name.replace(" ", "_"): n for name, n in sorted(self.driver.counts.items())}
         messages = dict(self.messages.counts) if self.messages is not None else {}
-        self.log.info(what, open=len(self.driver.open), clients=len(self.clients.connections),
-                      shelf_connections=self.pool.held, opened=self.pool.opened,
-                      waiting=len(self.pool.waiting), wrong=self.clients.report(),
-                      spoilt=self.pool.report(), messages=messages, **counts)
+        self.log.info(
+            what,
+            open=len(self.driver.open),
+            clients=len(self.clients.connections),
+            shelf_connections=self.pool.held,
+            opened=self.pool.opened,
+            waiting=len(self.pool.waiting),
+            wrong=self.clients.report(),
+            spoilt=self.pool.report(),
+            messages=messages,
+            **counts,
+        )
--- a/gorsethread/platform/requests.py
+++ b/gorsethread/platform/requests.py
@@ -77,7 +77,14 @@
     if not ID.fullmatch(volume):
         raise Unreadable(400, "no volume")
     return Wanted(
-        id, profile, plan, target[2].decode(), int(patience) * 0.001, volume.decode(),
-        float(_whole(info, b"units", 1, naming.most_units)), _whole(info, b"shard", -1, naming.shards - 1),
-        _whole(info, b"hosts", 1, MOST_HEADS), request.one(b"req-retry") == b"1",
+        id,
+        profile,
+        plan,
+        target[2].decode(),
+        int(patience) * 0.001,
+        volume.decode(),
+        float(_whole(info, b"units", 1, naming.most_units)),
+        _whole(info, b"shard", -1, naming.shards - 1),
+        _whole(info, b"hosts", 1, MOST_HEADS),
+        request.one(b"req-retry") == b"1",
     )
--- a/gorsethread/platform/shelves.py
+++ b/gorsethread/platform/shelves.py
@@ -85,8 +85,15 @@
     """The connections of all shelves together. most: how many may be open or come up at once. links: the
     driver's table of them."""
 
-    def __init__(self, transport: Transport, links: "dict[int, ShelfLink]", most: int, dial_within: float,
-                 idle: float, log: Any) -> None:
+    def __init__(
+        self,
+        transport: Transport,
+        links: "dict[int, ShelfLink]",
+        most: int,
+        dial_within: float,
+        idle: float,
+        log: Any,
+    ) -> None:
         self.transport, self.links, self.most, self.log = transport, links, most, log
         self.dial_within, self.idle = dial_within, idle * IDLE_PART
         self.held = 0
@@ -101,8 +108,11 @@
     def room(self) -> bool:
         """Whether one more may be opened; makes room by the connection that is idle for longest."""
         if self.held >= self.most:
-            oldest = min((link.kept[0] for link in self.links.values() if link.kept),
-                         key=lambda c: c.idle_since, default=None)
+            oldest = min(
+                (link.kept[0] for link in self.links.values() if link.kept),
+                key=lambda c: c.idle_since,
+                default=None,
+            )
             if oldest is None:
                 return False
             oldest.link.lose(oldest)
@@ -281,8 +291,11 @@
         else:
             self._rest(connection)
         if answer.status == 200:
-            self.end(f, Ending.HONOURED, Told(answer.body, figure(answer.one(ELSEWHERE)),
-                                               figure(answer.one(USAGE))))
+            self.end(
+                f,
+                Ending.HONOURED,
+                Told(answer.body, figure(answer.one(ELSEWHERE)), figure(answer.one(USAGE))),
+            )
         elif answer.status in (503, 504) and answer.one(DECLINED) == b"1":
             self.end(f, Ending.TURNED_AWAY)
         else:
@@ -313,4 +326,3 @@
         if not f.over:
             f.over = True
             f.ended(f, how, told)
-
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -181,7 +181,7 @@
     def list_refused(self) -> None:
         self.now = self.host.clock()
         self.list_waits += 1
-        step = max(0.25, ASK_PART * self.ask_spread) * 2.0**min(self.list_waits, 30)
+        step = max(0.25, ASK_PART * self.ask_spread) * 2.0 ** min(self.list_waits, 30)
         most = min(self.facts.ask_within or 0.5 * self.facts.drain_grace, step, ASK_PAUSE_MOST)
         self.list_ask_at = self.now + most * (0.1 + 0.9 * self.draws.next())
 
@@ -420,7 +420,7 @@
             # One lost answer would keep a shelf of little traffic idle; each one more waits twice as long.
             last = next(reversed(s.out.values()), -float("inf"))
             pause = max(self.quickest, SILENT_PAUSE * s.time)
-            due = last + pause * 2.0**min(len(s.out) + s.misses - 1, 6)
+            due = last + pause * 2.0 ** min(len(s.out) + s.misses - 1, 6)
             if self.now < due:
                 self.look_at = min(self.look_at, due)
             return 1 if self.now >= due else 0
@@ -467,7 +467,7 @@
             s.misses += 1
             # A connection may break alone, several in turn; a dead shelf takes no new one.
             if s.misses > (1 if how is Ending.UNREACHED else BREAKS_MOST):
-                s.rest_until = self.now + min(2.0, 0.1 * 2.0**min(s.misses, 9))
+                s.rest_until = self.now + min(2.0, 0.1 * 2.0 ** min(s.misses, 9))
             return
         s.misses = s.misses + 1 if how is Ending.TIMED_OUT else 0
         wait, part = 0.0, 1.0  # part: of what was sent, how much the shelf could take in good time
@@ -553,8 +553,12 @@
         # No word of another makes a shelf older than this head's own list has it.
         own = self.now - s.since if (s := self.held_by.get(shard)) and s.since > 0.0 else 0.0
         borne = self._borne(min(age, own) if own < self.facts.cold.warm_after else 0.0)
-        lends = (0.0 <= age < self.facts.cold.warm_after and 0.0 < units <= self.facts.largest_units
-                 and self.now - self.born >= self.lent_kept and units + sum(n for _, n in log) <= borne)
+        lends = (
+            0.0 <= age < self.facts.cold.warm_after
+            and 0.0 < units <= self.facts.largest_units
+            and self.now - self.born >= self.lent_kept
+            and units + sum(n for _, n in log) <= borne
+        )
         if lends:
             self.lent[shard] = [*log, (self.now, units)]
         return lends
@@ -662,7 +666,8 @@
         if not self._is_repeatable(t, self.now):
             return False
         return (group := t.profile.group) is Group.ALL or (
-            s.zone == t.ran_on.zone if group is Group.ZONE else s.shard == t.ran_on.shard)
+            s.zone == t.ran_on.zone if group is Group.ZONE else s.shard == t.ran_on.shard
+        )
 
     # ---- (6) key turns
 
--- a/gorsethread/queues/dial.py
+++ b/gorsethread/queues/dial.py
@@ -121,8 +121,10 @@
         """Asks the controller to drop a command; what comes of it shows in the command's own completion.
         missed: told if the controller had no such command, or not yet, as it came by another queue."""
         if not self.admin.queue.over and len(self.admin.queue) < self.admin.queue.size:
-            self.admin.queue.submit(Command(Admin.ABORT, cdw10=queue | cid << 16),
-                                    lambda done, _: missed() if done.dw0 & 1 else None)
+            self.admin.queue.submit(
+                Command(Admin.ABORT, cdw10=queue | cid << 16),
+                lambda done, _: missed() if done.dw0 & 1 else None,
+            )
 
     async def keep_alive(self) -> None:
         await self.admin.must(Command(Admin.KEEP_ALIVE))
@@ -140,8 +142,17 @@
             queue.close(reason)
 
 
-async def dial(transport: Transport, address: tuple[str, int], names: Names, *, within: float, size: int = 64,
-               queues: int = 1, digests: bool = False, keep_alive: float = 0.0) -> Association:
+async def dial(
+    transport: Transport,
+    address: tuple[str, int],
+    names: Names,
+    *,
+    within: float,
+    size: int = 64,
+    queues: int = 1,
+    digests: bool = False,
+    keep_alive: float = 0.0,
+) -> Association:
     """An association with its I/O queues connected, in at most that many seconds; Unreachable where not."""
     by = transport.now() + within
     open_queues: list[DialedQueue] = []
--- a/gorsethread/queues/serve.py
+++ b/gorsethread/queues/serve.py
@@ -16,8 +16,9 @@
 
     __slots__ = ("command", "connection", "arrived", "owned", "controller")
 
-    def __init__(self, command: Command, connection: "Connection", arrived: float,
-                 controller: Controller) -> None:
+    def __init__(
+        self, command: Command, connection: "Connection", arrived: float, controller: Controller
+    ) -> None:
         self.command, self.connection, self.arrived = command, connection, arrived
         self.controller = controller
         self.owned: Any = None  # the owner's own record of it
@@ -53,8 +54,9 @@
         self.controller: Controller | None = None
         self.open: dict[int, IoCommand] = {}  # emptied by answers and by the connection's end
         self.heard = server.transport.now()
-        self.queue = ControllerQueue(stream.write, self._announced, self._taken, self._ended,
-                                     server.subsystem.most_data)
+        self.queue = ControllerQueue(
+            stream.write, self._announced, self._taken, self._ended, server.subsystem.most_data
+        )
 
     async def serve(self) -> None:
         limit = self.server.transport.at(self.heard + CONNECT_WITHIN, self._not_connected)
@@ -164,8 +166,9 @@
 class QueueServer:
     """most_connections: any further one is closed at once."""
 
-    def __init__(self, transport: Transport, subsystem: Subsystem, owner: IoOwner, most_connections: int,
-                 log: Any) -> None:
+    def __init__(
+        self, transport: Transport, subsystem: Subsystem, owner: IoOwner, most_connections: int, log: Any
+    ) -> None:
         self.transport, self.subsystem, self.owner, self.log = transport, subsystem, owner, log
         self.most_connections = most_connections
         self.connections: dict[Connection, None] = {}  # emptied as connections end
--- a/gorsethread/records/frames.py
+++ b/gorsethread/records/frames.py
@@ -95,7 +95,7 @@
     mark, length, said = HEAD.unpack_from(data, at)
     if mark != MARK or length > PAYLOAD_MOST or at + HEAD.size + length > len(data):
         return None
-    payload = data[at + HEAD.size:at + HEAD.size + length]
+    payload = data[at + HEAD.size : at + HEAD.size + length]
     return payload if google_crc32c.extend(seed, payload) == said else None
 
 
--- a/gorsethread/records/holders.py
+++ b/gorsethread/records/holders.py
@@ -30,8 +30,10 @@
     while left and len(chosen) < copies:
         machines = {mine.machine} | {places[n].machine for n in chosen}
         zones = {mine.zone} | {places[n].zone for n in chosen}
-        best = max(left, key=lambda n: (places[n].machine not in machines, places[n].zone not in zones,
-                                        weight(origin, n)))
+        best = max(
+            left,
+            key=lambda n: (places[n].machine not in machines, places[n].zone not in zones, weight(origin, n)),
+        )
         left.discard(best)
         chosen.append(best)
     return chosen
--- a/gorsethread/records/kinds.py
+++ b/gorsethread/records/kinds.py
@@ -206,7 +206,7 @@
     def after(self, number: Number) -> list[Record]:
         """All later ones that hold, in their order, and perhaps some that were replaced since."""
         if number >= self._recent_from:
-            return self._recent[bisect_right(self._recent, number, key=lambda r: r.number):]
+            return self._recent[bisect_right(self._recent, number, key=lambda r: r.number) :]
         return [r for r in self.whole() if r.number > number]
 
     def whole(self) -> list[Record]:
--- a/gorsethread/records/recovery.py
+++ b/gorsethread/records/recovery.py
@@ -73,8 +73,16 @@
     for n, (_, s) in enumerate(r.segments):  # newest first
         if s is None:
             continue
-        r.table.merge(Table(x for x in s.records if n == 0 or newest is None or not newest.whole
-                            or x.number > (newest.begin.life, newest.begin.place)))
+        r.table.merge(
+            Table(
+                x
+                for x in s.records
+                if n == 0
+                or newest is None
+                or not newest.whole
+                or x.number > (newest.begin.life, newest.begin.place)
+            )
+        )
         if not s.begin.copied:  # of a copy, what was before the begin may not have come yet
             r.table.last = max(r.table.last, (s.begin.life, s.begin.place))
     # Of older segments nobody knows what was freed or replaced by what was lost since.
--- a/gorsethread/records/store.py
+++ b/gorsethread/records/store.py
@@ -45,8 +45,9 @@
 class Store:
     """head: whose records; copied: it is another head's, kept for it. Until begin() nothing is taken."""
 
-    def __init__(self, transport: Transport, folder: str, fleet: int, head: int, log: Any,
-                 copied: bool = False) -> None:
+    def __init__(
+        self, transport: Transport, folder: str, fleet: int, head: int, log: Any, copied: bool = False
+    ) -> None:
         self.transport, self.folder, self.log = transport, folder.rstrip("/"), log
         self.fleet, self.head, self.copied = fleet, head, copied
         self.table = Table()
@@ -183,8 +184,12 @@
 
     def _broke(self, error: OSError) -> None:
         self.disk.ends(self.transport.now(), True, error.errno in NO_ROOM)
-        self.log.error("the disk does not take records", folder=self.folder, reason=str(error),
-                       again_in=round(self.disk.refuses(self.transport.now(), 0), 2))
+        self.log.error(
+            "the disk does not take records",
+            folder=self.folder,
+            reason=str(error),
+            again_in=round(self.disk.refuses(self.transport.now(), 0), 2),
+        )
         self._unuse()
         self.transport.at(self.transport.now() + self.disk.refuses(self.transport.now(), 0), self._kick)
 
@@ -258,8 +263,17 @@
         held = self.table.whole()
         place = self._flushed[1] if self._flushed[0] == self.life else 0
         self._highest += 1
-        begin = Begin(VERSION, self.fleet, self.head, self.life, self._highest, place, len(held), self.copied,
-                      self.holes)
+        begin = Begin(
+            VERSION,
+            self.fleet,
+            self.head,
+            self.life,
+            self._highest,
+            place,
+            len(held),
+            self.copied,
+            self.holes,
+        )
         seed = seed_of(self.fleet, self.head, self.life, begin.segment)
         parts = [begun(begin, [])]
         for piece in pieces(held, SLICE, SLICE_BYTES):
@@ -285,8 +299,11 @@
 
     def _forget(self) -> None:
         """All but the two newest segments."""
-        named = sorted((place, name) for name in self.transport.names(self.folder)
-                       if (place := place_of(name)) is not None)
+        named = sorted(
+            (place, name)
+            for name in self.transport.names(self.folder)
+            if (place := place_of(name)) is not None
+        )
         for _, name in named[:-2]:
             self.transport.remove(f"{self.folder}/{name}")
 
@@ -302,5 +319,8 @@
 
 def files_of(transport: Transport, folder: str) -> dict[str, bytes]:
     """The segments of a folder."""
-    return {name: data for name in transport.names(folder) if place_of(name) is not None
-            and (data := transport.load(f"{folder}/{name}")) is not None}
+    return {
+        name: data
+        for name in transport.names(folder)
+        if place_of(name) is not None and (data := transport.load(f"{folder}/{name}")) is not None
+    }
--- a/gorsethread/records/talk.py
+++ b/gorsethread/records/talk.py
@@ -113,7 +113,7 @@
             if len(self._held) < end:
                 break
             try:
-                found.append(self._decoder.decode(self._held[LENGTH.size:end]))
+                found.append(self._decoder.decode(self._held[LENGTH.size : end]))
             except (msgspec.DecodeError, ValueError) as error:
                 raise Garbled(str(error)) from None
             self._held = self._held[end:]
--- a/gorsethread/returning/stages.py
+++ b/gorsethread/returning/stages.py
@@ -30,8 +30,16 @@
     """own: the last number in the own records; whole, empty: what reading them found; accepted: a person said
     that what is lost is lost. others: the names of all other heads; held_by: see above."""
 
-    def __init__(self, now: float, own: Number, whole: bool, empty: bool, accepted: bool,
-                 others: frozenset[int], held_by: int) -> None:
+    def __init__(
+        self,
+        now: float,
+        own: Number,
+        whole: bool,
+        empty: bool,
+        accepted: bool,
+        others: frozenset[int],
+        held_by: int,
+    ) -> None:
         # Of records with holes nobody can say up to where they are good: all that others hold is wanted.
         self.own = own if whole else NONE
         self.began, self.others, self.held_by = now, others, held_by
@@ -59,8 +67,11 @@
 
     def wanted(self) -> list[int]:
         """Of whom the answer, or what it holds beyond the own records, is still to come."""
-        return sorted(n for n in self.others if n not in self.heard
-                      or self.heard[n] > self.own and n not in self.fetched)
+        return sorted(
+            n
+            for n in self.others
+            if n not in self.heard or self.heard[n] > self.own and n not in self.fetched
+        )
 
     def answered(self, other: int, last: Number, life: int, now: float) -> bool:
         """It holds this head's records up to there, and has heard of that life of it; whether what it holds
@@ -116,4 +127,3 @@
         return None
     times = [r.began + ASK_MOST, *([r.began + TRUST] if r.sound else [])]
     return min((t for t in times if t > now), default=None)
-
--- a/gorsethread/sitefile/reading.py
+++ b/gorsethread/sitefile/reading.py
@@ -27,8 +27,11 @@
     counts: list[dict[str, int]] = [{}]
     paths = [""]
     pending = ""
-    tokens = [(m.group(), text.count("\n", 0, m.start()) + 1) for m in _TOKEN.finditer(text)
-              if not m.group().startswith("#")]
+    tokens = [
+        (m.group(), text.count("\n", 0, m.start()) + 1)
+        for m in _TOKEN.finditer(text)
+        if not m.group().startswith("#")
+    ]
     for n, (token, line) in enumerate(tokens):
         after = tokens[n + 1][0] if n + 1 < len(tokens) else ""
         if token in "{<":
@@ -67,13 +70,24 @@
         if not holds:
             self.fault(path, reason)
 
-    def number(self, message: Message, path: str, name: str, least: float, most: float, unit: str,
-               open_below: bool = False) -> None:
+    def number(
+        self,
+        message: Message,
+        path: str,
+        name: str,
+        least: float,
+        most: float,
+        unit: str,
+        open_below: bool = False,
+    ) -> None:
         value = getattr(message, name)
         good = (value > least if open_below else value >= least) and value <= most
         bound = f"over {least:g}" if open_below else f"{least:g} or more"
-        self.need(good, f"{path}.{name}" if path else name,
-                  f"{value:g} is not {bound} and {most:g} at most ({unit})")
+        self.need(
+            good,
+            f"{path}.{name}" if path else name,
+            f"{value:g} is not {bound} and {most:g} at most ({unit})",
+        )
 
     def one_each(self, items: Iterable[Message], path: str, name: str) -> set[object]:
         seen: set[object] = set()
@@ -88,8 +102,9 @@
 
     def address(self, value: str, path: str) -> None:
         host, _, port = value.rpartition(":")
-        self.need(bool(host) and port.isdigit() and 0 < int(port) < 65536, path,
-                  f"{value!r} is not host:port")
+        self.need(
+            bool(host) and port.isdigit() and 0 < int(port) < 65536, path, f"{value!r} is not host:port"
+        )
 
     def nqn(self, value: str, path: str) -> None:
         good = re.fullmatch(r"nqn\.\d{4}-\d\d\.[\w.-]+:.+", value) and len(value.encode()) <= 223
@@ -138,14 +153,18 @@
         c.need(p.cut_off >= p.promised, f"{path}.cut_off", "is shorter than the promised time")
         c.need(p.cut_off > site.rules.answer_slack, f"{path}.cut_off", "is within rules.answer_slack")
         c.number(p, path, "value", 0, 1e6, "value", open_below=True)
-        c.need(p.effect != pb.EFFECT_UNSET, f"{path}.effect",
-               "is missing (REDOABLE, LABELLED or IRREVERSIBLE)")
+        c.need(
+            p.effect != pb.EFFECT_UNSET, f"{path}.effect", "is missing (REDOABLE, LABELLED or IRREVERSIBLE)"
+        )
         if p.effect == pb.LABELLED:
             c.need(p.group != pb.GROUP_UNSET, f"{path}.group", "is missing: which shelves drop repeats")
             c.number(p, path, "remembered", 0, 86400, "seconds", open_below=True)
         else:
-            c.need(p.group == pb.GROUP_UNSET and not p.remembered, f"{path}.group",
-                   "group and remembered belong to labelled profiles")
+            c.need(
+                p.group == pb.GROUP_UNSET and not p.remembered,
+                f"{path}.group",
+                "group and remembered belong to labelled profiles",
+            )
         c.need(p.match.operation != pb.OPERATION_UNSET, f"{path}.match", "needs an operation")
         most = p.match.most_bytes
         c.need(not most or most >= p.match.least_bytes, f"{path}.match.most_bytes", "is under least_bytes")
@@ -155,8 +174,11 @@
             c.need(name in plans, f"{path}.match.plan[{k}]", f"there is no plan {name!r}")
     for operation in (pb.READ, pb.WRITE):
         if not any(_catches_all(p.match, operation) for p in site.profile):
-            c.fault("profile", f"no profile takes every other {pb.Operation.Name(operation)}; "
-                    "the last one of each operation must match without conditions")
+            c.fault(
+                "profile",
+                f"no profile takes every other {pb.Operation.Name(operation)}; "
+                "the last one of each operation must match without conditions",
+            )
 
 
 def _catches_all(m: pb.Match, operation: int) -> bool:
@@ -225,8 +247,11 @@
     m, cold = c.site.machine, r.cold
     if m.unit_time > 0:
         bears = cold.multiple * cold.first_part * m.cores / m.unit_time * cold.span
-        c.need(cold.units <= bears, "rules.cold.units",
-               f"{cold.units:g} units are more than the machine bears cold ({bears:g})")
+        c.need(
+            cold.units <= bears,
+            "rules.cold.units",
+            f"{cold.units:g} units are more than the machine bears cold ({bears:g})",
+        )
     if r.HasField("budget"):
         c.number(r.budget, "rules.budget", "free", 0, 1e6, "forwards")
         c.number(r.budget, "rules.budget", "part", 0, 16, "forwards a transaction")
@@ -241,8 +266,11 @@
     c.number(links, "links", "opens", 0, 1e6, "connections a second")
     if links.opens:
         longest = len(c.site.head) / links.opens
-        c.need(longest <= LONGEST_ROUND, "links.opens",
-               f"each of {len(c.site.head)} heads opens one in {longest:g} s; {LONGEST_ROUND:g} s at most")
+        c.need(
+            longest <= LONGEST_ROUND,
+            "links.opens",
+            f"each of {len(c.site.head)} heads opens one in {longest:g} s; {LONGEST_ROUND:g} s at most",
+        )
 
 
 def _check_records(c: _Checker) -> None:
@@ -275,25 +303,42 @@
         c.number(b, path, "queue_bytes", site.links.largest_bytes, 1 << 32, "bytes")
         c.number(b, path, "queue_writes", 1, 1_000_000, "writes")
         c.number(b, path, "queue_age", 1, 30 * 86400, "seconds")
-        c.need(len(b.head) < 2 or site.records.held_by > 0, f"{path}.head",
-               "two heads hold copies for each other: records.held_by is 0")
+        c.need(
+            len(b.head) < 2 or site.records.held_by > 0,
+            f"{path}.head",
+            "two heads hold copies for each other: records.held_by is 0",
+        )
     c.need(not site.branch or len(seen) < len(heads), "branch", "no head is left at the main site")
     held = [p for p in site.profile if p.held_when_cut_off]
     for n, p in enumerate(site.profile):
         path = f"profile[{n}]"
-        c.need(not p.held_when_cut_off or p.match.operation == pb.WRITE, f"{path}.held_when_cut_off",
-               "only writes are held")
-        c.need(p.held_when_cut_off or p.when_changed == pb.APPLY, f"{path}.when_changed",
-               "belongs to profiles that are held_when_cut_off")
+        c.need(
+            not p.held_when_cut_off or p.match.operation == pb.WRITE,
+            f"{path}.held_when_cut_off",
+            "only writes are held",
+        )
+        c.need(
+            p.held_when_cut_off or p.when_changed == pb.APPLY,
+            f"{path}.when_changed",
+            "belongs to profiles that are held_when_cut_off",
+        )
     for n, v in enumerate(site.volume):
         if held and v.placement == pb.FIXED and any(h in seen for h in v.head):
-            c.need(any(h not in seen for h in v.head), f"volume[{n}].head",
-                   "names no head of the main site, which would take what a branch held")
+            c.need(
+                any(h not in seen for h in v.head),
+                f"volume[{n}].head",
+                "names no head of the main site, which would take what a branch held",
+            )
 
 
 CHECKS: tuple[Callable[[_Checker], None], ...] = (
-    _check_machines, _check_profiles, _check_volumes, _check_rules, _check_records,
-    _check_branches)
+    _check_machines,
+    _check_profiles,
+    _check_volumes,
+    _check_rules,
+    _check_records,
+    _check_branches,
+)
 
 
 def parse_site(text: str, file: str = "site") -> pb.Site:
--- a/gorsethread/standins/client.py
+++ b/gorsethread/standins/client.py
@@ -48,10 +48,10 @@
     """How many blocks hold neither zeros nor a whole stamp of this place."""
     wrong = 0
     for n in range(len(data) // BLOCK):
-        block = data[n * BLOCK:(n + 1) * BLOCK]
+        block = data[n * BLOCK : (n + 1) * BLOCK]
         label, at, of, _, mark = STAMP.unpack_from(block)
         good = at == first_block + n and of == volume and mark == MARK
-        if any(block) and not (good and block == block[:STAMP.size] * (BLOCK // STAMP.size)):
+        if any(block) and not (good and block == block[: STAMP.size] * (BLOCK // STAMP.size)):
             wrong += 1
     return wrong
 
@@ -89,11 +89,32 @@
 class Transaction:
     """What an application wants, over all its tries."""
 
-    __slots__ = ("label", "volume", "profile", "operation", "first_block", "blocks", "hints", "key", "due",
-                 "by")
-
-    def __init__(self, label: int, volume: pb.Volume, profile: int, operation: Opcode, first_block: int,
-                 blocks: int, hints: int, key: str, due: float, by: float) -> None:
+    __slots__ = (
+        "label",
+        "volume",
+        "profile",
+        "operation",
+        "first_block",
+        "blocks",
+        "hints",
+        "key",
+        "due",
+        "by",
+    )
+
+    def __init__(
+        self,
+        label: int,
+        volume: pb.Volume,
+        profile: int,
+        operation: Opcode,
+        first_block: int,
+        blocks: int,
+        hints: int,
+        key: str,
+        due: float,
+        by: float,
+    ) -> None:
         self.label, self.volume, self.profile, self.operation = label, volume, profile, operation
         self.first_block, self.blocks, self.hints, self.key = first_block, blocks, hints, key
         self.due, self.by = due, by
@@ -118,15 +139,32 @@
         if now >= t.by:
             return False  # this process itself came too late to it
         shard = client.shards.get((t.volume.number, t.first_block // t.volume.extent_blocks), -1)
-        command = io_command(t.operation, t.volume.number, t.first_block, t.blocks, hints=t.hints,
-                             patience=t.by - now, attempt=self.attempt, shard=shard, label=t.label)
+        command = io_command(
+            t.operation,
+            t.volume.number,
+            t.first_block,
+            t.blocks,
+            hints=t.hints,
+            patience=t.by - now,
+            attempt=self.attempt,
+            shard=shard,
+            label=t.label,
+        )
         data = b""
         if t.operation == Opcode.WRITE:
             data = stamped(t.label, t.volume.number, t.first_block, t.blocks)
         client.recorder.saw(
-            "sent", label=t.label, attempt=self.attempt, head=self.link.number, volume=t.volume.number,
-            profile=t.profile, units=units_of(t.blocks * BLOCK, client.site.links.unit_bytes), key=t.key,
-            by=t.by, due=t.due)
+            "sent",
+            label=t.label,
+            attempt=self.attempt,
+            head=self.link.number,
+            volume=t.volume.number,
+            profile=t.profile,
+            units=units_of(t.blocks * BLOCK, client.site.links.unit_bytes),
+            key=t.key,
+            by=t.by,
+            due=t.due,
+        )
         read = 0 if data else t.blocks * BLOCK
         if read:
             blocks = range(t.first_block, t.first_block + t.blocks)
@@ -142,7 +180,7 @@
         if self.t.operation == Opcode.READ:
             wrong = misplaced(data, self.t.volume.number, self.t.first_block)
             for n, known in enumerate(self.written):
-                if known and not any(data[n * BLOCK:n * BLOCK + 16]):
+                if known and not any(data[n * BLOCK : n * BLOCK + 16]):
                     wrong += 1
         return wrong
 
@@ -196,8 +234,18 @@
 class LoadClient:
     """factor: how much of its plans' usual traffic it asks for; by: when it stops sending."""
 
-    def __init__(self, transport: Transport, site: pb.Site, tenant: str, recorder: Recorder, factor: float,
-                 start_at: float, by: float, surges: list[Surge], log: Any) -> None:
+    def __init__(
+        self,
+        transport: Transport,
+        site: pb.Site,
+        tenant: str,
+        recorder: Recorder,
+        factor: float,
+        start_at: float,
+        by: float,
+        surges: list[Surge],
+        log: Any,
+    ) -> None:
         self.transport, self.site, self.tenant = transport, site, tenant
         self.recorder, self.log = recorder, log
         self.factor, self.start_at, self.by, self.surges = factor, start_at, by, surges
@@ -306,8 +354,15 @@
 
     def never_sent(self, one: Try) -> None:
         t = one.t
-        self.recorder.saw("not sent", label=t.label, attempt=one.attempt, head=one.link.number,
-                          volume=t.volume.number, profile=t.profile, due=t.due)
+        self.recorder.saw(
+            "not sent",
+            label=t.label,
+            attempt=one.attempt,
+            head=one.link.number,
+            volume=t.volume.number,
+            profile=t.profile,
+            due=t.due,
+        )
 
     def answered(self, one: Try, how: str, completion: Completion | None, data: bytes) -> None:
         t, now = one.t, self.transport.now()
@@ -331,8 +386,11 @@
         if how in ("honoured", "left", "unanswered") or one.attempt or self.chance.random() > REPEATS:
             return
         effect = self.site.profile[t.profile].effect
-        if how != "pushed back" and effect != pb.REDOABLE and not (
-                effect == pb.LABELLED and how == "unreachable"):
+        if (
+            how != "pushed back"
+            and effect != pb.REDOABLE
+            and not (effect == pb.LABELLED and how == "unreachable")
+        ):
             return
         wait = 0.1 + self.chance.random() * 0.2
         if how == "pushed back" and completion is not None:
--- a/gorsethread/standins/nodelist.py
+++ b/gorsethread/standins/nodelist.py
@@ -46,8 +46,9 @@
 
 
 class NodeList:
-    def __init__(self, transport: Transport, site: pb.Site, recorder: Recorder, script: list[Fault],
-                 log: Any) -> None:
+    def __init__(
+        self, transport: Transport, site: pb.Site, recorder: Recorder, script: list[Fault], log: Any
+    ) -> None:
         self.transport, self.site, self.recorder, self.log = transport, site, recorder, log
         self.script = script
         self.chance = transport.chance("list")
@@ -158,14 +159,22 @@
         entries = [self.entries[n] for n in shelves]
         self.transport.at(follower.last, lambda: self._tell(follower, entries, kind, version))
 
-    def _tell(self, follower: Follower, entries: list[tuple[Register, str, float]], kind: str,
-              version: int) -> None:
+    def _tell(
+        self, follower: Follower, entries: list[tuple[Register, str, float]], kind: str, version: int
+    ) -> None:
         if follower not in self.followers:
             return
         now = self.transport.now()
         listed = [
-            Listed(s.number, s.address, s.shard, s.zone, state, s.start,
-                   max(0.001, now - since) if since else 0.0)
+            Listed(
+                s.number,
+                s.address,
+                s.shard,
+                s.zone,
+                state,
+                s.start,
+                max(0.001, now - since) if since else 0.0,
+            )
             for s, state, since in entries
         ]
         follower.stream.write(msgspec.json.encode(Told(kind, version, listed, self.life)) + b"\n")
--- a/gorsethread/standins/shelf.py
+++ b/gorsethread/standins/shelf.py
@@ -31,8 +31,18 @@
 class Shelf:
     """warm: as if up for long. folder: where its bytes are kept; fell: called when it is pushed over."""
 
-    def __init__(self, transport: Transport, site: pb.Site, number: int, recorder: Recorder, folder: str,
-                 script: list[Fault], warm: bool, log: Any, fell: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        transport: Transport,
+        site: pb.Site,
+        number: int,
+        recorder: Recorder,
+        folder: str,
+        script: list[Fault],
+        warm: bool,
+        log: Any,
+        fell: Callable[[], None],
+    ) -> None:
         self.fell = fell
         self.transport, self.site, self.number = transport, site, number
         self.recorder, self.folder, self.log = recorder, folder, log
@@ -46,8 +56,9 @@
         self.sorter = Sorter(site)
         self.volumes = {v.number: v for v in site.volume}
         self.namespaces = [Namespace(v.number, v.blocks, v.extent_blocks) for v in site.volume]
-        self.subsystem = Subsystem(site.subsystem, self._admits, f"shelf-{number}", "gorsethread stand-in",
-                                   site.links.largest_bytes)
+        self.subsystem = Subsystem(
+            site.subsystem, self._admits, f"shelf-{number}", "gorsethread stand-in", site.links.largest_bytes
+        )
         self.server = QueueServer(transport, self.subsystem, self, 4096, log)
         self.files: dict[int, Blocks] = {}  # one a volume
         self.silent: list[IoCommand] = []  # came while it stood still; emptied as it moves again
@@ -68,9 +79,14 @@
             self.transport.at(fault.at, lambda fault=fault: self._fault(fault))  # type: ignore[misc]
         if self.site.machine.put_off:
             self._pay()
-        self.recorder.saw("up", shelf=self.number, shard=self.me.shard, zone=self.me.zone,
-                          start=self.start_id,
-                          warm=self.warm)
+        self.recorder.saw(
+            "up",
+            shelf=self.number,
+            shard=self.me.shard,
+            zone=self.me.zone,
+            start=self.start_id,
+            warm=self.warm,
+        )
         self.log.info("shelf serves", address=f"{host}:{self.port}", shard=self.me.shard)
 
     def _listen(self, host: str, port: int) -> None:
@@ -120,8 +136,17 @@
         c = io.command
         units = units_of(c.blocks * BLOCK, self.site.links.unit_bytes)
         io.owned = Held(units)
-        self.recorder.saw("arrived", shelf=self.number, start=self.start_id, head=_head(io), label=c.label,
-                          attempt=c.attempt, volume=c.nsid, units=units, op=c.opcode)
+        self.recorder.saw(
+            "arrived",
+            shelf=self.number,
+            start=self.start_id,
+            head=_head(io),
+            label=c.label,
+            attempt=c.attempt,
+            volume=c.nsid,
+            units=units,
+            op=c.opcode,
+        )
         self.machine.arrives(self.transport.now(), units)
         if self.machine.fallen:
             self.recorder.saw("fell", shelf=self.number, start=self.start_id)
@@ -251,8 +276,16 @@
 
     def _saw_end(self, io: IoCommand, how: str, ran: bool) -> None:
         c = io.command
-        self.recorder.saw("ended", shelf=self.number, start=self.start_id, head=_head(io), label=c.label,
-                          attempt=c.attempt, how=how, ran=ran)
+        self.recorder.saw(
+            "ended",
+            shelf=self.number,
+            start=self.start_id,
+            head=_head(io),
+            label=c.label,
+            attempt=c.attempt,
+            how=how,
+            ran=ran,
+        )
 
     # ---- the node list
 
--- a/gorsethread/standins/web.py
+++ b/gorsethread/standins/web.py
@@ -43,32 +43,78 @@
     """The site in the words of the platform's configuration."""
     rules, budget = site.rules, {}
     if rules.HasField("budget"):
-        budget = {"furtherRatio": rules.budget.part, "freeResends": rules.budget.free,
-                  "ratioSpan": rules.budget.span}
+        budget = {
+            "furtherRatio": rules.budget.part,
+            "freeResends": rules.budget.free,
+            "ratioSpan": rules.budget.span,
+        }
     return {
         "azs": [f"room-{n}" for n in range(1 + max((s.zone for s in site.shelf), default=0))],
-        "balancers": len(site.head), "clients": {"marksRetry": True}, "membershipMode": "subscribe",
-        "contract": {"askWithin": site.list.ask_within, "cold": rules.cold.warm_after,
-                     "coldFrom": rules.cold.first_part, "fall": rules.cold.span,
-                     "stopSendingWithin": rules.drain_grace, "orderSettle": rules.key_rest, **budget},
-        "permissions": {"peerMessages": True, "connIdle": 15.0, "dialTimeout": site.links.connect_within,
-                        "maxAttempts": rules.most_forwards, "retryAfter": True,
-                        "maxRetryAfter": rules.longest_return},
-        "services": [{"name": p.name, "aim": p.promised, "giveUp": p.cut_off, "effect": EFFECTS[p.effect],
-                      "group": GROUPS[p.group], "window": p.remembered, "keepOrder": p.in_order,
-                      "worth": p.value} for p in site.profile],
-        "grades": [{"name": p.name, "floorRate": p.reserve, "proportion": p.weight, "neverOver": p.limit,
-                    "limitBurst": p.limit_burst, "baseRate": p.usual} for p in site.plan],
-        "specifics": {"coldUnits": rules.cold.units, "mostUnits": site.links.largest_bytes
-                      // site.links.unit_bytes, "shards": len(site.shelf), "shareWorth": rules.share_worth},
+        "balancers": len(site.head),
+        "clients": {"marksRetry": True},
+        "membershipMode": "subscribe",
+        "contract": {
+            "askWithin": site.list.ask_within,
+            "cold": rules.cold.warm_after,
+            "coldFrom": rules.cold.first_part,
+            "fall": rules.cold.span,
+            "stopSendingWithin": rules.drain_grace,
+            "orderSettle": rules.key_rest,
+            **budget,
+        },
+        "permissions": {
+            "peerMessages": True,
+            "connIdle": 15.0,
+            "dialTimeout": site.links.connect_within,
+            "maxAttempts": rules.most_forwards,
+            "retryAfter": True,
+            "maxRetryAfter": rules.longest_return,
+        },
+        "services": [
+            {
+                "name": p.name,
+                "aim": p.promised,
+                "giveUp": p.cut_off,
+                "effect": EFFECTS[p.effect],
+                "group": GROUPS[p.group],
+                "window": p.remembered,
+                "keepOrder": p.in_order,
+                "worth": p.value,
+            }
+            for p in site.profile
+        ],
+        "grades": [
+            {
+                "name": p.name,
+                "floorRate": p.reserve,
+                "proportion": p.weight,
+                "neverOver": p.limit,
+                "limitBurst": p.limit_burst,
+                "baseRate": p.usual,
+            }
+            for p in site.plan
+        ],
+        "specifics": {
+            "coldUnits": rules.cold.units,
+            "mostUnits": site.links.largest_bytes // site.links.unit_bytes,
+            "shards": len(site.shelf),
+            "shareWorth": rules.share_worth,
+        },
     }
 
 
-def instance(number: int, address: str, shard: int, zone: int, state: str, started: float,
-             head: int) -> dict[str, Any]:
+def instance(
+    number: int, address: str, shard: int, zone: int, state: str, started: float, head: int
+) -> dict[str, Any]:
     """An entry of discovery's list as one head gets it. started: Unix time, 0 for long ago."""
-    return {"instanceId": f"s-{number}", "hostPort": f"{split_address(address)[0]}:{HEADS_FROM + head}",
-            "zone": f"room-{zone}", "cell": shard, "lifecycle": state, "startedAtMs": started * 1000}
+    return {
+        "instanceId": f"s-{number}",
+        "hostPort": f"{split_address(address)[0]}:{HEADS_FROM + head}",
+        "zone": f"room-{zone}",
+        "cell": shard,
+        "lifecycle": state,
+        "startedAtMs": started * 1000,
+    }
 
 
 # ---- shelves
@@ -206,8 +252,15 @@
             connection.say(400, [], b"")
             return
         write = request.method == b"PUT"
-        command = io_command(Opcode.WRITE if write else Opcode.READ, volume, 0, blocks,
-                             attempt=id % ATTEMPTS, shard=shard, label=id // ATTEMPTS)
+        command = io_command(
+            Opcode.WRITE if write else Opcode.READ,
+            volume,
+            0,
+            blocks,
+            attempt=id % ATTEMPTS,
+            shard=shard,
+            label=id // ATTEMPTS,
+        )
         if request.body != (body_of(id, units) if write else b""):
             self.recorder.saw("bad request", shelf=self.number, reason="not the body that the client sent")
         io = connection.io = WebIo(connection, command, connection.head, request.target)
@@ -280,8 +333,9 @@
                         status, body, told = await self._answer(request.target.decode(), head)
                         stream.write(codec.answer(status, [], body)[0])
                         for c in told:
-                            self.recorder.saw("told", head=head, shelf=c.said.number, state=c.state,
-                                              start=c.said.start)
+                            self.recorder.saw(
+                                "told", head=head, shelf=c.said.number, state=c.state, start=c.said.start
+                            )
             except (StreamClosed, Unreadable):
                 pass
             finally:
@@ -318,8 +372,10 @@
         by = self.transport.now() + int(words.get("timeout_ms", 0)) / 1000
         kept_from = self.news[0].version - 1 if len(self.news) == CHANGES_KEPT else self.least
         if not kept_from <= since <= self.version:
-            told = [Change(self.version, said, state, at, {})
-                    for said, state, at in (self.entries[n] for n in sorted(self.entries))]
+            told = [
+                Change(self.version, said, state, at, {})
+                for said, state, at in (self.entries[n] for n in sorted(self.entries))
+            ]
             return 200, self._said(self.version, True, [c for c in told if c.state != "gone"], head), told
         while True:
             now, told = self.transport.now(), []
@@ -334,8 +390,9 @@
             await self.transport.sleep(0.05)
 
     def _said(self, version: int, whole: bool, told: list[Change], head: int) -> bytes:
-        return msgspec.json.encode({"generation": version, "reset": whole,
-                                    "instances": [self.shelf_for(head, c) for c in told]})
+        return msgspec.json.encode(
+            {"generation": version, "reset": whole, "instances": [self.shelf_for(head, c) for c in told]}
+        )
 
 
 # ---- clients
@@ -396,8 +453,7 @@
     def _more(self) -> None:
         """A second answer, or noise that nobody asked for."""
         if self.last is not None:
-            self.link.client.recorder.saw("answered late", label=self.last.t.label,
-                                          attempt=self.last.attempt)
+            self.link.client.recorder.saw("answered late", label=self.last.t.label, attempt=self.last.attempt)
 
 
 class WebLink:
@@ -455,8 +511,13 @@
         units, id = client.units(t), id_of(t.label, self.attempt)
         shard = client.shard(t)
         info = f"volume={t.volume.number:016x},units={units},shard={shard},hosts={len(t.volume.head)}"
-        headers = [(b"host", b"origin.svc"), (b"req-id", id.encode()), (b"tier", t.volume.plan.encode()),
-                   (b"req-deadline-ms", b"%d" % int((t.by - now) * 1000)), (b"io-info", info.encode())]
+        headers = [
+            (b"host", b"origin.svc"),
+            (b"req-id", id.encode()),
+            (b"tier", t.volume.plan.encode()),
+            (b"req-deadline-ms", b"%d" % int((t.by - now) * 1000)),
+            (b"io-info", info.encode()),
+        ]
         if self.attempt:
             headers.append((b"req-retry", b"1"))
         extent = t.first_block // t.volume.extent_blocks
@@ -467,9 +528,18 @@
         method = b"PUT" if write else b"GET"
         connection.stream.write(connection.asking.request(method, target, headers, body))
         if first:
-            client.recorder.saw("sent", label=t.label, attempt=self.attempt, head=self.link.number,
-                                volume=t.volume.number, profile=t.profile, units=units, key=client.key(t),
-                                by=t.by, due=t.due)
+            client.recorder.saw(
+                "sent",
+                label=t.label,
+                attempt=self.attempt,
+                head=self.link.number,
+                volume=t.volume.number,
+                profile=t.profile,
+                units=units,
+                key=client.key(t),
+                by=t.by,
+                due=t.due,
+            )
             self.timer = client.transport.at(t.by + ANSWER_SLACK, self._time_is_up)
         else:
             client.recorder.saw("sent anew", label=t.label, attempt=self.attempt)
@@ -497,14 +567,23 @@
             return
         if spoilt is not None:
             self.ended("honoured", Completion(0), b"what can't be read: " + spoilt.encode())
-        elif not self.again and self.client.crosses(self) and (
+        elif (
+            not self.again
+            and self.client.crosses(self)
+            and (
                 self.client.transport.now() - self.written_at < CROSSING
-                or connection.used and self.written_at - connection.idle_since >= MAY_CLOSE):
+                or connection.used
+                and self.written_at - connection.idle_since >= MAY_CLOSE
+            )
+        ):
             self.again = True
             self.client.recorder.saw("crossed", label=self.t.label, attempt=self.attempt)
             self.client.transport.spawn(self._once_more())
-        elif self.again and self.client.crosses(self) and (
-                self.client.transport.now() - self.written_at < CROSSING):
+        elif (
+            self.again
+            and self.client.crosses(self)
+            and (self.client.transport.now() - self.written_at < CROSSING)
+        ):
             self._shut_out()
         else:
             self.ended("unreachable", None, b"")
@@ -512,8 +591,9 @@
     def _shut_out(self) -> None:
         """No connection of it was taken: it found no head, and none has lost it."""
         client = self.client
-        client.recorder.saw("apart", client=f"client {client.tenant}", head=self.link.number,
-                            until=client.transport.now())
+        client.recorder.saw(
+            "apart", client=f"client {client.tenant}", head=self.link.number, until=client.transport.now()
+        )
         client.recorder.saw("shut out", head=self.link.number)
         self.ended("unreachable", None, b"")
 
@@ -576,12 +656,16 @@
         self.transport, self.site, self.recorder = transport, site, recorder
         self.chance: Chance = transport.chance("rude")
         profile, plan = site.profile[0].name, site.plan[0].name
-        good = (f"GET /{profile}/0000000100000001 HTTP/1.1\r\nHost: a\r\n"
-                f"Req-Id: 00000000000000ff\r\nTier: {plan}\r\nReq-Deadline-Ms: 900\r\n"
-                "IO-Info: volume=0000000000000001,units=1,shard=0,hosts=1\r\n")
+        good = (
+            f"GET /{profile}/0000000100000001 HTTP/1.1\r\nHost: a\r\n"
+            f"Req-Id: 00000000000000ff\r\nTier: {plan}\r\nReq-Deadline-Ms: 900\r\n"
+            "IO-Info: volume=0000000000000001,units=1,shard=0,hosts=1\r\n"
+        )
         inner, put = (good + "\r\n").encode(), good.replace("GET", "PUT").encode()
         self.words = [
-            b"\x16\x03\x01 hello\r\n\r\n", b"GET / HTTP/1.0\r\n\r\n", b"GET /" + b"a" * 30_000,
+            b"\x16\x03\x01 hello\r\n\r\n",
+            b"GET / HTTP/1.0\r\n\r\n",
+            b"GET /" + b"a" * 30_000,
             (good.replace("volume=", "volumes=") + "\r\n").encode(),
             (good.replace("Req-Id: 00000000000000ff\r\n", "") + "\r\n").encode(),
             (good.replace("900", "soon") + "\r\n").encode(),
@@ -591,7 +675,8 @@
             (good + "Content-Length: 60000000\r\n\r\n").encode() + b"z" * 50_000,
             put + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner,
             put + b"Content-Length: 5\r\nContent-Length: 9\r\n\r\nhello" + inner,
-            inner[:60], b"",
+            inner[:60],
+            b"",
         ]
 
     async def at(self, head: pb.Head, until: float) -> None:
--- a/gorsethread/startfacts.py
+++ b/gorsethread/startfacts.py
@@ -37,13 +37,24 @@
         )
     return StartFacts(
         profiles=tuple(
-            Profile(s["aim"], word(EFFECTS, s["effect"]), word(GROUPS, s.get("group", "all")),
-                    s.get("window", 0.0), bool(s.get("keepOrder")), s["worth"])
+            Profile(
+                s["aim"],
+                word(EFFECTS, s["effect"]),
+                word(GROUPS, s.get("group", "all")),
+                s.get("window", 0.0),
+                bool(s.get("keepOrder")),
+                s["worth"],
+            )
             for s in setup["services"]
         ),
         plans=tuple(
-            Plan(g.get("floorRate", 0.0), g.get("proportion", 1.0), g.get("neverOver", 0.0),
-                 g.get("limitBurst", 0.0), g.get("baseRate", 0.0))
+            Plan(
+                g.get("floorRate", 0.0),
+                g.get("proportion", 1.0),
+                g.get("neverOver", 0.0),
+                g.get("limitBurst", 0.0),
+                g.get("baseRate", 0.0),
+            )
             for g in setup["grades"]
         ),
         heads=setup["balancers"],
--- a/gorsethread/transport/base.py
+++ b/gorsethread/transport/base.py
@@ -140,14 +140,20 @@
         """Unreachable where none is established within that many seconds."""
         ...
 
-    def listen(self, host: str, port: int, on_stream: Callable[[Stream], Awaitable[None]],
-               admits: Callable[[], bool] | None = None) -> Listener:
+    def listen(
+        self,
+        host: str,
+        port: int,
+        on_stream: Callable[[Stream], Awaitable[None]],
+        admits: Callable[[], bool] | None = None,
+    ) -> Listener:
         """port 0 takes a free one. admits() is asked as each connection is accepted, before anything else of
         it; False closes it. OSError where the address can't be had."""
         ...
 
-    def datagrams(self, host: str, port: int,
-                  on_datagram: Callable[[bytes, tuple[str, int]], None]) -> Datagrams:
+    def datagrams(
+        self, host: str, port: int, on_datagram: Callable[[bytes, tuple[str, int]], None]
+    ) -> Datagrams:
         """Calls on_datagram with each message and where it came from. port 0 takes a free one. OSError where
         the address can't be had."""
         ...
--- a/gorsethread/transport/real.py
+++ b/gorsethread/transport/real.py
@@ -134,8 +134,13 @@
     """Accepts by itself and not by Tornado's server, which takes 128 connections a turn before anyone can say
     no to one, and whose loop raises, ending the program, where no descriptor is left."""
 
-    def __init__(self, transport: "RealTransport", sockets: list[socket.socket],
-                 on_stream: Callable[[Stream], Awaitable[None]], admits: Callable[[], bool] | None) -> None:
+    def __init__(
+        self,
+        transport: "RealTransport",
+        sockets: list[socket.socket],
+        on_stream: Callable[[Stream], Awaitable[None]],
+        admits: Callable[[], bool] | None,
+    ) -> None:
         self._transport, self._sockets = transport, sockets
         self._on_stream, self._admits = on_stream, admits
         self.port: int = sockets[0].getsockname()[1]
@@ -176,8 +181,12 @@
 
 
 class RealDatagrams:
-    def __init__(self, loop: asyncio.AbstractEventLoop, bound: socket.socket,
-                 on_datagram: Callable[[bytes, tuple[str, int]], None]) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        bound: socket.socket,
+        on_datagram: Callable[[bytes, tuple[str, int]], None],
+    ) -> None:
         self._loop, self._socket, self._on_datagram = loop, bound, on_datagram
         self.port: int = bound.getsockname()[1]
         loop.add_reader(bound.fileno(), self._read)
@@ -226,7 +235,7 @@
 def _write_all(file: int, data: bytes) -> None:
     view = memoryview(data)
     while view:
-        view = view[os.write(file, view):]
+        view = view[os.write(file, view) :]
 
 
 class RealJournal:
@@ -338,8 +347,11 @@
 
     async def connect(self, host: str, port: int, within: float) -> Stream:
         try:
-            stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM), read_chunk_size=READ_MOST,
-                              max_buffer_size=4 * READ_MOST)
+            stream = IOStream(
+                socket.socket(socket.AF_INET, socket.SOCK_STREAM),
+                read_chunk_size=READ_MOST,
+                max_buffer_size=4 * READ_MOST,
+            )
         except OSError as error:
             raise Unreachable(f"{host}:{port}: {error}") from None
         try:
@@ -350,13 +362,20 @@
             raise Unreachable(f"{host}:{port}: {reason}") from None
         return RealStream(stream, f"{host}:{port}")
 
-    def listen(self, host: str, port: int, on_stream: Callable[[Stream], Awaitable[None]],
-               admits: Callable[[], bool] | None = None) -> RealListener:
-        return RealListener(self, bind_sockets(port, host, family=socket.AF_INET, backlog=BACKLOG), on_stream,
-                            admits)
-
-    def datagrams(self, host: str, port: int,
-                  on_datagram: Callable[[bytes, tuple[str, int]], None]) -> RealDatagrams:
+    def listen(
+        self,
+        host: str,
+        port: int,
+        on_stream: Callable[[Stream], Awaitable[None]],
+        admits: Callable[[], bool] | None = None,
+    ) -> RealListener:
+        return RealListener(
+            self, bind_sockets(port, host, family=socket.AF_INET, backlog=BACKLOG), on_stream, admits
+        )
+
+    def datagrams(
+        self, host: str, port: int, on_datagram: Callable[[bytes, tuple[str, int]], None]
+    ) -> RealDatagrams:
         bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
             bound.setblocking(False)
@@ -384,6 +403,7 @@
         if self._disk is None:
             # Imported here: a lean start has nothing that is to last.
             from concurrent.futures import ThreadPoolExecutor
+
             self._disk = ThreadPoolExecutor(1, "disk")
         return self._disk
 
@@ -419,7 +439,6 @@
     def append(self, path: str) -> Callable[[bytes], None]:
         file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
 
-
         def add(data: bytes) -> None:
             os.write(file, data)
 
--- a/gorsethread/transport/sampling.py
+++ b/gorsethread/transport/sampling.py
@@ -7,10 +7,15 @@
 
 INTERVAL = 0.002  # seconds of CPU time
 PLACES = (
-    ("/gorsethread/policy.py", "policy"), ("/gorsethread/model.py", "policy"),
+    ("/gorsethread/policy.py", "policy"),
+    ("/gorsethread/model.py", "policy"),
     ("/gorsethread/nvme/", "codec"),
-    ("/gorsethread/transport/", "transport"), ("/tornado/", "transport"), ("/asyncio/", "transport"),
-    ("/selectors.py", "transport"), ("/gorsethread/queues/", "queues"), ("/gorsethread/head/", "head"),
+    ("/gorsethread/transport/", "transport"),
+    ("/tornado/", "transport"),
+    ("/asyncio/", "transport"),
+    ("/selectors.py", "transport"),
+    ("/gorsethread/queues/", "queues"),
+    ("/gorsethread/head/", "head"),
     ("/gorsethread/", "other"),
 )
 
--- a/gorsethread/transport/virtual.py
+++ b/gorsethread/transport/virtual.py
@@ -207,8 +207,7 @@
         if not data:
             self.network.pipes.pop(self.number, None)
         if taken and self.network.on_arrival:
-            self.network.on_arrival(one, other, self.network.arrivals[pair], left,
-                                    self.number)
+            self.network.on_arrival(one, other, self.network.arrivals[pair], left, self.number)
         self._await()
 
     def resume(self) -> None:
@@ -339,8 +338,9 @@
         if unread:
             # As TCP does it: the peer learns at once that not all was read, and what it has not read is lost.
             self.out.lose()
-            self.network.loop.call_later(self.network.weather.least_delay, self.other.broke,
-                                         "connection reset")
+            self.network.loop.call_later(
+                self.network.weather.least_delay, self.other.broke, "connection reset"
+            )
         elif not self._end_sent:
             self.out.send(b"")
         self._wake()
@@ -358,8 +358,9 @@
             if data and self.network.on_lost:
                 self.network.on_lost(self.other.owner.name, self.owner.name)
             if data and not self.other.closed:
-                self.network.loop.call_later(self.network.weather.least_delay, self.other.broke,
-                                             "connection reset")
+                self.network.loop.call_later(
+                    self.network.weather.least_delay, self.other.broke, "connection reset"
+                )
             return
         if data:
             self._got.append((left, data))
@@ -392,8 +393,14 @@
 
 
 class VirtualListener:
-    def __init__(self, transport: "VirtualTransport", host: str, port: int,
-                 on_stream: Callable[[Stream], Awaitable[None]], admits: Callable[[], bool] | None) -> None:
+    def __init__(
+        self,
+        transport: "VirtualTransport",
+        host: str,
+        port: int,
+        on_stream: Callable[[Stream], Awaitable[None]],
+        admits: Callable[[], bool] | None,
+    ) -> None:
         self.transport, self.port, self.on_stream, self.admits = transport, port, on_stream, admits
         self._address = (host, port)
         transport.network.listeners[self._address] = self
@@ -407,8 +414,13 @@
 class VirtualDatagrams:
     """A port for datagrams; each finds its own way, so they overtake each other."""
 
-    def __init__(self, transport: "VirtualTransport", host: str, port: int,
-                 on_datagram: Callable[[bytes, tuple[str, int]], None]) -> None:
+    def __init__(
+        self,
+        transport: "VirtualTransport",
+        host: str,
+        port: int,
+        on_datagram: Callable[[bytes, tuple[str, int]], None],
+    ) -> None:
         self.transport, self.port, self.on_datagram = transport, port, on_datagram
         self._address = (host, port)
         transport.network.ports[self._address] = self
@@ -459,12 +471,12 @@
         self._file = file
 
     def read(self, offset: int, length: int) -> bytes:
-        return bytes(self._file[offset:offset + length]).ljust(length, b"\0")
+        return bytes(self._file[offset : offset + length]).ljust(length, b"\0")
 
     def write(self, offset: int, data: bytes) -> None:
         if len(self._file) < offset + len(data):
             self._file.extend(bytes(offset + len(data) - len(self._file)))
-        self._file[offset:offset + len(data)] = data
+        self._file[offset : offset + len(data)] = data
 
 
 class VirtualJournal:
@@ -482,13 +494,13 @@
         self.adding = b""
         if self._broken or self.transport.name in self.transport.disk.broken:
             if not self._broken:
-                self._file.extend(data[:self._chance.randrange(len(data) + 1)])
+                self._file.extend(data[: self._chance.randrange(len(data) + 1)])
             self._broken = True
             raise OSError(28, "No space left on device", self.path)
         self._file.extend(data)
 
     def torn(self) -> None:
-        self._file.extend(self.adding[:self._chance.randrange(len(self.adding) + 1)])
+        self._file.extend(self.adding[: self._chance.randrange(len(self.adding) + 1)])
         self.adding = b""
 
     def close(self) -> None:
@@ -499,8 +511,9 @@
     """One process of a world. offset, drift: of its monotonic clock against the world's time (seconds, and
     seconds a second); wall_offset of its wall clock, which may jump."""
 
-    def __init__(self, network: Network, disk: Disk, name: str, offset: float = 0.0,
-                 drift: float = 0.0) -> None:
+    def __init__(
+        self, network: Network, disk: Disk, name: str, offset: float = 0.0, drift: float = 0.0
+    ) -> None:
         super().__init__(network.loop)
         self.network, self.disk, self.name = network, disk, name
         self.offset, self.drift, self.wall_offset = offset, drift, 0.0
@@ -636,8 +649,13 @@
         server.gate(lambda: _accept(listener, theirs))
         return mine
 
-    def listen(self, host: str, port: int, on_stream: Callable[[Stream], Awaitable[None]],
-               admits: Callable[[], bool] | None = None) -> VirtualListener:
+    def listen(
+        self,
+        host: str,
+        port: int,
+        on_stream: Callable[[Stream], Awaitable[None]],
+        admits: Callable[[], bool] | None = None,
+    ) -> VirtualListener:
         if (host, port) in self.network.listeners:
             raise OSError(f"{host}:{port} is in use")
         self.network.vanished.discard(self.name)
@@ -645,8 +663,9 @@
         self._listeners.append(listener)
         return listener
 
-    def datagrams(self, host: str, port: int,
-                  on_datagram: Callable[[bytes, tuple[str, int]], None]) -> VirtualDatagrams:
+    def datagrams(
+        self, host: str, port: int, on_datagram: Callable[[bytes, tuple[str, int]], None]
+    ) -> VirtualDatagrams:
         port = port or self.network.port()
         if (host, port) in self.network.ports:
             raise OSError(f"{host}:{port} is in use")
@@ -710,7 +729,7 @@
 
     def names(self, folder: str) -> list[str]:
         inside = folder.rstrip("/") + "/"
-        return sorted(path[len(inside):] for path in self.disk.files if path.startswith(inside))
+        return sorted(path[len(inside) :] for path in self.disk.files if path.startswith(inside))
 
     def remove(self, path: str) -> None:
         self.disk.files.pop(path, None)
--- a/gorsethread/witness/judge.py
+++ b/gorsethread/witness/judge.py
@@ -219,14 +219,19 @@
     def _tries(self, label: int) -> list[tuple[Identity, Record]]:
         return [((label, n), self.sent[label, n]) for n in range(4) if (label, n) in self.sent]
 
-    def _labelled(self, profile: pb.Profile, first: Record, arrivals: list[Record], pushed: Record | None,
-                  label: int) -> None:
+    def _labelled(
+        self, profile: pb.Profile, first: Record, arrivals: list[Record], pushed: Record | None, label: int
+    ) -> None:
         for later in arrivals:
             if later["t"] <= first["t"]:
                 continue
             one, other = self.shelves[first["shelf"]], self.shelves[later["shelf"]]
-            outside = (profile.group == pb.SHARD and one.shard != other.shard
-                       or profile.group == pb.ZONE and one.zone != other.zone)
+            outside = (
+                profile.group == pb.SHARD
+                and one.shard != other.shard
+                or profile.group == pb.ZONE
+                and one.zone != other.zone
+            )
             if outside or later["t"] > first["t"] + profile.remembered + self.slack:
                 self._broken(2, "a labelled transaction was sent again outside its group or window", label)
         if pushed and (profile.group != pb.ALL or pushed["t"] > first["t"] + profile.remembered + self.slack):
@@ -245,16 +250,21 @@
             elif r["e"] == "head killed":
                 # A new life of the head knows only the list it remembers, until it is told again.
                 told = {pair: at for pair, at in told.items() if pair[0] != r["head"]}
-            elif r["e"] == "arrived" and left_at(r) > grace + self.slack + told.get((r["head"], r["shelf"]),
-                                                                               left_at(r)):
-                self._broken(3, f"head {r['head']} sent to shelf {r['shelf']} after it was told of its end",
-                             r["label"])
+            elif r["e"] == "arrived" and left_at(r) > grace + self.slack + told.get(
+                (r["head"], r["shelf"]), left_at(r)
+            ):
+                self._broken(
+                    3, f"head {r['head']} sent to shelf {r['shelf']} after it was told of its end", r["label"]
+                )
 
     def _cold_shelves(self) -> None:
         for r in self.records:
             if r["e"] == "fell":
-                self._broken(4, f"shelf {r['shelf']} was pushed over while cold, "
-                             f"{r['t'] - r['start'] / 1e6:.2f} s after its start")
+                self._broken(
+                    4,
+                    f"shelf {r['shelf']} was pushed over while cold, "
+                    f"{r['t'] - r['start'] / 1e6:.2f} s after its start",
+                )
 
     def _order(self) -> None:
         lines: dict[tuple[int, str], list[Record]] = defaultdict(list)
@@ -317,8 +327,11 @@
                 since = max(life, at - budget.span - self.slack)
                 earned = sum(since <= t <= at + self.slack for t in taken[head])
                 if len(window) > budget.free + budget.part * earned:
-                    self._broken(6, f"head {head} made {len(window)} further forwards in {budget.span:g} s, "
-                                 f"{earned} transactions taken")
+                    self._broken(
+                        6,
+                        f"head {head} made {len(window)} further forwards in {budget.span:g} s, "
+                        f"{earned} transactions taken",
+                    )
                     break
 
     def _limits(self) -> None:
--- a/gorsethread/witness/online.py
+++ b/gorsethread/witness/online.py
@@ -140,8 +140,9 @@
             return
         s.over_at, s.how = r["t"], how
         if how in ("unanswered", "unreachable") and not self._out_of_reach(s.sent, r["t"]):
-            self._broken(r["t"], 1, f"no answer before the client's time was up (head {s.sent['head']})",
-                         label)
+            self._broken(
+                r["t"], 1, f"no answer before the client's time was up (head {s.sent['head']})", label
+            )
         if how == "pushed back":
             self._pushed_back(s, r)
 
@@ -176,8 +177,9 @@
             self._further_forward(head, max(mine.left, min(a.left for a in s.arrivals)))
         told = self.told.get((head, r["shelf"]))
         if told is not None and mine.left > told + self.site.rules.drain_grace + self.slack:
-            self._broken(r["t"], 3, f"head {head} sent to shelf {r['shelf']} after it was told of its end",
-                         label)
+            self._broken(
+                r["t"], 3, f"head {head} sent to shelf {r['shelf']} after it was told of its end", label
+            )
         if not s.arrivals:
             self._limit(r, mine.left)
         s.arrivals.append(mine)
@@ -190,15 +192,27 @@
         if not may or profile.effect == pb.REDOABLE:
             return
         if profile.effect == pb.IRREVERSIBLE:
-            self._broken(mine.record["t"], 2,
-                         "an irreversible transaction was sent again though it may have run", label)
+            self._broken(
+                mine.record["t"],
+                2,
+                "an irreversible transaction was sent again though it may have run",
+                label,
+            )
             return
         one, other = self.shards[may[0].record["shelf"]], self.shards[mine.record["shelf"]]
-        outside = (profile.group == pb.SHARD and one[0] != other[0]
-                   or profile.group == pb.ZONE and one[1] != other[1])
+        outside = (
+            profile.group == pb.SHARD
+            and one[0] != other[0]
+            or profile.group == pb.ZONE
+            and one[1] != other[1]
+        )
         if outside or mine.left > may[0].record["t"] + profile.remembered + self.slack:
-            self._broken(mine.record["t"], 2,
-                         "a labelled transaction was sent again outside its group or window", label)
+            self._broken(
+                mine.record["t"],
+                2,
+                "a labelled transaction was sent again outside its group or window",
+                label,
+            )
 
     def _ended(self, r: Record) -> None:
         s = self.seen.get((r["label"], r["attempt"]))
@@ -211,8 +225,9 @@
         self.ran[r["label"]] += 1
         s = self.seen.get((r["label"], r["attempt"]))
         if s is not None and self.ran[r["label"]] > 1 and self._profile(s).effect == pb.IRREVERSIBLE:
-            self._broken(r["t"], 2, f"an irreversible transaction ran {self.ran[r['label']]} times",
-                         r["label"])
+            self._broken(
+                r["t"], 2, f"an irreversible transaction ran {self.ran[r['label']]} times", r["label"]
+            )
 
     def _in_line(self, s: _Seen, mine: _Arrival) -> None:
         head, label = s.sent["head"], s.sent["label"]
@@ -246,8 +261,13 @@
             made = sum(end - budget.span + self.slack <= t <= end for t in window)
             earned = sum(end - budget.span - self.slack <= t <= end + self.slack for t in taken)
             if made > budget.free + budget.part * earned:
-                self._broken(at, 6, f"head {head} made {made} further forwards in {budget.span:g} s, "
-                             f"{earned} transactions taken", head)
+                self._broken(
+                    at,
+                    6,
+                    f"head {head} made {made} further forwards in {budget.span:g} s, "
+                    f"{earned} transactions taken",
+                    head,
+                )
 
     def _limit(self, r: Record, left: float) -> None:
         volume = self.volumes[r["volume"]]
@@ -267,6 +287,10 @@
             level = min(plan.limit_burst, level + (when - at) * plan.limit) - units
             at = when
             if level < -plan.limit_slack - self.slack * plan.limit:
-                self._broken(r["t"], 7, f"volume {volume.name} was sent {-level:.1f} units past its limit",
-                             volume.number)
+                self._broken(
+                    r["t"],
+                    7,
+                    f"volume {volume.name} was sent {-level:.1f} units past its limit",
+                    volume.number,
+                )
         self._store[volume.number] = (level, at)
--- a/tests/crossing/rig.py
+++ b/tests/crossing/rig.py
@@ -269,8 +269,12 @@
         self.path = Path(folder) / "config.json"
         self.port = int(config["listen"].rpartition(":")[2])
         self.configure(config)
-        self.process = subprocess.Popen([sys.executable, "-m", "gorsethread.platform"], text=True,
-                                        stderr=subprocess.PIPE, env={"GW_CONFIG": str(self.path)})
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "gorsethread.platform"],
+            text=True,
+            stderr=subprocess.PIPE,
+            env={"GW_CONFIG": str(self.path)},
+        )
         test.addCleanup(self._end)
         self._lines: list[str] = []
         self._came = threading.Condition()
@@ -300,7 +304,8 @@
         """Waits until that many lines of the log hold all of the words."""
         with self._came:
             found = self._came.wait_for(
-                lambda: sum(all(word in line for word in words) for line in self._lines) >= count, PATIENCE)
+                lambda: sum(all(word in line for word in words) for line in self._lines) >= count, PATIENCE
+            )
         if not found:
             raise AssertionError(f"never logged: {words}: {''.join(self._lines)}")
 
@@ -317,17 +322,34 @@
     """start() gives a gateway that knows backends[0] for shard 0 and backends[1] for shard 1."""
 
     def instance(self, number: int, server: Server, state: str = "ready") -> dict[str, Any]:
-        return {"instanceId": f"s-{number}", "hostPort": server.address, "zone": "east", "machineType": "m",
-                "cell": number, "lifecycle": state, "weight": 1.0, "startedAtMs": 0}
+        return {
+            "instanceId": f"s-{number}",
+            "hostPort": server.address,
+            "zone": "east",
+            "machineType": "m",
+            "cell": number,
+            "lifecycle": state,
+            "weight": 1.0,
+            "startedAtMs": 0,
+        }
 
     def config(self, discovery: Server, instances: list[dict[str, Any]], **settings: Any) -> dict[str, Any]:
         """settings: parts of the settings, each merged with what stands there."""
-        merged = {name: {**SETTINGS[name], **settings[name]} if isinstance(settings.get(name), dict)
-                  else settings.get(name, SETTINGS[name]) for name in {*SETTINGS, *settings}}
-        return {"name": "n0", "listen": f"{HOST}:{free_ports(1)[0]}", "discovery": discovery.address,
-                "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
-                "settings": merged,
-                "known": {"generation": 1, "reset": True, "instances": instances}}
+        merged = {
+            name: {**SETTINGS[name], **settings[name]}
+            if isinstance(settings.get(name), dict)
+            else settings.get(name, SETTINGS[name])
+            for name in {*SETTINGS, *settings}
+        }
+        return {
+            "name": "n0",
+            "listen": f"{HOST}:{free_ports(1)[0]}",
+            "discovery": discovery.address,
+            "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+            "settings": merged,
+            "known": {"generation": 1, "reset": True, "instances": instances},
+        }
 
     def start(self, first: Server, second: Server | None = None, **settings: Any) -> Gateway:
         self.backends = [first, second or Server(self)]
