--- a/tests/crossing/test_clients.py
+++ b/tests/crossing/test_clients.py
@@ -4,12 +4,16 @@
 import socket
 import time
 
-from tests.crossing.rig import HOST, CrossingTest, Gateway, Peer, Server, answer, has_read_all, until
+from tests.crossing.rig import HOST, CrossingTest, Gateway, Server, answer, has_read_all, until
 from tests.live import wish
 
 LARGE = bytes(range(256)) * 7800  # 2 MB: two of these are more than the system's buffers take at once
-SHORT_LIVED = {"services": [{"name": "read", "aim": 0.3, "giveUp": 0.6, "effect": "free", "worth": 2.0},
-                            {"name": "post", "aim": 0.4, "effect": "single_shot", "worth": 3.0}]}
+SHORT_LIVED = {
+    "services": [
+        {"name": "read", "aim": 0.3, "giveUp": 0.6, "effect": "free", "worth": 2.0},
+        {"name": "post", "aim": 0.4, "effect": "single_shot", "worth": 3.0},
+    ]
+}
 ALL_ANSWERED_BY = 0.6 + 0.7  # seconds after SIGTERM, from which it may be killed
 
 
@@ -20,9 +24,13 @@
         backend = Server(self)
         self.start(backend)
         body = b"x" * 40_000
-        ids = [f"{n:x}" for n in range(0xa1, 0xa7)]
-        asker = self.ask(b"".join(wish(id, "read" if id == "a1" else "post", body=b"" if id == "a1" else body,
-                                       patience=9000) for id in ids))
+        ids = [f"{n:x}" for n in range(0xA1, 0xA7)]
+        asker = self.ask(
+            b"".join(
+                wish(id, "read" if id == "a1" else "post", body=b"" if id == "a1" else body, patience=9000)
+                for id in ids
+            )
+        )
         peer = backend.accept()
         self.assertIn("a1", peer.message().headers["req-id"])
         # All of it, four times what is read ahead, has been sent before the first is answered.
@@ -37,8 +45,10 @@
     def test_a_client_that_leaves_behind_what_it_sent_ahead_is_noticed(self) -> None:
         backend = Server(self)
         self.start(backend)
-        asker = self.ask(wish("b1", patience=9000)
-                         + b"".join(wish(f"{n:x}", "post", body=b"x" * 40_000) for n in range(0xc1, 0xc5)))
+        asker = self.ask(
+            wish("b1", patience=9000)
+            + b"".join(wish(f"{n:x}", "post", body=b"x" * 40_000) for n in range(0xC1, 0xC5))
+        )
         peer = backend.accept()
         peer.message()
         closed_at = time.monotonic()
@@ -79,8 +89,10 @@
 
     def test_an_error_reaches_a_client_that_is_still_sending_its_body(self) -> None:
         self.start(Server(self))
-        asker = self.ask(b"PUT /read/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: a\r\nContent-Length: 60000000\r\n\r\n"
-                         + b"x" * 150_000)
+        asker = self.ask(
+            b"PUT /read/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: a\r\nContent-Length: 60000000\r\n\r\n"
+            + b"x" * 150_000
+        )
         self.assertEqual(413, asker.message().status)
         self.assertTrue(asker.ends(), "a reset, which takes from a client what it has not read yet")
 
--- a/tests/crossing/test_discovery.py
+++ b/tests/crossing/test_discovery.py
@@ -177,8 +177,15 @@
 
     def policy(self, ask_within: float, heads: int, seed: int) -> tuple[Policy, PrintingHost]:
         host = PrintingHost()
-        facts = StartFacts(**{**FACTS, "heads": heads, "list_on_request": True, "ask_within": ask_within,
-                              "cold": ColdRule(8.0, 2.0, 10.0, 0.25)})
+        facts = StartFacts(
+            **{
+                **FACTS,
+                "heads": heads,
+                "list_on_request": True,
+                "ask_within": ask_within,
+                "cold": ColdRule(8.0, 2.0, 10.0, 0.25),
+            }
+        )
         return Policy(host, facts, seed), host
 
     def test_however_often_it_refused_it_is_asked_in_time_once_it_can_be_reached(self) -> None:
@@ -224,5 +231,3 @@
             self.assertEqual(1, head.driver.policy.list_waits, "as after a first refusal")
 
         self.play(work)
-
-
--- a/tests/fuzz_records.py
+++ b/tests/fuzz_records.py
@@ -20,8 +20,11 @@
 
 OWN = [Record((9, n), Placed(1, n, n % 3) if n % 4 else Freed(1, n)) for n in range(1, 9)]
 HELD = Queued(9, 6, 1, 2, 1, 0, "1/0", "h", 7, 0, 16, 1.5, [(1, 9, 5)], [], 3, b"data" * 9)
-OWN[5:] = [Record((9, 6), HELD), Record((9, 7), Step(9, 6, "parked", [0], "why")),
-           Record((9, 8), Gone([-1, 9, 6]))]
+OWN[5:] = [
+    Record((9, 6), HELD),
+    Record((9, 7), Step(9, 6, "parked", [0], "why")),
+    Record((9, 8), Gone([-1, 9, 6])),
+]
 OTHERS = [Record((9, 9), Effect(3, 9, 6, True)), Record((9, 10), Discarded(9, 6, 1, 2, 1.5, "why"))]
 NAMES = [name_of(9, 1), name_of(9, 2)]
 
@@ -32,14 +35,28 @@
 
 
 def messages() -> bytes:
-    return b"".join(talk.said(m) for m in (
-        talk.Hello(1, 2, 9), talk.Have(9, (9, 4)), talk.Fetch((9, 1)), talk.Give(talk.entries(OWN), True),
-        talk.Put(9, True, talk.entries(OWN + OTHERS), (9, 10)), talk.Holds((9, 8)), talk.Over(10),
-        talk.Failed(), branches.Greet(1, 3), branches.Here(1), branches.There(1),
-        branches.Marked(3, 9, (9, 4), [(9, 2)]), branches.Ask((3, 9, 6), 9, 0),
-        branches.Told((3, 9, 6), 1, 5, 0.5),
-        branches.Send((3, 9, 6), 9, 5, 0, 1, 2, 16, 7, 0, 3, False, b"data" * 9),
-        branches.Question(1, "release", (3, 9, 6)), branches.Shown(b"{}")))
+    return b"".join(
+        talk.said(m)
+        for m in (
+            talk.Hello(1, 2, 9),
+            talk.Have(9, (9, 4)),
+            talk.Fetch((9, 1)),
+            talk.Give(talk.entries(OWN), True),
+            talk.Put(9, True, talk.entries(OWN + OTHERS), (9, 10)),
+            talk.Holds((9, 8)),
+            talk.Over(10),
+            talk.Failed(),
+            branches.Greet(1, 3),
+            branches.Here(1),
+            branches.There(1),
+            branches.Marked(3, 9, (9, 4), [(9, 2)]),
+            branches.Ask((3, 9, 6), 9, 0),
+            branches.Told((3, 9, 6), 1, 5, 0.5),
+            branches.Send((3, 9, 6), 9, 5, 0, 1, 2, 16, 7, 0, 3, False, b"data" * 9),
+            branches.Question(1, "release", (3, 9, 6)),
+            branches.Shown(b"{}"),
+        )
+    )
 
 
 def one(data: bytes) -> None:
@@ -64,7 +81,7 @@
         reader = talk.Reader(branches.DECODER)
         try:
             for at in range(0, len(data), 1 + which):
-                reader.take(data[at:at + 1 + which])
+                reader.take(data[at : at + 1 + which])
         except talk.Garbled:
             return
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -22,10 +22,19 @@
 SLOW = Profile(9.0, Effect.REDOABLE, Group.ALL, 5.0, False, 1.0)
 OPEN_PLAN = Plan(0.0, 1.0, 0.0, 0.0, 4.0)
 FACTS: dict[str, Any] = {
-    "profiles": (PLAIN,), "plans": (OPEN_PLAN,), "heads": 1, "list_on_request": False, "ask_within": 10.0,
+    "profiles": (PLAIN,),
+    "plans": (OPEN_PLAN,),
+    "heads": 1,
+    "list_on_request": False,
+    "ask_within": 10.0,
     "drain_grace": 1.0,
-    "cold": ColdRule(8.0, 2.0, 10.0, 0.25), "budget": None, "key_rest": 0.0, "most_forwards": 4,
-    "longest_return": 1.0, "largest_units": 8.0, "share_worth": 1.0,
+    "cold": ColdRule(8.0, 2.0, 10.0, 0.25),
+    "budget": None,
+    "key_rest": 0.0,
+    "most_forwards": 4,
+    "longest_return": 1.0,
+    "largest_units": 8.0,
+    "share_worth": 1.0,
     "repeats_marked": True,
 }
 
@@ -70,30 +79,51 @@
         self.shelves({n: 0.0 for n in range(1, shelves + 1)}, remembered=True)
         self.end()
 
-    def shelves(self, since: dict[int, float], ready: bool = True, whole: bool = True,
-                remembered: bool = False) -> None:
+    def shelves(
+        self, since: dict[int, float], ready: bool = True, whole: bool = True, remembered: bool = False
+    ) -> None:
         self.policy.list_begins(whole, remembered)
         for n, at in since.items():
             self.policy.shelf_listed(n, n % 2, n, ready, at and 100.0 + at)
         self.policy.list_ended()
 
-    def take(self, id: int, volume: str = "a", shard: int = 1, units: float = 1, profile: int = 0,
-             plan: int = 0, key: str | None = None, within: float = 2.0, heads: int = 1) -> None:
-        self.policy.request_taken(RequestTaken(
-            id, profile, plan, key, self.host.now + within, volume, units, shard, heads, False))
-
-    def answer(self, id: int, how: Ending = Ending.HONOURED, number: int = 0, finished: bool | None = None,
-               elsewhere: float = 0) -> None:
+    def take(
+        self,
+        id: int,
+        volume: str = "a",
+        shard: int = 1,
+        units: float = 1,
+        profile: int = 0,
+        plan: int = 0,
+        key: str | None = None,
+        within: float = 2.0,
+        heads: int = 1,
+    ) -> None:
+        self.policy.request_taken(
+            RequestTaken(id, profile, plan, key, self.host.now + within, volume, units, shard, heads, False)
+        )
+
+    def answer(
+        self,
+        id: int,
+        how: Ending = Ending.HONOURED,
+        number: int = 0,
+        finished: bool | None = None,
+        elsewhere: float = 0,
+    ) -> None:
         shelf, sent = self.host.sent[(id, number)]
         over = how is Ending.HONOURED if finished is None else finished
         self.host.say(f"    {id} on shelf {shelf}: {how.value}")
-        self.policy.attempt_ended(AttemptEnded(
-            id, number, how, shelf, self.host.now - sent, over, elsewhere, 0))
+        self.policy.attempt_ended(
+            AttemptEnded(id, number, how, shelf, self.host.now - sent, over, elsewhere, 0)
+        )
 
     def health(self, shelf: int = 1) -> None:
         s = self.policy.shelves[shelf]
-        self.host.say(f"    shelf {shelf}: rate {s.rate:.2f}, usual time {s.time:.2f}, {s.misses} misses, "
-                      f"rests {max(0.0, s.rest_until - self.host.now):.2f}")
+        self.host.say(
+            f"    shelf {shelf}: rate {s.rate:.2f}, usual time {s.time:.2f}, {s.misses} misses, "
+            f"rests {max(0.0, s.rest_until - self.host.now):.2f}"
+        )
 
     def end(self) -> None:
         self.policy.batch_ended()
@@ -111,5 +141,11 @@
     def kept(self, name: str) -> None:
         got = "\n".join(line.rstrip() for line in self.host.trace[1:]) + "\n"
         want = (Path(__file__).parent / "traces" / f"{name}.txt").read_text()
-        self.assertEqual(want, got, "\n" + "\n".join(difflib.unified_diff(
-            want.splitlines(), got.splitlines(), "kept", "now", lineterm="")))
+        self.assertEqual(
+            want,
+            got,
+            "\n"
+            + "\n".join(
+                difflib.unified_diff(want.splitlines(), got.splitlines(), "kept", "now", lineterm="")
+            ),
+        )
--- a/tests/live.py
+++ b/tests/live.py
@@ -15,26 +15,51 @@
 HEAD, LIST = ("head", 1), ("list", 1)
 PATH = "config.json"
 SETTINGS: dict[str, Any] = {
-    "azs": ["east", "west"], "balancers": 1, "clients": {"marksRetry": True},
+    "azs": ["east", "west"],
+    "balancers": 1,
+    "clients": {"marksRetry": True},
     "contract": {"askWithin": 10.0, "cold": 13.0, "coldFrom": 0.2, "fall": 3.0, "stopSendingWithin": 1.0},
-    "grades": [{"name": "plain", "baseRate": 5.0, "proportion": 1.0}], "membershipMode": "subscribe",
-    "permissions": {"connIdle": 15.0, "dialTimeout": 0.25, "maxAttempts": 4, "maxRetryAfter": 1.0,
-                    "retryAfter": True},
-    "services": [{"name": "read", "aim": 0.3, "giveUp": 2.0, "effect": "free", "worth": 2.0},
-                 {"name": "post", "aim": 0.4, "effect": "single_shot", "worth": 3.0}],
+    "grades": [{"name": "plain", "baseRate": 5.0, "proportion": 1.0}],
+    "membershipMode": "subscribe",
+    "permissions": {
+        "connIdle": 15.0,
+        "dialTimeout": 0.25,
+        "maxAttempts": 4,
+        "maxRetryAfter": 1.0,
+        "retryAfter": True,
+    },
+    "services": [
+        {"name": "read", "aim": 0.3, "giveUp": 2.0, "effect": "free", "worth": 2.0},
+        {"name": "post", "aim": 0.4, "effect": "single_shot", "worth": 3.0},
+    ],
     "specifics": {"coldUnits": 40.0, "mostUnits": 8, "shards": 2},
 }
 
 
 def instance(number: int, state: str = "ready", started: float = 0, address: str = "") -> dict[str, Any]:
-    return {"instanceId": f"s-{number}", "hostPort": address or f"shelf{number}:1", "zone": "east",
-            "machineType": "m", "cell": number, "lifecycle": state, "weight": 1.0, "startedAtMs": started}
+    return {
+        "instanceId": f"s-{number}",
+        "hostPort": address or f"shelf{number}:1",
+        "zone": "east",
+        "machineType": "m",
+        "cell": number,
+        "lifecycle": state,
+        "weight": 1.0,
+        "startedAtMs": started,
+    }
 
 
 def order(**changed: Any) -> dict[str, Any]:
-    return {"name": "n0", "listen": "head:1", "discovery": "list:1", "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "settings": SETTINGS,
-            "known": {"generation": 1, "reset": True, "instances": [instance(0), instance(1)]}, **changed}
+    return {
+        "name": "n0",
+        "listen": "head:1",
+        "discovery": "list:1",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+        "settings": SETTINGS,
+        "known": {"generation": 1, "reset": True, "instances": [instance(0), instance(1)]},
+        **changed,
+    }
 
 
 class Shelf:
@@ -113,7 +138,7 @@
                     if number > self._deaf:
                         stream.write(answer)
                     elif self._halves:
-                        stream.write(answer[:len(answer) // 2])
+                        stream.write(answer[: len(answer) // 2])
                     codec.answer(200, [], b"")
         except StreamClosed:
             pass
@@ -137,13 +162,22 @@
         return whole(200, json.dumps(said, indent=self.indent).encode())
 
 
-def wish(id: str, profile: str = "read", shard: int = 0, patience: int = 1000, body: bytes = b"",
-         units: int = 1, more: str = "") -> bytes:
+def wish(
+    id: str,
+    profile: str = "read",
+    shard: int = 0,
+    patience: int = 1000,
+    body: bytes = b"",
+    units: int = 1,
+    more: str = "",
+) -> bytes:
     method = "PUT" if body else "GET"
     length = f"Content-Length: {len(body)}\r\n" if body else ""
-    return (f"{method} /{profile}/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: {id:0>16}\r\n"
-            f"Tier: plain\r\nReq-Deadline-Ms: {patience}\r\n{length}{more}"
-            f"IO-Info: volume=00000003b4d60021,units={units},shard={shard},hosts=1\r\n\r\n").encode() + body
+    return (
+        f"{method} /{profile}/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: {id:0>16}\r\n"
+        f"Tier: plain\r\nReq-Deadline-Ms: {patience}\r\n{length}{more}"
+        f"IO-Info: volume=00000003b4d60021,units={units},shard={shard},hosts=1\r\n\r\n"
+    ).encode() + body
 
 
 class Caller:
--- a/tests/queues.py
+++ b/tests/queues.py
@@ -89,15 +89,17 @@
 
     def close(self, now: float, last: bool = False) -> None:
         window = self.accounts.close_window(now)
-        window.spans.add(Span(self.number, self.life, 1000 + self.start + self.skew, 1000 + now + self.skew,
-                              last))
+        window.spans.add(
+            Span(self.number, self.life, 1000 + self.start + self.skew, 1000 + now + self.skew, last)
+        )
         self.start = now
         self.day.windows.append(window)
 
 
 class QueueDay:
-    def __init__(self, seed: int = 1, heads: int = 2, shelves: int = 3, bound: int = 4,
-                 skew: float = 0.0) -> None:
+    def __init__(
+        self, seed: int = 1, heads: int = 2, shelves: int = 3, bound: int = 4, skew: float = 0.0
+    ) -> None:
         self.chance = random.Random(seed)
         self._order = itertools.count()
         self._due: list[tuple[float, int, Callable[[float], None]]] = []
@@ -140,8 +142,14 @@
         self.at(now + 0.0005, lambda at: s.head.ended(at, s, Ending.HONOURED, now - begun))
         self.begin(now, s.shelf)
 
-    def traffic(self, volume: int, times: float = 1.0, shelf: int | None = None, heads: int | None = None,
-                seconds: float = 8.0) -> None:
+    def traffic(
+        self,
+        volume: int,
+        times: float = 1.0,
+        shelf: int | None = None,
+        heads: int | None = None,
+        seconds: float = 8.0,
+    ) -> None:
         """Open-loop arrivals of one volume, at its usual rate times so much."""
         now = 0.0
         while (now := now + self.chance.expovariate(USUAL * times / 2)) < seconds:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -95,8 +95,12 @@
 
         honest_listen = self.transport.listen
 
-        def listen(host: str, port: int, on_stream: Callable[[Stream], Awaitable[None]],
-                   admits: Callable[[], bool] | None = None) -> Any:
+        def listen(
+            host: str,
+            port: int,
+            on_stream: Callable[[Stream], Awaitable[None]],
+            admits: Callable[[], bool] | None = None,
+        ) -> Any:
             async def kept(stream: Stream) -> None:
                 self.streams.append(stream)
                 await on_stream(stream)
@@ -141,8 +145,17 @@
 
     def start_shelf(self, number: int, warm: bool = True) -> ScriptedShelf:
         folder = self.enterContext(_folder())
-        shelf = ScriptedShelf(self.transport, self.site, number, self.recorder(f"shelf {number}"), folder, [],
-                              warm, log_for(), lambda: None)
+        shelf = ScriptedShelf(
+            self.transport,
+            self.site,
+            number,
+            self.recorder(f"shelf {number}"),
+            folder,
+            [],
+            warm,
+            log_for(),
+            lambda: None,
+        )
         shelf.start()
         self.shelves[number] = shelf
         return shelf
@@ -180,24 +193,52 @@
         names = Names(self.site.subsystem, self.site.tenant[0].host[0])
         return await dial(self.transport, address, names, within=2.0, size=size, digests=digests)
 
-    def send(self, to: Association, operation: Opcode, volume: int = 1, block: int = 0, blocks: int = 1,
-             hints: int = 0, attempt: int = 0, label: int = 0) -> "asyncio.Task[Answered]":
+    def send(
+        self,
+        to: Association,
+        operation: Opcode,
+        volume: int = 1,
+        block: int = 0,
+        blocks: int = 1,
+        hints: int = 0,
+        attempt: int = 0,
+        label: int = 0,
+    ) -> "asyncio.Task[Answered]":
         """One command, recorded as a client's for the witness; its result is how it was answered."""
         if not label:
             self.label += 1
             label = self.label
         return asyncio.get_running_loop().create_task(
-            self._send(to, operation, volume, block, blocks, hints, attempt, label))
-
-    async def _send(self, to: Association, operation: Opcode, volume: int, block: int, blocks: int,
-                    hints: int,
-                    attempt: int, label: int) -> tuple[str, Completion, bytes]:
+            self._send(to, operation, volume, block, blocks, hints, attempt, label)
+        )
+
+    async def _send(
+        self,
+        to: Association,
+        operation: Opcode,
+        volume: int,
+        block: int,
+        blocks: int,
+        hints: int,
+        attempt: int,
+        label: int,
+    ) -> tuple[str, Completion, bytes]:
         profile = 0 if operation == Opcode.READ else 1 if hints else 2
         by = self.transport.now() + 1.0
         client = self.recorder("client")
         key = f"{volume}/{block // 64}" if profile == 1 else ""
-        client.saw("sent", label=label, attempt=attempt, head=0, volume=volume, profile=profile, key=key,
-                   units=-(-blocks // 2), by=by, due=self.transport.now())
+        client.saw(
+            "sent",
+            label=label,
+            attempt=attempt,
+            head=0,
+            volume=volume,
+            profile=profile,
+            key=key,
+            units=-(-blocks // 2),
+            by=by,
+            due=self.transport.now(),
+        )
         command = io_command(operation, volume, block, blocks, hints=hints, attempt=attempt, label=label)
         data = stamped(label, volume, block, blocks) if operation == Opcode.WRITE else b""
         try:
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -24,14 +24,30 @@
 from tests.queues import KNOWN, QueueDay
 
 ENDINGS = [Ending.HONOURED] * 3 + list(Ending)
-EVENTS = st.lists(st.tuples(
-    st.sampled_from(["taken", "held", "sent", "ended", "answered", "look", "close"]), st.integers(1, 4),
-    st.integers(0, 2), st.sampled_from(ENDINGS), st.sampled_from(list(Held)),
-    st.floats(-0.01, 0.3, allow_nan=False)), max_size=80)
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["taken", "held", "sent", "ended", "answered", "look", "close"]),
+        st.integers(1, 4),
+        st.integers(0, 2),
+        st.sampled_from(ENDINGS),
+        st.sampled_from(list(Held)),
+        st.floats(-0.01, 0.3, allow_nan=False),
+    ),
+    max_size=80,
+)
 
 # Volume, shelf, units, when taken, how long it took, and what part of that was work.
-ORDINARY = st.lists(st.tuples(st.integers(1, 3), st.integers(0, 2), st.integers(1, 9), st.floats(0.1, 0.5),
-                              st.floats(0.0001, 0.1), st.floats(0.01, 1.0) | st.just(0.0)), max_size=25)
+ORDINARY = st.lists(
+    st.tuples(
+        st.integers(1, 3),
+        st.integers(0, 2),
+        st.integers(1, 9),
+        st.floats(0.1, 0.5),
+        st.floats(0.0001, 0.1),
+        st.floats(0.01, 1.0) | st.just(0.0),
+    ),
+    max_size=25,
+)
 
 
 def played(events: list[Any], together: int = 3) -> tuple[list[Window], int]:
@@ -104,11 +120,16 @@
         self.assertEqual(0, a.remainders + b.remainders + c.remainders)
         self.assertEqual(a, b)
         # The least way is known the better the more are looked at together; all else is the same.
-        both = [(k, r.lives, r.late, r.units, r.life_us, r.outcomes, r.stages[Stage.WORK],
-                 r.stages[Stage.HEAD]) for w in (b, c) for k, r in sorted(w.rows.items())]
-        self.assertEqual(both[:len(both) // 2], both[len(both) // 2:])
-        self.assertEqual({n: (s.classes, s.units, s.endings) for n, s in b.shelves.items()},
-                         {n: (s.classes, s.units, s.endings) for n, s in c.shelves.items()})
+        both = [
+            (k, r.lives, r.late, r.units, r.life_us, r.outcomes, r.stages[Stage.WORK], r.stages[Stage.HEAD])
+            for w in (b, c)
+            for k, r in sorted(w.rows.items())
+        ]
+        self.assertEqual(both[: len(both) // 2], both[len(both) // 2 :])
+        self.assertEqual(
+            {n: (s.classes, s.units, s.endings) for n, s in b.shelves.items()},
+            {n: (s.classes, s.units, s.endings) for n, s in c.shelves.items()},
+        )
 
     @settings(max_examples=150, deadline=None)
     @given(EVENTS)
@@ -157,15 +178,29 @@
         accounts.answered(1, Outcome.HONOURED, 0.050)
         window = accounts.close_window(0.05)
         row = window.rows[1, 0]
-        self.assertEqual({
-            "its data arriving": 1000, "the head's own work": 2000, "slots taken": 10000,
-            "rest after a miss": 9000, "on the way": 1000, "waiting at the shelf": 8000, "in work": 10000,
-            "on the way back": 1000, "lost forwards": 7000,
-        }, {WORDS[s]: row.stages[s] for s in Stage if row.stages[s]})
-        self.assertEqual({(3, 5, "slots taken"): 10000, (-1, 6, "rest after a miss"): 9000,
-                          (-1, 6, "lost forwards"): 7000, (-3, 5, "waiting at the shelf"): 8000},
-                         {(b.holder, b.shelf, WORDS[Stage(b.stage)]): us
-                          for b, us in window.blame.items()})
+        self.assertEqual(
+            {
+                "its data arriving": 1000,
+                "the head's own work": 2000,
+                "slots taken": 10000,
+                "rest after a miss": 9000,
+                "on the way": 1000,
+                "waiting at the shelf": 8000,
+                "in work": 10000,
+                "on the way back": 1000,
+                "lost forwards": 7000,
+            },
+            {WORDS[s]: row.stages[s] for s in Stage if row.stages[s]},
+        )
+        self.assertEqual(
+            {
+                (3, 5, "slots taken"): 10000,
+                (-1, 6, "rest after a miss"): 9000,
+                (-1, 6, "lost forwards"): 7000,
+                (-3, 5, "waiting at the shelf"): 8000,
+            },
+            {(b.holder, b.shelf, WORDS[Stage(b.stage)]): us for b, us in window.blame.items()},
+        )
 
     @given(st.integers(0, 3_600_000_000))
     def test_buckets_are_three_percent_wide(self, us: int) -> None:
@@ -268,8 +303,11 @@
         cold { units: 40 span: 1 multiple: 3 warm_after: 2 first_part: 0.2 } }
 links { connect_within: 1 queue_size: 16 unit_bytes: 8192 largest_bytes: 131072 connections: 8 }
 machine { cores: 2 unit_time: 0.002 queue: 20 }
-""" + "".join(f'volume {{ number: {n} name: "L{n:02}" tenant: "t" plan: "plain" blocks: 1024 '
-              'extent_blocks: 64 placement: FIXED shard: 0 head: 0 head: 1 }\n' for n in range(1, 9))
+""" + "".join(
+    f'volume {{ number: {n} name: "L{n:02}" tenant: "t" plan: "plain" blocks: 1024 '
+    "extent_blocks: 64 placement: FIXED shard: 0 head: 0 head: 1 }\n"
+    for n in range(1, 9)
+)
 
 
 class Files(unittest.TestCase):
@@ -291,8 +329,9 @@
             (self.kept / f"head-{n:03}.acc").write_bytes(encode("queues", window))
 
     def ask(self, *arguments: str, status: int = 0) -> str:
-        got = CliRunner().invoke(app, ["accounts", *arguments, "--site", str(self.site)],
-                                 env={"COLUMNS": "160"})
+        got = CliRunner().invoke(
+            app, ["accounts", *arguments, "--site", str(self.site)], env={"COLUMNS": "160"}
+        )
         self.assertEqual(status, got.exit_code, got.output)
         return got.output
 
@@ -301,13 +340,14 @@
         for n in range(len(raw)):
             with self.assertRaises(BadSnapshot, msg=f"cut at {n}"):
                 decode(raw[:n], "here")
-            garbled = raw[:n] + bytes([raw[n] ^ 0x20]) + raw[n + 1:]
+            garbled = raw[:n] + bytes([raw[n] ^ 0x20]) + raw[n + 1 :]
             with self.assertRaises(BadSnapshot, msg=f"garbled at {n}"):
                 decode(garbled, "here")
 
     @given(st.binary(max_size=200))
     def test_any_bytes_are_refused_or_read(self, raw: bytes) -> None:
         import google_crc32c
+
         for tried in (raw, FRAME.pack(MAGIC, 1, len(raw), google_crc32c.value(raw)) + raw):
             with contextlib.suppress(BadSnapshot):
                 decode(tried, "")
@@ -322,9 +362,13 @@
         (self.kept / "x-twice.acc").write_bytes(whole)
         (self.kept / "x-text.acc").write_text("no snapshot")
         got = self.ask("top", "--snapshots", str(self.kept))
-        for name, reason in (("x-cut", "is cut short"), ("x-old", "is of version 9"),
-                             ("x-text", "no snapshot"), ("x-twice", "already"),
-                             ("x-other", "is of site 'elsewhere', not 'queues'")):
+        for name, reason in (
+            ("x-cut", "is cut short"),
+            ("x-old", "is of version 9"),
+            ("x-text", "no snapshot"),
+            ("x-twice", "already"),
+            ("x-other", "is of site 'elsewhere', not 'queues'"),
+        ):
             line = next(line for line in got.splitlines() if f"{name}.acc" in line)
             self.assertIn(reason, line)
             self.assertTrue(line.startswith("refused: "))
@@ -333,8 +377,10 @@
     def test_answers(self) -> None:
         kept = ("--snapshots", str(self.kept))
         self.assertIn("volume L07 asked for", self.ask("top", *kept).splitlines()[0])
-        self.assertIn("behind L07 on shelf 0 (it is as quick as its peers)",
-                      " ".join(self.ask("why", "L01", *kept).split("How sure")[0].split()))
+        self.assertIn(
+            "behind L07 on shelf 0 (it is as quick as its peers)",
+            " ".join(self.ask("why", "L01", *kept).split("How sure")[0].split()),
+        )
         self.assertIn("Shelf 0:", self.ask("shelf", "0", *kept))
         self.assertIn("nothing new", " ".join(self.ask("diff", str(self.kept), str(self.kept)).split()))
         self.assertIn('"floods": {\n  "L07"', self.ask("top", *kept, "--json"))
--- a/tests/test_accounts_running.py
+++ b/tests/test_accounts_running.py
@@ -20,8 +20,9 @@
         self.folder = self.enterContext(tempfile.TemporaryDirectory())
 
     def start_head(self, number: int = 0, remember: str = "") -> Head:
-        head = Head(self.transport, self.site, number, 1, remember, log_for(), accounts=self.folder,
-                    window=0.4)
+        head = Head(
+            self.transport, self.site, number, 1, remember, log_for(), accounts=self.folder, window=0.4
+        )
         head.start()
         self.heads[number] = head
         return head
@@ -37,7 +38,8 @@
         client = await self.client()
         for n in range(20):
             answers = await asyncio.gather(
-                *(self.send(client, Opcode.WRITE, 1, n * 16 + k) for k in range(4)))
+                *(self.send(client, Opcode.WRITE, 1, n * 16 + k) for k in range(4))
+            )
             self.assertEqual({"honoured"}, {how for how, _, _ in answers})
         await self.heads[0].end()
         whole = self.kept()
@@ -58,8 +60,9 @@
         how, _, _ = await self.send(client, Opcode.WRITE)
         self.assertNotEqual("honoured", how)
         await self.heads[0].end()
-        lost = {(b.holder, b.shelf): us for b, us in self.kept().blame.items()
-                if b.stage == Stage.LOST_FORWARD}
+        lost = {
+            (b.holder, b.shelf): us for b, us in self.kept().blame.items() if b.stage == Stage.LOST_FORWARD
+        }
         self.assertEqual([(SHELF, 0)], list(lost))
         self.assertGreater(lost[SHELF, 0], 800_000)
 
--- a/tests/test_branch.py
+++ b/tests/test_branch.py
@@ -26,10 +26,20 @@
     return Number(branch, life, place)
 
 
-def write(place: int, *own: int, key: str = "", parks: bool = False, size: int = 100,
-          block: int = 0) -> Write:
-    return Write(number(place), 1, block or place, key or f"k{place}", 1.0, size, 0.0,
-                 tuple(number(n) for n in own), parks=parks)
+def write(
+    place: int, *own: int, key: str = "", parks: bool = False, size: int = 100, block: int = 0
+) -> Write:
+    return Write(
+        number(place),
+        1,
+        block or place,
+        key or f"k{place}",
+        1.0,
+        size,
+        0.0,
+        tuple(number(n) for n in own),
+        parks=parks,
+    )
 
 
 class Links(unittest.TestCase):
@@ -107,8 +117,9 @@
         self.assertEqual(Refused.STALE, self.queue(ROOM, write(1)).refuses(3.0, 1, 601.0))
 
     def test_the_same_key_goes_in_turn_and_others_side_by_side_within_the_window(self) -> None:
-        q = self.queue(ROOM, write(1, key="a"), write(2, 1, key="a"),
-                       *(write(n) for n in range(3, 4 + WINDOW)))
+        q = self.queue(
+            ROOM, write(1, key="a"), write(2, 1, key="a"), *(write(n) for n in range(3, 4 + WINDOW))
+        )
         ready = [n.place for n, _ in q.ready()]
         self.assertEqual([1, *range(3, 2 + WINDOW)], ready)
         for n, _ in q.ready():
@@ -261,12 +272,26 @@
 
     def test_what_becomes_of_a_command(self) -> None:
         one = number(1)
-        self.assertEqual([Say.THROUGH, Say.BACK, Say.SERVE, Say.SERVE, Say.BACK], [
-            of_read(False, [None]), of_read(True, [None, None]), of_read(True, [one]), of_read(False, [one]),
-            of_read(False, [one, None])])
-        self.assertEqual([Say.THROUGH, Say.HOLD, Say.HOLD, Say.THROUGH, Say.BACK], [
-            of_write(False, True, False), of_write(True, True, False), of_write(False, True, True),
-            of_write(True, False, False), of_write(False, False, True)])
+        self.assertEqual(
+            [Say.THROUGH, Say.BACK, Say.SERVE, Say.SERVE, Say.BACK],
+            [
+                of_read(False, [None]),
+                of_read(True, [None, None]),
+                of_read(True, [one]),
+                of_read(False, [one]),
+                of_read(False, [one, None]),
+            ],
+        )
+        self.assertEqual(
+            [Say.THROUGH, Say.HOLD, Say.HOLD, Say.THROUGH, Say.BACK],
+            [
+                of_write(False, True, False),
+                of_write(True, True, False),
+                of_write(False, True, True),
+                of_write(True, False, False),
+                of_write(False, False, True),
+            ],
+        )
 
     def test_bases_know_blocks_that_were_seen_and_tell_changes(self) -> None:
         bases = Bases(2)
@@ -291,9 +316,16 @@
     def test_homes_are_one_order_and_the_other_head_is_stood_in_for_in_time(self) -> None:
         self.assertEqual(homes(3, [2, 0, 1]), homes(3, [1, 2, 0]))
         s = StandIn()
-        self.assertEqual([False, False, True, False, False], [
-            s.stands_in(True, 0.0), s.stands_in(False, 1.0), s.stands_in(False, 1.0 + TAKES_OVER),
-            s.stands_in(True, 20.0), s.stands_in(False, 21.0)])
+        self.assertEqual(
+            [False, False, True, False, False],
+            [
+                s.stands_in(True, 0.0),
+                s.stands_in(False, 1.0),
+                s.stands_in(False, 1.0 + TAKES_OVER),
+                s.stands_in(True, 20.0),
+                s.stands_in(False, 21.0),
+            ],
+        )
 
 
 class Main(unittest.TestCase):
@@ -336,8 +368,10 @@
         m = Landing(1)
         m.recovered(number(3), True)
         self.assertEqual([(1, 3)], m.marked(1, 1, (1, 4), frozenset({(1, 2)})))
-        self.assertEqual([Answer.IN_EFFECT, Answer.RUNS, Answer.IN_EFFECT, Answer.RUNS],
-                         [self.runs(m, place) for place in (1, 2, 4, 5)])
+        self.assertEqual(
+            [Answer.IN_EFFECT, Answer.RUNS, Answer.IN_EFFECT, Answer.RUNS],
+            [self.runs(m, place) for place in (1, 2, 4, 5)],
+        )
 
     def test_what_was_parked_and_is_released_is_not_over(self) -> None:
         q = Queue(ROOM, (1.0,))
@@ -375,9 +409,15 @@
 
     WRITES = (write(1, key="a"), write(2, 1, key="a"), write(3))
 
-    def check(self, crashes: int = 1, mains: int = 1, blind: bool = False,
-              plant: Callable[[Landing], None] = lambda m: None, causal: bool = True,
-              writes: int = 2) -> dict[str, Any]:
+    def check(
+        self,
+        crashes: int = 1,
+        mains: int = 1,
+        blind: bool = False,
+        plant: Callable[[Landing], None] = lambda m: None,
+        causal: bool = True,
+        writes: int = 2,
+    ) -> dict[str, Any]:
         def queue(held: Any) -> Queue:
             q = Queue(ROOM, (1.0,))
             for place, stage, sending in held:
@@ -393,16 +433,24 @@
         def landing(state: Any) -> Landing:
             life, in_effect, unknown, running, closed = state
             m = Landing(life)
-            m.of[1] = Of(1, (0, 0), frozenset(), *({(1, p) for p in places} for places in (
-                in_effect, unknown, running)), {(1, p): n for p, n in closed})
+            m.of[1] = Of(
+                1,
+                (0, 0),
+                frozenset(),
+                *({(1, p) for p in places} for places in (in_effect, unknown, running)),
+                {(1, p): n for p, n in closed},
+            )
             plant(m)
             return m
 
         def main(m: Landing) -> Any:
             of = m.of[1]
             closed = tuple(sorted((p, n) for (_, p), n in of.closed.items()))
-            return (m.base >> 12, *(tuple(sorted(p for _, p in places)) for places in (
-                of.in_effect, of.unknown, of.running)), closed)
+            return (
+                m.base >> 12,
+                *(tuple(sorted(p for _, p in places)) for places in (of.in_effect, of.unknown, of.running)),
+                closed,
+            )
 
         def transitions(state: Any) -> list[tuple[str, Any]]:
             held, there, flying, ran, done, left, lives = state
@@ -459,8 +507,9 @@
                 q = queue(held)
                 q.broke()
                 # What was on its way there may come late; its answers find nobody.
-                old = frozenset((f"old {m[0].split(' ')[-1]}", *m[1:]) for m in flying
-                                if m[0].endswith(("send", "ask")))
+                old = frozenset(
+                    (f"old {m[0].split(' ')[-1]}", *m[1:]) for m in flying if m[0].endswith(("send", "ask"))
+                )
                 found.append(("crash or cut", (kept(q), there, old, ran, done, left - 1, lives)))
             if lives:
                 life, in_effect, unknown, running, _ = there
@@ -471,18 +520,35 @@
             return found
 
         def causal_order(d: Any) -> bool:
-            return 2 not in d["ran"] or 1 in d["ran"][:d["ran"].index(2)]
+            return 2 not in d["ran"] or 1 in d["ran"][: d["ran"].index(2)]
 
         def not_lost(d: Any) -> bool:
             """What the queue holds no more has run."""
             return set(range(1, writes + 1)) - {place for place, _, _ in d["held"]} <= set(d["ran"])
 
-        result: dict[str, Any] = check_safety(Protocol(
-            name="replay", candidate=False, fields=("held", "main", "flying", "ran", "done", "left", "lives"),
-            initial=(tuple((n + 1, Stage.WAITS.value, 0) for n in range(writes)), (1, (), (), (), ()),
-                     frozenset(), (), (), crashes, mains), transitions=transitions, invariants={
-                "each once": lambda d: len(set(d["ran"])) == len(d["ran"]),
-                "causal order": causal_order, "nothing lost": not_lost}), 400_000)
+        result: dict[str, Any] = check_safety(
+            Protocol(
+                name="replay",
+                candidate=False,
+                fields=("held", "main", "flying", "ran", "done", "left", "lives"),
+                initial=(
+                    tuple((n + 1, Stage.WAITS.value, 0) for n in range(writes)),
+                    (1, (), (), (), ()),
+                    frozenset(),
+                    (),
+                    (),
+                    crashes,
+                    mains,
+                ),
+                transitions=transitions,
+                invariants={
+                    "each once": lambda d: len(set(d["ran"])) == len(d["ran"]),
+                    "causal order": causal_order,
+                    "nothing lost": not_lost,
+                },
+            ),
+            400_000,
+        )
         return result
 
     def test_every_order_of_crashes_and_late_messages_keeps_it(self) -> None:
@@ -500,19 +566,26 @@
 
         self.assertFalse(self.check(1, 0, plant=forgets)["properties"]["each once"]["holds"])
         self.assertFalse(self.check(0, 1, plant=knows_nothing)["properties"]["each once"]["holds"])
-        self.assertFalse(self.check(0, 0, causal=False)["properties"]["causal order"]["holds"],
-                         "replayed in order of arrival alone")
+        self.assertFalse(
+            self.check(0, 0, causal=False)["properties"]["causal order"]["holds"],
+            "replayed in order of arrival alone",
+        )
 
     def test_sending_again_blindly_is_dropped_by_the_main_site(self) -> None:
         self.assertTrue(self.check(1, 0, blind=True)["properties"]["each once"]["holds"])
 
 
 class Replayed(unittest.TestCase):
-    @given(st.lists(st.tuples(st.integers(0, 4), st.lists(st.integers(1, 5), max_size=3)), min_size=1,
-                    max_size=25), st.randoms(use_true_random=False))
+    @given(
+        st.lists(
+            st.tuples(st.integers(0, 4), st.lists(st.integers(1, 5), max_size=3)), min_size=1, max_size=25
+        ),
+        st.randoms(use_true_random=False),
+    )
     @settings(max_examples=150, deadline=None)
-    def test_any_history_is_replayed_once_each_in_causal_order(self, said: list[tuple[int, list[int]]],
-                                                               chance: Any) -> None:
+    def test_any_history_is_replayed_once_each_in_causal_order(
+        self, said: list[tuple[int, list[int]]], chance: Any
+    ) -> None:
         q, m = Queue(ROOM, (1.0,)), Landing(1)
         all_causes: dict[Number, tuple[Number, ...]] = {}
         for place, (key, back) in enumerate(said, 1):
--- a/tests/test_branching.py
+++ b/tests/test_branching.py
@@ -67,8 +67,10 @@
 }
 FAILED_ONCE = (35, 41, 114, 172, 210, 277)  # by causes that are hard to meet
 ODD_ONES = "seed 8\nheads 5\nshelves 6\nseconds 16\n"
-STANDS_IN = ("seed 8\nheads 5\nshelves 6\nseconds 34\n1 link head-3 by 0 for 4\n1 link head-4 by 0 for 4\n"
-             "4.5 kill head-3 for 24\n")
+STANDS_IN = (
+    "seed 8\nheads 5\nshelves 6\nseconds 34\n1 link head-3 by 0 for 4\n1 link head-4 by 0 for 4\n"
+    "4.5 kill head-3 for 24\n"
+)
 # The link goes, a head of the branch dies meanwhile, one of the main site in replay; then a disk is lost.
 REAL = """
 seed 9
@@ -124,14 +126,15 @@
         self.assertEqual(([], []), (o.reasons, o.defects))
         said = [h["what"] for h in w.heads[4].branch.history if h["number"] is None]
         self.assertIn("stands in", said)
-        self.assertIn("gives back", said[said.index("stands in"):])
+        self.assertIn("gives back", said[said.index("stands in") :])
         stood = [h for h in w.heads[4].branch.history if h["what"] == "in effect" and h["number"][0] == 3]
         self.assertGreater(len(stood), 2)
 
     def test_ten_branches_back_at_once_do_the_main_site_no_harm(self) -> None:
         links = "".join(f"6 link head-{n} by 0 for 8\n" for n in range(3, 13))
-        w = BranchWorld(of_ten_branches(), read_script(
-            f"seed 3\nheads 13\nshelves 6\nseconds 24\nfactor 2\n{links}"))
+        w = BranchWorld(
+            of_ten_branches(), read_script(f"seed 3\nheads 13\nshelves 6\nseconds 24\nfactor 2\n{links}")
+        )
         o = w.play()
         self.assertEqual(([], []), (o.reasons, o.defects))
         self.assertGreater(len(w.accepted.replayed), 500)
@@ -139,8 +142,13 @@
         replay = [r["t"] for r in o.records if r["e"] == "ran" and r["label"] in w.accepted.replayed]
 
         def served(begin: float, end: float) -> float:
-            answers = [r["how"] for r in o.records if r["e"] == "answer" and (
-                s := sent[r["label"], r["attempt"]])["head"] < 3 and begin <= s["t"] < end]
+            answers = [
+                r["how"]
+                for r in o.records
+                if r["e"] == "answer"
+                and (s := sent[r["label"], r["attempt"]])["head"] < 3
+                and begin <= s["t"] < end
+            ]
             return answers.count("honoured") / len(answers)
 
         self.assertGreater(served(min(replay), max(replay)), 0.95 * served(w.zero + 1, w.zero + 6))
@@ -156,8 +164,13 @@
 
     def test_a_head_of_the_branch_alone_keeps_nothing_it_could_lose(self) -> None:
         """Its mate is cut off from it too: what it can't be sure of it pushes back."""
-        w = BranchWorld(SITE, read_script(ODD_ONES + "2 link head-3 by 0 for 6\n2 link head-4 by 0 for 6\n"
-                                          "1.5 cut head-3 <-> head-4 for 10\n"))
+        w = BranchWorld(
+            SITE,
+            read_script(
+                ODD_ONES + "2 link head-3 by 0 for 6\n2 link head-4 by 0 for 6\n"
+                "1.5 cut head-3 <-> head-4 for 10\n"
+            ),
+        )
         o = w.play()
         early = [r for r in o.records if r["e"] == "accepted" and r["t"] < w.zero + 11.5]
         self.assertEqual(([], []), (o.reasons, early))
@@ -193,12 +206,19 @@
                 ended.append(str(error))
 
         greet = talk.Greet(fleet, 3)
-        for words in ((talk.Greet(fleet + 1, 3),), (greet, talk.Marked(0, 9, (1, 1), [])), (talk.Here(1),),
-                      (greet, talk.Ask((99, 1, 1), 1, 0)), (talk.Question(fleet, "show"),)):
+        for words in (
+            (talk.Greet(fleet + 1, 3),),
+            (greet, talk.Marked(0, 9, (1, 1), [])),
+            (talk.Here(1),),
+            (greet, talk.Ask((99, 1, 1), 1, 0)),
+            (talk.Question(fleet, "show"),),
+        ):
             w.loop.call_at(w.zero + 1.0, lambda words=words: process.spawn(say(*words)))
-        for odd in (talk.Send((3, 1, 1), 1, 0, -1, 8, 0, 0, 0, 0, 0, False, bytes(4096)),
-                    talk.Send((3, 1, 2), 1, 0, 2, 8, -5, 0, 0, 0, 0, False, bytes(4096)),
-                    talk.Send((3, 1, 3), 1, 0, 2, 77, 0, 0, 0, 0, 0, False, b"x")):
+        for odd in (
+            talk.Send((3, 1, 1), 1, 0, -1, 8, 0, 0, 0, 0, 0, False, bytes(4096)),
+            talk.Send((3, 1, 2), 1, 0, 2, 8, -5, 0, 0, 0, 0, False, bytes(4096)),
+            talk.Send((3, 1, 3), 1, 0, 2, 77, 0, 0, 0, 0, 0, False, b"x"),
+        ):
             w.loop.call_at(w.zero + 1.5, lambda odd=odd: process.spawn(say(greet, odd)))
         o = w.play()
         self.assertEqual(([], 5), (o.reasons, len(ended)), o.defects)
@@ -219,8 +239,13 @@
                     parked = side.answer(Question(0, "parked"))["parked"] if side else []
                     if parked and w.processes[f"head {n}"].alive and not answers:
                         first, last = parked[0], parked[-1]
-                        answers += [first, last, side.answer(Question(
-                            0, what, tuple((first if what == "release" else last)["number"])))]
+                        answers += [
+                            first,
+                            last,
+                            side.answer(
+                                Question(0, what, tuple((first if what == "release" else last)["number"]))
+                            ),
+                        ]
                 if not answers:
                     w.loop.call_later(0.5, decide)
 
@@ -234,8 +259,9 @@
         w, (first, _, answer), o = self.world("release")
         self.assertEqual(first["number"], answer["released"][0])
         self.assertEqual(([], []), (o.reasons, o.defects))
-        parked = {tuple(n) for head in (3, 4) for n in [
-            h.write.number for h in w.heads[head].branch.queue.parked]}
+        parked = {
+            tuple(n) for head in (3, 4) for n in [h.write.number for h in w.heads[head].branch.queue.parked]
+        }
         self.assertNotIn(tuple(first["number"]), parked)
 
     def test_what_is_discarded_is_gone_and_leaves_a_record(self) -> None:
@@ -260,10 +286,12 @@
         return result.exit_code, result.output
 
     def test_bad_input(self) -> None:
-        for words, says in (("show 0", "Name a head that stands in a branch"),
-                            ("show 3", "See that the head runs"),
-                            ("release 3 --number x", "is not like"),
-                            ("discard 3 --number 3/1/1", "--yes")):
+        for words, says in (
+            ("show 0", "Name a head that stands in a branch"),
+            ("show 3", "See that the head runs"),
+            ("release 3 --number x", "is not like"),
+            ("discard 3 --number 3/1/1", "--yes"),
+        ):
             what, head, *rest = words.split()
             status, text = self.run_it(what, "--site", str(PATH), "--head", head, *rest)
             self.assertEqual((2, True), (status, says in text), text)
@@ -272,12 +300,13 @@
         text = PATH.read_text()
         reads = "promised: 0.3 cut_off: 2 effect: REDOABLE value: 2"
         for change, says in (
-                (('"harbour" head: 3 head: 4', '"harbour" head: 3 head: 4 head: 2'), "one or two"),
-                (('"harbour" head: 3 head: 4', '"harbour" head: 3 head: 9'), "there is no head 9"),
-                (("queue_bytes: 16777216", "queue_bytes: 5"), "branch[0].queue_bytes"),
-                (("held_by: 1", "held_by: 0"), "records.held_by is 0"),
-                (("shard: 4 head: 0 head: 1 head: 3 head: 4", "shard: 4 head: 3 head: 4"), "no head of the"),
-                ((reads, f"{reads} held_when_cut_off: true"), "only writes")):
+            (('"harbour" head: 3 head: 4', '"harbour" head: 3 head: 4 head: 2'), "one or two"),
+            (('"harbour" head: 3 head: 4', '"harbour" head: 3 head: 9'), "there is no head 9"),
+            (("queue_bytes: 16777216", "queue_bytes: 5"), "branch[0].queue_bytes"),
+            (("held_by: 1", "held_by: 0"), "records.held_by is 0"),
+            (("shard: 4 head: 0 head: 1 head: 3 head: 4", "shard: 4 head: 3 head: 4"), "no head of the"),
+            ((reads, f"{reads} held_when_cut_off: true"), "only writes"),
+        ):
             with self.subTest(says), self.assertRaises(BadSite) as caught:
                 self.assertIn(change[0], text)
                 parse_site(text.replace(*change))
@@ -296,14 +325,20 @@
                 await super()._settled()
                 path = self.processes.folder / "site-of-heads.txtpb"
                 words = ["branch", "show", "--site", str(path), "--head", "3", "--json", "-"]
-                asked = await asyncio.to_thread(subprocess.run, [sys.executable, "-m", "gorsethread", *words],
-                                                capture_output=True, text=True, timeout=60)
+                asked = await asyncio.to_thread(
+                    subprocess.run,
+                    [sys.executable, "-m", "gorsethread", *words],
+                    capture_output=True,
+                    text=True,
+                    timeout=60,
+                )
                 shown.append(json.loads(asked.stdout) if asked.returncode == 0 else {"failed": asked.stderr})
 
         async def work() -> Result:
             with tempfile.TemporaryDirectory() as folder:
-                found = await Trial(RealTransport(3), Processes(Path(folder), SITE), SITE, log_for(),
-                                    read_script(text), plant).play()
+                found = await Trial(
+                    RealTransport(3), Processes(Path(folder), SITE), SITE, log_for(), read_script(text), plant
+                ).play()
                 assert isinstance(found, Result)
                 return found
 
@@ -318,8 +353,9 @@
 
     def test_the_judge_sees_replay_in_order_of_acceptance_alone(self) -> None:
         text = "".join(line + "\n" for line in REAL.splitlines() if not line.startswith(("14", "17.5")))
-        r, _ = self.played(text.replace("seconds 30", "seconds 14"),
-                           "from gorsethread.branch.queue import Queue\n"
-                           "Queue._free = lambda q, write: True\n")
+        r, _ = self.played(
+            text.replace("seconds 30", "seconds 14"),
+            "from gorsethread.branch.queue import Queue\n" "Queue._free = lambda q, write: True\n",
+        )
         self.assertGreater(r.causal_breaks, 0, r)
         self.assertFalse(r.good)
--- a/tests/test_causes.py
+++ b/tests/test_causes.py
@@ -26,10 +26,18 @@
 
 
 class Named(unittest.TestCase):
-    def named(self, found: Findings, slow: set[int] = frozenset(), floods: set[int] = frozenset(),  # type: ignore[assignment]
-              stopped: set[int] = frozenset()) -> None:  # type: ignore[assignment]
-        self.assertEqual((set(slow), set(floods), set(stopped)),
-                         (set(found.slow), set(found.floods), set(found.stopped)), report.top(found).sentence)
+    def named(
+        self,
+        found: Findings,
+        slow: set[int] = frozenset(),
+        floods: set[int] = frozenset(),  # type: ignore[assignment]
+        stopped: set[int] = frozenset(),
+    ) -> None:  # type: ignore[assignment]
+        self.assertEqual(
+            (set(slow), set(floods), set(stopped)),
+            (set(found.slow), set(found.floods), set(found.stopped)),
+            report.top(found).sentence,
+        )
         self.assertEqual(0, found.whole.remainders)
         self.assertEqual(0, found.whole.disorders)
 
@@ -57,13 +65,16 @@
         day.traffic(7, 25.0, shelf=2)
         found = day.run()
         self.named(found, floods={7})
-        alone = [held_by(find_of(w for w in day.windows if head in {s.head for s in w.spans}), 7)
-                 for head in range(4)]
+        alone = [
+            held_by(find_of(w for w in day.windows if head in {s.head for s in w.spans}), 7)
+            for head in range(4)
+        ]
         self.assertGreater(held_by(found, 7), 0.95 * sum(alone))
         self.assertLess(max(alone), 0.5 * held_by(found, 7), "no head sees the half of it")
         self.assertGreater(waited_for(found, 1).get(7, 0.0), 0.5)
-        self.assertRegex(report.why(found, 1).sentence,
-                         r"behind L07 on shelf 2 \(it is as quick as its peers\)")
+        self.assertRegex(
+            report.why(found, 1).sentence, r"behind L07 on shelf 2 \(it is as quick as its peers\)"
+        )
 
     def test_slow_and_flood_on_one_shelf(self) -> None:
         day = quiet_day()
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -36,6 +36,7 @@
 
     def test_slots_of_many_heads_add_up_where_a_line_is_no_sign(self) -> None:
         """The loss of the standing test, and what the guard in the module is worth against it."""
+
         class NoLine(Policy):
             def _judge(self, *facts):  # type: ignore[no-untyped-def]
                 bound = facts[0].bound
--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -36,8 +36,12 @@
 
 
 class Virtual(unittest.TestCase):
-    def play(self, weather: Weather, fault: Callable[[Network, dict[str, VirtualTransport]], None],
-             number: int = 200) -> Got:
+    def play(
+        self,
+        weather: Weather,
+        fault: Callable[[Network, dict[str, VirtualTransport]], None],
+        number: int = 200,
+    ) -> Got:
         loop = VirtualLoop()
         self.addCleanup(loop.close)
         network, got = Network(loop, 5, weather), Got()
@@ -67,8 +71,12 @@
         self.assertEqual(200, len(self.play(Weather(), lambda network, both: network.cut("b", "a"))))
         self.assertEqual(0, len(self.play(Weather(), lambda network, both: network.cut("a", "b"))))
         for how in ("kill", "vanish"):
-            got = self.play(Weather(), lambda network, both, how=how: network.loop.call_later(  # type: ignore
-                1.0, getattr(both["b"], how)))
+            got = self.play(
+                Weather(),
+                lambda network, both, how=how: network.loop.call_later(  # type: ignore
+                    1.0, getattr(both["b"], how)
+                ),
+            )
             self.assertTrue(95 < len(got) < 105, len(got))
 
     def test_a_paused_process_finds_a_bounded_number(self) -> None:
--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -22,7 +22,11 @@
         site.write_text(SITE.read_text().replace("answer_slack: 0.05", "answer_slack: 0.5"))
         done = subprocess.run(
             [sys.executable, "-m", "gorsethread", "day", "--site", str(site), "--json", str(out), *options],
-            capture_output=True, text=True, timeout=120, check=False)
+            capture_output=True,
+            text=True,
+            timeout=120,
+            check=False,
+        )
         if not out.exists():
             raise AssertionError(done.stdout + done.stderr)
         return done.returncode, {**json.loads(out.read_text()), "shown": done.stdout}
@@ -32,6 +36,9 @@
 class Days(unittest.TestCase):
     def test_a_bad_day_keeps_every_rule(self) -> None:
         status, day = play("--seconds", "16", "--seed", "3")
-        self.assertEqual((0, 0, 0, 0, [0] * 7), (status, day["lost"], day["duplicated"], day["wrong_reads"],
-                                                 day["rules"]), day["shown"])
+        self.assertEqual(
+            (0, 0, 0, 0, [0] * 7),
+            (status, day["lost"], day["duplicated"], day["wrong_reads"], day["rules"]),
+            day["shown"],
+        )
         self.assertGreater(day["honoured"], 200)
--- a/tests/test_debts.py
+++ b/tests/test_debts.py
@@ -23,8 +23,15 @@
 from gorsethread.debts.fills import Fill, chosen, order_of
 from gorsethread.debts.netting import NotEven, settled
 
-ROWS = st.builds(Row, st.integers(0, 4), st.integers(0, 4), st.sampled_from(list(Said)), st.integers(0, 3),
-                 st.integers(1, 2), st.integers(0, 50))
+ROWS = st.builds(
+    Row,
+    st.integers(0, 4),
+    st.integers(0, 4),
+    st.sampled_from(list(Said)),
+    st.integers(0, 3),
+    st.integers(1, 2),
+    st.integers(0, 50),
+)
 
 
 def merged(*all: Accounts) -> list[Row]:
@@ -94,8 +101,14 @@
         self.assertEqual(0, sum(found.nets().values()))
 
     def test_a_row_of_no_partner_is_refused(self) -> None:
-        a = Accounts([Row(0, 0, 0, 1, 1, 5), Row(0, PARTNERS_MOST, 0, 1, 1, 5), Row(0, 1, 9, 1, 1, 5),
-                      Row(0, 1, 0, 1, 1, -5)])
+        a = Accounts(
+            [
+                Row(0, 0, 0, 1, 1, 5),
+                Row(0, PARTNERS_MOST, 0, 1, 1, 5),
+                Row(0, 1, 9, 1, 1, 5),
+                Row(0, 1, 0, 1, 1, -5),
+            ]
+        )
         self.assertEqual((0, 4), (len(a), a.refused))
 
     def test_balances_that_do_not_add_up_are_no_accounts(self) -> None:
@@ -131,26 +144,40 @@
             found = []
             for n in range(3):
                 mine = line_of(heads[n])
-                if (mine.spends(n, 1) if careful else bool(mine.spent.__setitem__(n, mine.spent.get(n, 0) + 1)
-                                                           or sum(mine.spent.values()) <= line)):
-                    found.append(("spends", ((*heads[:n], known(mine), *heads[n + 1:]), left - 1)))
+                if (
+                    mine.spends(n, 1)
+                    if careful
+                    else bool(
+                        mine.spent.__setitem__(n, mine.spent.get(n, 0) + 1)
+                        or sum(mine.spent.values()) <= line
+                    )
+                ):
+                    found.append(("spends", ((*heads[:n], known(mine), *heads[n + 1 :]), left - 1)))
                 for m in range(3):
                     mine = line_of(heads[n])
                     if mine.moves(n, m, 1):
-                        found.append(("moves", ((*heads[:n], known(mine), *heads[n + 1:]), left - 1)))
+                        found.append(("moves", ((*heads[:n], known(mine), *heads[n + 1 :]), left - 1)))
                     theirs = line_of(heads[m])
                     theirs.merge(line_of(heads[n]))
                     if known(theirs) != heads[m]:
-                        found.append(("hears", ((*heads[:m], known(theirs), *heads[m + 1:]), left - 1)))
+                        found.append(("hears", ((*heads[:m], known(theirs), *heads[m + 1 :]), left - 1)))
             return found
 
         def kept(d: Any) -> bool:
             return sum(dict(d["heads"][n][1]).get(n, 0) for n in range(3)) <= line
 
         start = ((), ())
-        result: dict[str, Any] = check_safety(Protocol(
-            name="credit", candidate=False, fields=("heads", "left"), initial=((start,) * 3, steps),
-            transitions=transitions, invariants={"the line holds": kept}), 200_000)
+        result: dict[str, Any] = check_safety(
+            Protocol(
+                name="credit",
+                candidate=False,
+                fields=("heads", "left"),
+                initial=((start,) * 3, steps),
+                transitions=transitions,
+                invariants={"the line holds": kept},
+            ),
+            200_000,
+        )
         return result
 
     def test_no_partition_lets_all_together_pass_the_line(self) -> None:
@@ -195,6 +222,7 @@
     def test_debts_stay_smaller_than_where_the_nearest_is_always_asked(self, seed: int) -> None:
         """Four partners in a row, what one wants at two others; the same wishes for both."""
         from random import Random
+
         near = {(a, b): float(abs(a - b)) for a in range(4) for b in range(4)}
         largest = {}
         for steered in (True, False):
@@ -238,5 +266,10 @@
         for n, size in put:
             cache.filled(str(n), bytes(size))
             self.assertLessEqual(cache.stats()["bytes"], 1000)
-        self.assertTrue(all(cache.get(str(n)) is None for n, size in put if size > 100 and not any(
-            m == n and k <= 100 for m, k in put)))
+        self.assertTrue(
+            all(
+                cache.get(str(n)) is None
+                for n, size in put
+                if size > 100 and not any(m == n and k <= 100 for m, k in put)
+            )
+        )
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -34,9 +34,11 @@
         self.assertEqual(set(), outside)
 
     def test_an_operator_is_told(self) -> None:
-        done = subprocess.run([sys.executable, "-m", "gorsethread", "fleet", "show", "--head", "0", "--site",
-                               "pyproject.toml"], capture_output=True, text=True, timeout=60)
+        done = subprocess.run(
+            [sys.executable, "-m", "gorsethread", "fleet", "show", "--head", "0", "--site", "pyproject.toml"],
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
         self.assertEqual(2, done.returncode)
         self.assertIn("to do: Correct the site file", done.stderr)
-
-
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -20,8 +20,12 @@
 SITE = read_site(Path(__file__).parent.parent / "deploy" / "site.txtpb")
 # Rule: what must happen for its planted break to show.
 SHOWING = {
-    1: "", 2: "", 3: "2 drain shelf-1 for 6", 4: "2 kill shelf-0 for 0.5\n4 kill shelf-2 for 0.5",
-    5: "factor 2", 6: "2 errors shelf-1 by 0.5 for 4",
+    1: "",
+    2: "",
+    3: "2 drain shelf-1 for 6",
+    4: "2 kill shelf-0 for 0.5\n4 kill shelf-2 for 0.5",
+    5: "factor 2",
+    6: "2 errors shelf-1 by 0.5 for 4",
     7: "2 surge volume-1 by 25 for 7\n2 surge volume-3 by 25 for 7",
 }
 
@@ -46,8 +50,9 @@
                 self.good(play(SITE, read_script(script(text))))
 
     def good(self, outcome: Outcome) -> None:
-        self.assertEqual(([], [], []), ([str(b) for b in outcome.verdict.breaks], outcome.as_it_came,
-                                        outcome.defects))
+        self.assertEqual(
+            ([], [], []), ([str(b) for b in outcome.verdict.breaks], outcome.as_it_came, outcome.defects)
+        )
         self.assertGreater(outcome.verdict.counts["honoured"], 300)
 
 
@@ -55,17 +60,27 @@
     def test_one_history_also_in_a_process_with_another_hash_seed(self) -> None:
         text = str(Draw(3, [v.number for v in SITE.volume], [t.name for t in SITE.tenant]).script())
         digests = {play(SITE, read_script(text)).digest}
-        code = ("import sys; from tests.test_faults import *; "
-                "print(play(SITE, read_script(sys.stdin.read())).digest)")
+        code = (
+            "import sys; from tests.test_faults import *; "
+            "print(play(SITE, read_script(sys.stdin.read())).digest)"
+        )
         for seed in ("1", "77"):
-            done = subprocess.run([sys.executable, "-c", code], input=text, capture_output=True, text=True,
-                                  check=True, env={**os.environ, "PYTHONHASHSEED": seed})
+            done = subprocess.run(
+                [sys.executable, "-c", code],
+                input=text,
+                capture_output=True,
+                text=True,
+                check=True,
+                env={**os.environ, "PYTHONHASHSEED": seed},
+            )
             digests.add(done.stdout.strip())
         self.assertEqual(1, len(digests))
 
     def test_another_seed_is_another_history(self) -> None:
-        self.assertNotEqual(play(SITE, read_script("seed 1\nseconds 3\n")).digest,
-                            play(SITE, read_script("seed 2\nseconds 3\n")).digest)
+        self.assertNotEqual(
+            play(SITE, read_script("seed 1\nseconds 3\n")).digest,
+            play(SITE, read_script("seed 2\nseconds 3\n")).digest,
+        )
 
 
 class Many(unittest.TestCase):
@@ -102,8 +117,10 @@
 
     def test_each_bad_line_is_named(self) -> None:
         with self.assertRaises(BadScript) as caught:
-            read_script("seed 1\nseed -2\n1 kill head-0\n2 kill room-1 for 2\n3 cut head-0 shelf-1 for 1\n"
-                        "x kill head-0 for 1\n4 slow shelf-0 by 2 for 3 more\n")
+            read_script(
+                "seed 1\nseed -2\n1 kill head-0\n2 kill room-1 for 2\n3 cut head-0 shelf-1 for 1\n"
+                "x kill head-0 for 1\n4 slow shelf-0 by 2 for 3 more\n"
+            )
         lines = [int(fault.split(":")[0].split()[1]) for fault in caught.exception.faults]
         self.assertEqual([2, 3, 4, 5, 6, 7], lines)
         with self.assertRaises(BadScript) as caught:
@@ -111,8 +128,10 @@
         self.assertIn("there is no head 1", caught.exception.faults[0])
 
     def test_what_the_site_lacks_is_named(self) -> None:
-        text = ("volumes 1 99\n1 surge volume-77 by 2 for 1\n1 cut room-9 -> list for 1\n"
-                "1 cut head-0 -> client-x for 1")
+        text = (
+            "volumes 1 99\n1 surge volume-77 by 2 for 1\n1 cut room-9 -> list for 1\n"
+            "1 cut head-0 -> client-x for 1"
+        )
         self.assertEqual(4, len(misfits(SITE, read_script(text))))
         self.assertEqual([], misfits(SITE, read_script("volumes 1 2\n1 cut room-1 -> client-archive for 1")))
 
@@ -128,12 +147,17 @@
 
     def times(self, world: World, event: str, **facts: Any) -> list[float]:
         """When it was seen, in the script's seconds."""
-        return [r["t"] - world.zero for r in world.records
-                if r["e"] == event and all(r.get(k) == v for k, v in facts.items())]
+        return [
+            r["t"] - world.zero
+            for r in world.records
+            if r["e"] == event and all(r.get(k) == v for k, v in facts.items())
+        ]
 
     def test_a_drain_whose_news_is_lost_just_then(self) -> None:
-        world = self.kept("2 drain shelf-1 for 4\n2.01 reset head-0 -> list\n2.02 reset head-1 -> list\n"
-                          "2.03 reset head-2 -> list")
+        world = self.kept(
+            "2 drain shelf-1 for 4\n2.01 reset head-0 -> list\n2.02 reset head-1 -> list\n"
+            "2.03 reset head-2 -> list"
+        )
         for head in range(3):
             told = self.times(world, "told", head=head, shelf=1, state="draining")
             self.assertGreater(told[0], 2.03, "by the connection made anew")
@@ -142,17 +166,26 @@
         world = self.kept("factor 2\n3.6 slow shelf-0 by 60 for 3\n4 kill shelf-0 for 1")
         ended = {(r["label"], r["attempt"]) for r in world.records if r["e"] == "ended"}
         posts = {(r["label"], r["attempt"]) for r in world.records if r["e"] == "sent" and r["profile"] == 2}
-        died = [r for r in world.records if r["e"] == "arrived" and r["shelf"] == 0
-                and (r["label"], r["attempt"]) in posts - ended]
+        died = [
+            r
+            for r in world.records
+            if r["e"] == "arrived" and r["shelf"] == 0 and (r["label"], r["attempt"]) in posts - ended
+        ]
         self.assertTrue(died, "an irreversible transaction died with the shelf")
-        hows = {r["how"] for r in world.records if r["e"] == "answer"
-                and (r["label"], r["attempt"]) in {(d["label"], d["attempt"]) for d in died}}
+        hows = {
+            r["how"]
+            for r in world.records
+            if r["e"] == "answer" and (r["label"], r["attempt"]) in {(d["label"], d["attempt"]) for d in died}
+        }
         self.assertEqual({"given up"}, hows)
 
     def test_answers_lost_one_way(self) -> None:
         world = self.kept("2 cut shelf-0 -> head-0 for 3")
-        sent = {(r["label"], r["attempt"]) for r in world.records if r["e"] == "arrived" and r["shelf"] == 0
-                and r["head"] == 0 and 2.0 < r["t"] - world.zero < 3.0}
+        sent = {
+            (r["label"], r["attempt"])
+            for r in world.records
+            if r["e"] == "arrived" and r["shelf"] == 0 and r["head"] == 0 and 2.0 < r["t"] - world.zero < 3.0
+        }
         hows = {r["how"] for r in world.records if r["e"] == "answer" and (r["label"], r["attempt"]) in sent}
         self.assertIn("given up", hows, "what the shelf did, the head could not know")
 
@@ -165,21 +198,32 @@
     def test_a_head_killed_with_an_answer_in_hand(self) -> None:
         world = self.kept("2 stab head-0 -> point-ended by 9 for 1")
         self.assertEqual(1, len(self.times(world, "head killed")))
-        answered = {(r["label"], r["attempt"]) for r in world.records if r["e"] == "answer"
-                    and r["how"] == "honoured"}
+        answered = {
+            (r["label"], r["attempt"]) for r in world.records if r["e"] == "answer" and r["how"] == "honoured"
+        }
         killed = self.times(world, "head killed")[0]
-        unheard = [r for r in world.records if r["e"] == "ended" and r["how"] == "honoured" and r["head"] == 0
-                   and killed - 0.01 < r["t"] - world.zero <= killed
-                   and (r["label"], r["attempt"]) not in answered]
+        unheard = [
+            r
+            for r in world.records
+            if r["e"] == "ended"
+            and r["how"] == "honoured"
+            and r["head"] == 0
+            and killed - 0.01 < r["t"] - world.zero <= killed
+            and (r["label"], r["attempt"]) not in answered
+        ]
         self.assertTrue(unheard, "the shelf had honoured it, and the client never heard")
 
     def test_a_repeat_that_overtakes_the_end_of_the_first_try(self) -> None:
-        world = self.kept("".join(f"2.5 slow shelf-{n} by 60 for 3\n" for n in range(6))
-                          + "".join(f"3 reset client-{t.name} -> head-{n}\n" for t in SITE.tenant
-                                    for n in range(3)))
+        world = self.kept(
+            "".join(f"2.5 slow shelf-{n} by 60 for 3\n" for n in range(6))
+            + "".join(f"3 reset client-{t.name} -> head-{n}\n" for t in SITE.tenant for n in range(3))
+        )
         ends = {(r["label"], r["attempt"]): r["t"] for r in world.records if r["e"] == "ended"}
-        overtaken = [r["label"] for r in world.records if r["e"] == "arrived" and r["attempt"] == 1
-                     and r["t"] < ends.get((r["label"], 0), 0.0)]
+        overtaken = [
+            r["label"]
+            for r in world.records
+            if r["e"] == "arrived" and r["attempt"] == 1 and r["t"] < ends.get((r["label"], 0), 0.0)
+        ]
         self.assertTrue(overtaken)
 
     def test_two_starts_within_a_cold_ramp(self) -> None:
@@ -200,11 +244,17 @@
         world = self.kept("2 wall head-0 by -30\n4 wall head-0 by 60\n5 wall head-1 by -0.5")
         counted = 0
         for name in world.day.names(ACCOUNTS):
-            counted += sum(row.lives for row in decode(world.day.load(f"{ACCOUNTS}/{name}") or b"",
-                                                       world.site.name).all_rows())
+            counted += sum(
+                row.lives
+                for row in decode(world.day.load(f"{ACCOUNTS}/{name}") or b"", world.site.name).all_rows()
+            )
         closed = sum(h.driver.counts["taken"] for h in world.heads.values())
-        still_open = sum(row.lives for h in world.heads.values() if h.book
-                         for row in h.book.accounts.close_window(h.transport.now()).all_rows())
+        still_open = sum(
+            row.lives
+            for h in world.heads.values()
+            if h.book
+            for row in h.book.accounts.close_window(h.transport.now()).all_rows()
+        )
         self.assertEqual(closed, counted + still_open)
 
     def test_a_list_that_comes_back_knowing_nobody(self) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -39,11 +39,13 @@
 class Real(unittest.IsolatedAsyncioTestCase):
     async def test_processes_under_faults_come_to_one_view(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
-            fleet = RealFleet(RealTransport(3), Processes(Path(folder), pb.Site()), read_script(SCRIPT),
-                              lambda line: None)
+            fleet = RealFleet(
+                RealTransport(3), Processes(Path(folder), pb.Site()), read_script(SCRIPT), lambda line: None
+            )
             result = await fleet.play()
-        self.assertEqual((True, 0, 0, []), (result.settled, result.false_deaths, result.missed_deaths,
-                                            result.reasons))
+        self.assertEqual(
+            (True, 0, 0, []), (result.settled, result.false_deaths, result.missed_deaths, result.reasons)
+        )
         self.assertEqual(3, len(result.settle_seconds))
         self.assertLess(result.bytes_a_head_a_second, 1500)
 
@@ -71,20 +73,31 @@
             processes = Processes(Path(folder), site)
 
             async def start(number: int) -> None:
-                await processes.start(f"head {number}", "head", "--site", str(processes.site_path), "--head",
-                                      str(number), "--log", "json")
+                await processes.start(
+                    f"head {number}",
+                    "head",
+                    "--site",
+                    str(processes.site_path),
+                    "--head",
+                    str(number),
+                    "--log",
+                    "json",
+                )
 
             try:
                 await asyncio.gather(*(start(n) for n in range(4)))
                 before = await until(0, lambda s: states(s) == [State.ALIVE] * 4 and "settled" in s.own)
                 await processes.end("head 1", signal.SIGKILL)
                 await start(1)
-                again = await until(0, lambda s: s.words[1].life > before.words[1].life
-                                    and s.words[1].state == State.ALIVE)
+                again = await until(
+                    0, lambda s: s.words[1].life > before.words[1].life and s.words[1].state == State.ALIVE
+                )
                 await processes.end("head 2")
                 for head in (0, 3):
-                    await until(head, lambda s: s.words[2].state == State.LEFT
-                                and s.words[1].life == again.words[1].life)
+                    await until(
+                        head,
+                        lambda s: s.words[2].state == State.LEFT and s.words[1].life == again.words[1].life,
+                    )
                 await processes.end("head 3", signal.SIGKILL)
                 await until(0, lambda s: s.words[3].state == State.DEAD)
             finally:
@@ -94,8 +107,9 @@
     async def test_the_judge_sees_a_fleet_that_never_comes_together(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             transport = RealTransport(3)
-            fleet = RealFleet(transport, Processes(Path(folder), pb.Site()), read_script("heads 2\n"),
-                              lambda line: None)
+            fleet = RealFleet(
+                transport, Processes(Path(folder), pb.Site()), read_script("heads 2\n"), lambda line: None
+            )
             fleet.cast.faults.cut([("head 0", "head 1"), ("head 1", "head 0")], 0.0)
             await asyncio.gather(*(fleet._start(f"head {n}") for n in range(2)))
             await fleet._settle(6.0, "a cut that stays")
@@ -108,16 +122,19 @@
     def test_scripts_and_addresses_that_cant_be_used(self) -> None:
         foreign = read_script("1 slow shelf-0 by 2 for 1\n2 starve head-0 by 1 for 1\n")
         self.assertEqual(2, len(unplayable(foreign, PLAYED, PARTIES)))
-        for arguments, said in ((("fleet", "show", "--head", "nowhere"), "no host:port"),
-                                (("fleet", "show", "--head", "127.0.0.1:9"), "no answer"),
-                                (("fleet", "history", "--head", "127.0.0.1:9"), "no answer"),
-                                (("fleet", "watch", "--head", "127.0.0.1:9", "--every", "0"), "0.1 or more"),
-                                (("fleet", "show", "--head", "9", "--site", "deploy/site.txtpb"), "no head"),
-                                (("fleet", "show", "--head", "0", "--site", "/nowhere"), "can't be read"),
-                                (("lab", "fleet", "--processes", "1"), "2 or more"),
-                                (("lab", "fleet", "--script", "/nowhere"), "No such file")):
-            done = subprocess.run([sys.executable, "-m", "gorsethread", *arguments], capture_output=True,
-                                  text=True, timeout=60)
+        for arguments, said in (
+            (("fleet", "show", "--head", "nowhere"), "no host:port"),
+            (("fleet", "show", "--head", "127.0.0.1:9"), "no answer"),
+            (("fleet", "history", "--head", "127.0.0.1:9"), "no answer"),
+            (("fleet", "watch", "--head", "127.0.0.1:9", "--every", "0"), "0.1 or more"),
+            (("fleet", "show", "--head", "9", "--site", "deploy/site.txtpb"), "no head"),
+            (("fleet", "show", "--head", "0", "--site", "/nowhere"), "can't be read"),
+            (("lab", "fleet", "--processes", "1"), "2 or more"),
+            (("lab", "fleet", "--script", "/nowhere"), "No such file"),
+        ):
+            done = subprocess.run(
+                [sys.executable, "-m", "gorsethread", *arguments], capture_output=True, text=True, timeout=60
+            )
             self.assertEqual((2, True), (done.returncode, said in done.stderr), done.stderr)
 
 
@@ -130,8 +147,15 @@
         addresses = [("127.0.0.1", 100 + n) for n in range(3)]
         for n in range(3):
             process = VirtualTransport(network, Disk(), f"head {n}")
-            side = FleetSide(process, Word(n, 0, 0, State.ALIVE, 0, 0, *addresses[n], n), addresses[n],
-                             tuple(addresses), frozenset(addresses), FLEET, log_for())
+            side = FleetSide(
+                process,
+                Word(n, 0, 0, State.ALIVE, 0, 0, *addresses[n], n),
+                addresses[n],
+                tuple(addresses),
+                frozenset(addresses),
+                FLEET,
+                log_for(),
+            )
             side.start()
             sides.append(side)
         stranger = VirtualTransport(network, Disk(), "stranger")
@@ -155,6 +179,8 @@
         loop.run_until_complete(last)
         self.assertEqual([State.LEFT] * 2, [side.view.words[2].state for side in sides[:2]])
         past = loop.run_until_complete(ask_past(stranger, addresses[0], FLEET))
-        self.assertEqual([(c.word, round(sides[0].transport.now() - c.at)) for c in sides[0].view.history],
-                         [(word, round(age)) for age, word in past])
+        self.assertEqual(
+            [(c.word, round(sides[0].transport.now() - c.at)) for c in sides[0].view.history],
+            [(word, round(age)) for age, word in past],
+        )
         self.assertEqual((2, State.LEFT), (past[-1][1].name, past[-1][1].state))
--- a/tests/test_harness.py
+++ b/tests/test_harness.py
@@ -110,8 +110,14 @@
 
         async def work() -> Comeback:
             with tempfile.TemporaryDirectory() as folder:
-                trial = Comeback(RealTransport(4), Processes(Path(folder), SITE), SITE, log_for(),
-                                 read_script(script), plant)
+                trial = Comeback(
+                    RealTransport(4),
+                    Processes(Path(folder), SITE),
+                    SITE,
+                    log_for(),
+                    read_script(script),
+                    plant,
+                )
                 await trial.play()
                 return trial
 
@@ -280,8 +286,10 @@
 
 class Scripts(unittest.TestCase):
     def test_what_a_scene_cant_play_is_named(self) -> None:
-        script = read_script("1 kill head-0 for 1\n2 slow shelf-0 by 2 for 1\n3 pause list for 1\n"
-                             "4 cut client-archive <-> head-1 for 1\n")
+        script = read_script(
+            "1 kill head-0 for 1\n2 slow shelf-0 by 2 for 1\n3 pause list for 1\n"
+            "4 cut client-archive <-> head-1 for 1\n"
+        )
         self.assertEqual(3, len(unplayable(script, PLAYED, ("head", "shelf", "room"))))
         self.assertEqual([], unplayable(read_script(COMEBACK), PLAYED, PARTIES))
 
--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -343,7 +343,7 @@
         head = self.heads[0].server
         await self.until(lambda: any(5 in c.open for c in head.connections))
         for at in range(len(pdu)):
-            stream.write(pdu[at:at + 1])
+            stream.write(pdu[at : at + 1])
             if at % 64 == 0:
                 await stream.drained()
         await self.until(lambda: any(r["e"] == "ran" and r["label"] == 77 for r in self.seen))
@@ -352,8 +352,9 @@
 
 
 def _gone(address: str) -> bytes:
-    return (b'{"number":0,"address":"%s","shard":0,"zone":0,"state":"gone","start":1,"age":0}'
-            % address.encode())
+    return (
+        b'{"number":0,"address":"%s","shard":0,"zone":0,"state":"gone","start":1,"age":0}' % address.encode()
+    )
 
 
 class _Deaf:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -11,8 +11,10 @@
 from gorsethread.http1.bounds import MOST_BODY, MOST_HELD, Spoilt, Unreadable
 from gorsethread.http1.serving import Request, Serving, last_words
 
-PUT = (b"PUT /checkout/7f3a9c21e0b4d655?x=1 HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: 9b1f03aa5c7e2d41\r\n"
-       b"Content-Length: 5\r\n\r\nhello")
+PUT = (
+    b"PUT /checkout/7f3a9c21e0b4d655?x=1 HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: 9b1f03aa5c7e2d41\r\n"
+    b"Content-Length: 5\r\n\r\nhello"
+)
 GET = b"GET /read/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: origin.svc\r\n\r\n"
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nOther-Hosts: 3\r\n\r\ndata"
 
@@ -65,12 +67,17 @@
 
     def test_lengths_that_can_be_read_in_two_ways(self) -> None:
         line = b"PUT /a/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: a\r\n"
-        for lengths in (b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
-                        b"Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
-                        b"Content-Length: 5\r\nContent-Length: 5\r\n",
-                        b"Content-Length: 5\r\nContent-Length: 6\r\n",
-                        b"Content-Length: 5, 5\r\n", b"Content-Length: -5\r\n", b"Content-Length: +5\r\n",
-                        b"Content-Length: 5x\r\n", b"Content-Length: 99999999999999999999999\r\n"):
+        for lengths in (
+            b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+            b"Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+            b"Content-Length: 5\r\nContent-Length: 5\r\n",
+            b"Content-Length: 5\r\nContent-Length: 6\r\n",
+            b"Content-Length: 5, 5\r\n",
+            b"Content-Length: -5\r\n",
+            b"Content-Length: +5\r\n",
+            b"Content-Length: 5x\r\n",
+            b"Content-Length: 99999999999999999999999\r\n",
+        ):
             with self.subTest(lengths=lengths):
                 self.refused(line + lengths + b"\r\nhello", 400)
 
@@ -141,8 +148,14 @@
 
     def test_an_answer_of_hundreds_of_kilobytes_is_whole(self) -> None:
         body, asking = bytes(range(256)) * 1600, self.asked()
-        found = [a for piece in pieces(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body,
-                                       list(range(0, 400_000, 65_536))) if (a := asking.feed(piece))]
+        found = [
+            a
+            for piece in pieces(
+                b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body,
+                list(range(0, 400_000, 65_536)),
+            )
+            if (a := asking.feed(piece))
+        ]
         self.assertEqual([body], [a.body for a in found])
 
     def test_bytes_that_nobody_asked_for(self) -> None:
@@ -152,13 +165,17 @@
             asking.feed(b"H")
 
     def test_answers_that_are_none(self) -> None:
-        for data in (b"\xff\xfe noise \r\n\r\n", b"HTTP/1.1 200 OK\r\nX: " + b"y" * 40_000,
-                     b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxx",
-                     b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", b"HTTP/1.1 200 OK\r\n\r\nto the end",
-                     b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
-                     b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\nxx",
-                     b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffff0\r\n" + b"x" * 2_200_000,
-                     b"HTTP/1.1 102 Processing\r\n\r\n" * 20):
+        for data in (
+            b"\xff\xfe noise \r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nX: " + b"y" * 40_000,
+            b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxx",
+            b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\n\r\nto the end",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\nxx",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffff0\r\n" + b"x" * 2_200_000,
+            b"HTTP/1.1 102 Processing\r\n\r\n" * 20,
+        ):
             with self.subTest(data=data[:60]):
                 self.spoilt(data)
 
--- a/tests/test_idle_shelves.py
+++ b/tests/test_idle_shelves.py
@@ -47,9 +47,21 @@
         sys.setprofile(seen)
         try:
             for n in range(100):
-                driver.take(Deaf(), Order(io_command(Opcode.READ, 1)), profile=0, plan=0, key=None,
-                            cut_off=clock.time + 1.0, volume=1, place=(1, n % 2), units=1.0, shard=n % 2,
-                            heads=1, repeat=False, arrived=clock.time)
+                driver.take(
+                    Deaf(),
+                    Order(io_command(Opcode.READ, 1)),
+                    profile=0,
+                    plan=0,
+                    key=None,
+                    cut_off=clock.time + 1.0,
+                    volume=1,
+                    place=(1, n % 2),
+                    units=1.0,
+                    shard=n % 2,
+                    heads=1,
+                    repeat=False,
+                    arrived=clock.time,
+                )
                 clock.move(clock.time + 0.001)
                 f = links[n % 2].held.pop()
                 f.over = True
--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -36,13 +36,16 @@
 KILLED = "seed 4\nseconds 8\n3 kill head-0 for 0.5\n4.5 kill head-0 for 0.5\n"
 WIPED = "seed 4\nseconds 8\n3 wipe head-0 for 0.5\n"
 # One that lost its disk reaches, of two holders, just the one that was cut off and has not all.
-ONE_OF_TWO = ("seed 4\nseconds 9\n0.5 cut head-0 <-> head-1 for 2.7\n3 wipe head-0 for 0.5\n"
-              "3 cut head-0 <-> head-2 for 4\n")
+ONE_OF_TWO = (
+    "seed 4\nseconds 9\n0.5 cut head-0 <-> head-1 for 2.7\n3 wipe head-0 for 0.5\n"
+    "3 cut head-0 <-> head-2 for 4\n"
+)
 # A script whose world shows each planted defect.
 SHOWN = {
     "records: nothing is kept of what is placed": KILLED,
-    "records: what a disk does not take is told as kept": "seed 4\nseconds 9\n" + "".join(
-        f"{1 + 0.6 * n:.1f} disk head-0 for 0.2\n" for n in range(6)) + "4.7 kill head-0 for 0.5\n",
+    "records: what a disk does not take is told as kept": "seed 4\nseconds 9\n"
+    + "".join(f"{1 + 0.6 * n:.1f} disk head-0 for 0.2\n" for n in range(6))
+    + "4.7 kill head-0 for 0.5\n",
     "records: half of a folder is read": KILLED,
     "records: rotten bytes are not noticed": "seed 4\nseconds 8\n3 rot head-0 for 0.5\n",
     "return: a life's numbers are given again": KILLED,
@@ -50,12 +53,12 @@
     "return: an empty disk is a first start": f"{WIPED}3 kill head-1 for 4\n3 kill head-2 for 4\n",
     "return: one answer is enough": ONE_OF_TWO,
     "return: later records of others are not fetched": WIPED,
-    "return: what is not known is held for nowhere at once":
-        f"{WIPED}3 cut head-0 <-> head-1 for 3\n3 cut head-0 <-> head-2 for 3\n",
+    "return: what is not known is held for nowhere at once": f"{WIPED}3 cut head-0 <-> head-1 for 3\n"
+    "3 cut head-0 <-> head-2 for 3\n",
     "copies: a holder says so before its disk has it": WIPED,
     "copies: what is on its way counts as held": WIPED,
-    "copies: a holder keeps the first of each piece":
-        "seed 4\nseconds 10\n1.5 wipe head-1 for 0.3\n3 wipe head-2 for 0.3\n5 wipe head-0 for 0.5\n",
+    "copies: a holder keeps the first of each piece": "seed 4\nseconds 10\n1.5 wipe head-1 for 0.3\n"
+    "3 wipe head-2 for 0.3\n5 wipe head-0 for 0.5\n",
     "copies: given back without the last": WIPED,
     "driver: sends before it is kept": KILLED,
 }
@@ -147,8 +150,11 @@
             outcome = w.play()
             self.assertTrue(outcome.good, (outcome.reasons, outcome.defects))
             volumes = {r["label"]: r["volume"] for r in outcome.records if r["e"] == "sent"}
-            return Counter(volumes[r["label"]] == 4 for r in outcome.records
-                           if r["e"] == "answer" and r["how"] == "pushed back")
+            return Counter(
+                volumes[r["label"]] == 4
+                for r in outcome.records
+                if r["e"] == "answer" and r["how"] == "pushed back"
+            )
 
         plain = pushed_back("")
         for acts in ("2 disk head-0 for 3\n", "2 lag head-0 by 0.8 for 3\n"):
@@ -186,12 +192,17 @@
 
 class Talk(unittest.TestCase):
     def test_pieces_of_any_size_make_the_same_messages(self) -> None:
-        messages = [talk.Hello(1, 2, 3), talk.Have(3, (1, 2)), talk.Holds((4, 5)), talk.Failed(),
-                    talk.Put(3, False, talk.entries([Record((1, 1), Placed(1, 2, 3))]), (1, 1))]
+        messages = [
+            talk.Hello(1, 2, 3),
+            talk.Have(3, (1, 2)),
+            talk.Holds((4, 5)),
+            talk.Failed(),
+            talk.Put(3, False, talk.entries([Record((1, 1), Placed(1, 2, 3))]), (1, 1)),
+        ]
         data = b"".join(talk.said(m) for m in messages)
         for size in (1, 3, 7, len(data)):
             reader = talk.Reader()
-            got = [m for at in range(0, len(data), size) for m in reader.take(data[at:at + size])]
+            got = [m for at in range(0, len(data), size) for m in reader.take(data[at : at + size])]
             self.assertEqual(messages, got)
 
     def test_what_is_no_message_is_refused(self) -> None:
@@ -227,15 +238,19 @@
 
     def test_show_verify_export(self) -> None:
         status, text = self.run_it("show", str(self.folder), "--json", "-")
-        shown = json.loads(text[text.index("{"):])["records"]
-        self.assertEqual([("copies/head-2", 8, True), ("own-0", 8, True)],
-                         [(r["what"], r["extents"], r["whole"]) for r in shown])
+        shown = json.loads(text[text.index("{") :])["records"]
+        self.assertEqual(
+            [("copies/head-2", 8, True), ("own-0", 8, True)],
+            [(r["what"], r["extents"], r["whole"]) for r in shown],
+        )
         self.assertEqual(0, self.run_it("verify", str(self.folder))[0])
         status, text = self.run_it("export", str(self.folder))
         lines = [json.loads(line) for line in text.splitlines() if line.startswith("{")]
         self.assertEqual((0, 16), (status, len(lines)))
-        self.assertEqual({"of": "own-0", "life": 1000, "place": 1, "says": "placed", "volume": 4, "extent": 1,
-                          "shard": 1}, lines[8])
+        self.assertEqual(
+            {"of": "own-0", "life": 1000, "place": 1, "says": "placed", "volume": 4, "extent": 1, "shard": 1},
+            lines[8],
+        )
 
     def test_rot_is_named_by_file_and_bytes_and_nothing_is_changed(self) -> None:
         (path,) = (self.folder / "own-0").glob("*.seg")
@@ -259,17 +274,20 @@
     def test_a_head_whose_folder_is_in_use_or_anothers_says_what_to_do(self) -> None:
         (self.folder / "own-0").rename(self.folder / "own-1")
         words = ["head", "--site", str(PATH), "--head", "1", "--records", str(self.folder), "--log", "json"]
-        done = subprocess.run([sys.executable, "-m", "gorsethread", *words], capture_output=True, text=True,
-                              timeout=60)
+        done = subprocess.run(
+            [sys.executable, "-m", "gorsethread", *words], capture_output=True, text=True, timeout=60
+        )
         self.assertEqual(2, done.returncode, done.stderr)
         self.assertIn("written by head 0", done.stderr)
         self.assertIn("Give each head the folder that it had before", done.stderr)
 
     def test_what_a_site_says_of_records_is_checked(self) -> None:
         text = PATH.read_text()
-        for change, says in ((("held_by: 1", "held_by: 3"), "records.held_by"),
-                             (("copies: 2", "copies: 3"), "records.copies"),
-                             ((' peers: "127.0.0.1:4522"', ""), "head[2].peers")):
+        for change, says in (
+            (("held_by: 1", "held_by: 3"), "records.held_by"),
+            (("copies: 2", "copies: 3"), "records.copies"),
+            ((' peers: "127.0.0.1:4522"', ""), "head[2].peers"),
+        ):
             with self.subTest(says), self.assertRaises(Exception) as caught:
                 parse_site(text.replace(*change))
             self.assertIn(says, str(caught.exception))
@@ -277,10 +295,12 @@
 
 class Lean(unittest.TestCase):
     def test_run_loads_nothing_of_it(self) -> None:
-        code = ("import sys, gorsethread.platform.program\n"
-                "print([m for m in sys.modules if m.startswith(('gorsethread.records', 'google_crc32c',"
-                " 'gorsethread.returning', 'concurrent.futures.thread', 'gorsethread.head.promises',"
-                " 'gorsethread.branch', 'gorsethread.head.branching', 'gorsethread.head.landing'))])")
+        code = (
+            "import sys, gorsethread.platform.program\n"
+            "print([m for m in sys.modules if m.startswith(('gorsethread.records', 'google_crc32c',"
+            " 'gorsethread.returning', 'concurrent.futures.thread', 'gorsethread.head.promises',"
+            " 'gorsethread.branch', 'gorsethread.head.branching', 'gorsethread.head.landing'))])"
+        )
         done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60)
         self.assertEqual("[]", done.stdout.strip(), done.stderr)
 
@@ -292,8 +312,9 @@
 
         async def work() -> Result:
             with tempfile.TemporaryDirectory() as folder:
-                trial = KeptTrial(RealTransport(3), Processes(Path(folder), SITE), SITE, log_for(),
-                                  read_script(text), plant)
+                trial = KeptTrial(
+                    RealTransport(3), Processes(Path(folder), SITE), SITE, log_for(), read_script(text), plant
+                )
                 found = await trial.play()
                 assert isinstance(found, Result)
                 return found
@@ -316,7 +337,10 @@
         self.assertGreater(r.placed, 10)
 
     def test_the_judge_sees_heads_that_ask_nobody(self) -> None:
-        r = self.played(LOSSES, "from gorsethread.returning.stages import Return\n"
-                                "Return.alone = property(lambda r: True, lambda r, given: None)\n"
-                                "Return.wanted = lambda r: []\n")
+        r = self.played(
+            LOSSES,
+            "from gorsethread.returning.stages import Return\n"
+            "Return.alone = property(lambda r: True, lambda r, given: None)\n"
+            "Return.wanted = lambda r: []\n",
+        )
         self.assertGreater(r.denied, 0)
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -25,8 +25,13 @@
         (root / "pyproject.toml").write_text('[tool.pytest.ini_options]\ntestpaths = ["tests"]\n')
         if listed is not None:
             (root / "KNOWN-RED.txt").write_text(listed)
-        return subprocess.run([sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider"], cwd=root,
-                              capture_output=True, text=True, timeout=60)
+        return subprocess.run(
+            [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider"],
+            cwd=root,
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
 
     def line(self, test: str) -> str:
         return f"tests/test_suite.py::{test} | a fault of ours | issue 1\n"
@@ -53,8 +58,11 @@
         self.assertIn("XPASS(strict)", done.stdout)
 
     def test_a_line_that_names_no_test_or_not_three_things_fails_the_run(self) -> None:
-        for listed, said in ((self.line("test_gone"), "names no test"), ("test_bad\n", "not 'test | cause"),
-                             ("a | | b\n", "not 'test | cause")):
+        for listed, said in (
+            (self.line("test_gone"), "names no test"),
+            ("test_bad\n", "not 'test | cause"),
+            ("a | | b\n", "not 'test | cause"),
+        ):
             done = self.run_with(listed)
             self.assertNotIn(done.returncode, (0, 1, 5))
             self.assertIn(said, done.stdout + done.stderr)
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -95,8 +95,10 @@
 
     def test_it_is_worth_more_than_even_parts(self) -> None:
         day = {"heads": 60, "shelves": 20, "restarted": 0.0, "lost": 0.0}
-        lent, even = (sum(played(policy, seed=seed, **day).served for seed in (1, 2)) / 2
-                      for policy in (Policy, EvenParts))
+        lent, even = (
+            sum(played(policy, seed=seed, **day).served for seed in (1, 2)) / 2
+            for policy in (Policy, EvenParts)
+        )
         self.assertGreater(lent, even + 0.04)
 
     def test_where_no_message_comes_nothing_breaks(self) -> None:
@@ -118,8 +120,9 @@
     async def trial(self, plant: str, units: float) -> Result:
         site = read_site(Path(__file__).parent.parent / "deploy" / "site.txtpb")
         with tempfile.TemporaryDirectory() as folder:
-            trial = Trial(RealTransport(1), Processes(Path(folder), site), site, log_for(),
-                          script_of(), plant)
+            trial = Trial(
+                RealTransport(1), Processes(Path(folder), site), site, log_for(), script_of(), plant
+            )
             trial.jitter = 0.6  # so a machine at work elsewhere gives the same verdict
             trial.site.rules.cold.units = units * trial.script.heads
             return await trial.play()
@@ -135,9 +138,12 @@
     def test_a_home_that_forgets_is_seen_from_the_shelves(self) -> None:
         # A third of what the honest ones get: load is then several times what is borne, also where a busy
         # machine slows it, and what is beyond does not hang on how forwards fell.
-        found = self.played("from gorsethread.policy import Policy\nold = Policy.__init__\n"
-                            "def begin(self, *given):\n    old(self, *given)\n"
-                            "    self.lent_kept = 0.0\nPolicy.__init__ = begin", LENT_UNITS / 3)
+        found = self.played(
+            "from gorsethread.policy import Policy\nold = Policy.__init__\n"
+            "def begin(self, *given):\n    old(self, *given)\n"
+            "    self.lent_kept = 0.0\nPolicy.__init__ = begin",
+            LENT_UNITS / 3,
+        )
         self.assertGreater(found.beyond, 0)
 
 
@@ -184,8 +190,15 @@
 
     def check(self, plant: Callable[[Policy], None] = lambda policy: None, ends: int = 5) -> dict[str, Any]:
         profile = Profile(self.LENT_FOR / 0.4, Effect.REDOABLE, Group.ALL, 5.0, False, 1.0)
-        facts = StartFacts(**{**FACTS, "profiles": (profile,), "heads": 3, "may_tell": True,
-                              "cold": ColdRule(1.0, float(self.SPAN), 1e9, 1.0)})
+        facts = StartFacts(
+            **{
+                **FACTS,
+                "profiles": (profile,),
+                "heads": 3,
+                "may_tell": True,
+                "cold": ColdRule(1.0, float(self.SPAN), 1e9, 1.0),
+            }
+        )
         host = PrintingHost()
         told: list[str] = []
         host.tell = lambda head, words: told.append(words)  # type: ignore[attr-defined]
@@ -215,8 +228,9 @@
             now, born, ledger, held, messages, sends = state
             found = []
 
-            def put(what: str, n: int, new: tuple[Any, ...], more: frozenset[Any],
-                    sent: tuple[int, ...]) -> None:
+            def put(
+                what: str, n: int, new: tuple[Any, ...], more: frozenset[Any], sent: tuple[int, ...]
+            ) -> None:
                 both = tuple(new if n == askers[k] else held[k] for k in range(2))
                 # Numbers never come again: what belongs to an earlier asking of this head is heard no more.
                 of_use = frozenset((m, w) for m, w in more if m != n or w.split()[2] == new[2])
@@ -254,11 +268,17 @@
                         put("is lent", n, kept(n, held[k][0]), messages, sends)
             return found
 
-        result: dict[str, Any] = check_safety(Protocol(
-            name="lending", candidate=False,
-            fields=("now", "born", "ledger", "held", "messages", "sends"),
-            initial=(0, -100, (), (FRESH, FRESH), frozenset(), ()), transitions=transitions,
-            invariants={"no more than is borne": lambda d: len(d["sends"]) <= 1}), STATES_MOST)
+        result: dict[str, Any] = check_safety(
+            Protocol(
+                name="lending",
+                candidate=False,
+                fields=("now", "born", "ledger", "held", "messages", "sends"),
+                initial=(0, -100, (), (FRESH, FRESH), frozenset(), ()),
+                transitions=transitions,
+                invariants={"no more than is borne": lambda d: len(d["sends"]) <= 1},
+            ),
+            STATES_MOST,
+        )
         return result
 
     def test_no_order_of_events_sends_more_than_is_borne(self) -> None:
@@ -384,16 +404,24 @@
         self.end()
         self.assertEqual(([], [(1, 0)]), (self.told, list(self.host.sent)))
 
-    @given(st.text(max_size=60) | st.lists(st.sampled_from(
-        ["ask", "lent", "1", "-1", "nan", "inf", "1e400", "2", "0", "-3", "9" * 30, "1.5", "x/y"]),
-        max_size=7).map(" ".join))
+    @given(
+        st.text(max_size=60)
+        | st.lists(
+            st.sampled_from(
+                ["ask", "lent", "1", "-1", "nan", "inf", "1e400", "2", "0", "-3", "9" * 30, "1.5", "x/y"]
+            ),
+            max_size=7,
+        ).map(" ".join)
+    )
     def test_words_of_any_kind_break_nothing(self, words: str) -> None:
         if not hasattr(self, "policy"):
             self.begin(Policy._home(self.made(), 1))
         self.policy.peer_told(5, words)
         self.policy.batch_ended()
-        self.assertLessEqual(sum(units for log in self.policy.lent.values() for _, units in log),
-                             9.0 * max(1, len(self.policy.lent)) / 0.19)
+        self.assertLessEqual(
+            sum(units for log in self.policy.lent.values() for _, units in log),
+            9.0 * max(1, len(self.policy.lent)) / 0.19,
+        )
         self.policy.lent.clear()
 
 
@@ -404,8 +432,16 @@
         network = Network(loop, 5, Weather())
         addresses = tuple((f"head{n}", 7946) for n in range(3))
         heard: list[tuple[int, str]] = []
-        made = [Messages(VirtualTransport(network, Disk(), f"head {n}"), addresses[n], addresses, n,
-                         lambda origin, words: heard.append((origin, words))) for n in range(3)]
+        made = [
+            Messages(
+                VirtualTransport(network, Disk(), f"head {n}"),
+                addresses[n],
+                addresses,
+                n,
+                lambda origin, words: heard.append((origin, words)),
+            )
+            for n in range(3)
+        ]
         for one in made:
             one.start()
         made[0].tell(1, "ask 1 2 3 4")
@@ -416,14 +452,16 @@
         stranger.send(addresses[1], b"\x93\x01")
         loop.run_until_complete(asyncio.sleep(1.0))
         self.assertEqual([(0, "ask 1 2 3 4")], heard)
-        self.assertEqual({"heard": 1, "from no peer": 2, "another fleet": 1, "malformed": 1},
-                         dict(made[1].counts))
+        self.assertEqual(
+            {"heard": 1, "from no peer": 2, "another fleet": 1, "malformed": 1}, dict(made[1].counts)
+        )
         for _ in range(3 * SENT_MOST):
             made[0].tell(1, "ask")
         made[0].tell(3, "ask")
         made[0].tell(1, "a" * 300)
-        self.assertEqual((SENT_MOST, 2 * SENT_MOST + 2),
-                         (made[0].counts["sent"] - 1, made[0].counts["not carried"]))
+        self.assertEqual(
+            (SENT_MOST, 2 * SENT_MOST + 2), (made[0].counts["sent"] - 1, made[0].counts["not carried"])
+        )
 
     def test_the_benchs_link_carries_both_ways(self) -> None:
         link = Link()
@@ -431,25 +469,35 @@
         setup = json.loads(json.dumps(setup_of(facts)))
         setup["permissions"]["peerMessages"] = True
         setup["index"] = home = int.from_bytes(blake2b(b"1", digest_size=8).digest()) % 60
-        line = {"wall": 100.0, "heads": [{"i": "h", "happened": [
-            {"verb": "up", "setup": setup, "salt": 7}]}]}
+        line = {"wall": 100.0, "heads": [{"i": "h", "happened": [{"verb": "up", "setup": setup, "salt": 7}]}]}
         link.batch(json.dumps(line))
         asks = [{"verb": "peer", "originPeer": (home + 1) % 60, "raw": "ask 1 4/100.5 2 1.5"}]
         reply = link.batch(json.dumps({"wall": 200.0, "heads": [{"i": "h", "happened": asks}]}))
-        self.assertIn({"verb": "notify", "addressee": (home + 1) % 60, "raw": "lent 1 4/100.5 2 1.5"},
-                      reply["heads"][0]["output"])
+        self.assertIn(
+            {"verb": "notify", "addressee": (home + 1) % 60, "raw": "lent 1 4/100.5 2 1.5"},
+            reply["heads"][0]["output"],
+        )
 
 
 class Heads(LiveRig):
     def test_a_head_in_service_hears_and_answers_on_its_peers_port(self) -> None:
         home = int.from_bytes(blake2b(b"1", digest_size=8).digest()) % 60
         peers = [f"head{n}:7946" for n in range(60)]
-        settings = {**SETTINGS, "balancers": 60, "index": home,
-                    "permissions": {**SETTINGS["permissions"], "peerMessages": True}}
+        settings = {
+            **SETTINGS,
+            "balancers": 60,
+            "index": home,
+            "permissions": {**SETTINGS["permissions"], "peerMessages": True},
+        }
         told: list[tuple[int, str]] = []
         head = self.start(settings=settings, peers=peers, peer_listen=peers[home])
-        other = Messages(self.process("other"), ("head0" if home else "head1", 7946), head.order.peers,
-                         0 if home else 1, lambda origin, words: told.append((origin, words)))
+        other = Messages(
+            self.process("other"),
+            ("head0" if home else "head1", 7946),
+            head.order.peers,
+            0 if home else 1,
+            lambda origin, words: told.append((origin, words)),
+        )
         other.start()
 
         async def work() -> None:
@@ -463,8 +511,11 @@
 
 class Configured(unittest.TestCase):
     def read(self, permitted: bool = True, index: Any = 0, **changed: Any) -> Order:
-        settings = {**SETTINGS, "index": index,
-                    "permissions": {**SETTINGS["permissions"], "peerMessages": permitted}}
+        settings = {
+            **SETTINGS,
+            "index": index,
+            "permissions": {**SETTINGS["permissions"], "peerMessages": permitted},
+        }
         return read_order(json.dumps(order(settings=settings, **changed)).encode(), "the/place")
 
     def test_messages_need_the_settings_leave_and_addresses(self) -> None:
@@ -475,9 +526,13 @@
         self.assertFalse(self.read().facts.may_tell)
 
     def test_a_list_of_peers_that_does_not_fit_is_named(self) -> None:
-        for index, peers, says in ((0, ["a:1", "b:2"], "2 different addresses for 1 heads"),
-                                   (0, ["x"], "peers.0"), (0, "a:1", "peers"), (1, ["a:1"], "settings.index"),
-                                   ("0", ["a:1"], "index")):
+        for index, peers, says in (
+            (0, ["a:1", "b:2"], "2 different addresses for 1 heads"),
+            (0, ["x"], "peers.0"),
+            (0, "a:1", "peers"),
+            (1, ["a:1"], "settings.index"),
+            ("0", ["a:1"], "index"),
+        ):
             with self.subTest(peers=peers, index=index), self.assertRaises(Unusable) as caught:
                 self.read(index=index, peers=peers, peer_listen="a:1")
             self.assertIn(says, str(caught.exception))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -106,8 +106,9 @@
         self.assertEqual(([], 3), (m.to_tell(2.0 + KEPT_FOR), len(m.own)))
 
     @given(HISTORY, st.data())
-    def test_any_order_of_news_ends_where_the_list_does(self, history: list[tuple[int, str]],
-                                                        data: st.DataObject) -> None:
+    def test_any_order_of_news_ends_where_the_list_does(
+        self, history: list[tuple[int, str]], data: st.DataObject
+    ) -> None:
         told = [news(s, NAMES[state], version) for version, (s, state) in enumerate(history, 2)]
         heard = data.draw(st.permutations(told * 2))
         m, cut = fresh(), data.draw(st.integers(0, len(heard)))
@@ -136,8 +137,14 @@
             world = World(site, read_script(text))
             outcome = world.play()
             self.assertTrue(outcome.good, outcome.reasons)
-            late = [r for r in world.records if r["e"] == "arrived" and r["shelf"] == 2 and r["head"] == 1
-                    and world.zero + 4.5 < r["t"] < world.zero + 6.0]
+            late = [
+                r
+                for r in world.records
+                if r["e"] == "arrived"
+                and r["shelf"] == 2
+                and r["head"] == 1
+                and world.zero + 4.5 < r["t"] < world.zero + 6.0
+            ]
             outcomes[peers] = len(late)
         self.assertEqual(0, outcomes[True])
         self.assertGreater(outcomes[False], 0)
--- a/tests/test_nvme.py
+++ b/tests/test_nvme.py
@@ -44,8 +44,13 @@
         self.done: list[tuple[Completion, bytes]] = []
         self.ended: list[str] = []
         self.split = split
-        self.controller = ControllerQueue(self.to_host.extend, lambda c: True,
-                                          lambda c, d: self.taken.append((c, d)), self.ended.append, 1 << 20)
+        self.controller = ControllerQueue(
+            self.to_host.extend,
+            lambda c: True,
+            lambda c, d: self.taken.append((c, d)),
+            self.ended.append,
+            1 << 20,
+        )
         self.controller.size = size
         self.host = HostQueue(self.to_controller.extend, lambda: None, self.ended.append, size, digests)
 
@@ -55,7 +60,7 @@
                 data = bytes(held)
                 held.clear()
                 for at in range(0, len(data), self.split):
-                    side.feed(data[at:at + self.split])
+                    side.feed(data[at : at + self.split])
 
     def submit(self, command: Command, data: bytes = b"", read: int = 0) -> None:
         self.host.submit(command, lambda c, d: self.done.append((c, d)), data, read)
@@ -63,8 +68,9 @@
 
 class Layout(unittest.TestCase):
     def test_submission_entry_as_published(self) -> None:
-        raw = io_command(Opcode.WRITE, 7, 0x123456789, 3, hints=0x10, patience=1.5, attempt=1,
-                         label=99).pack()
+        raw = io_command(
+            Opcode.WRITE, 7, 0x123456789, 3, hints=0x10, patience=1.5, attempt=1, label=99
+        ).pack()
         self.assertEqual(64, len(raw))
         self.assertEqual((1, 7), (raw[0], struct.unpack_from("<I", raw, 4)[0]))
         self.assertEqual(0x123456789, struct.unpack_from("<Q", raw, 40)[0], "SLBA, bytes 47:40")
@@ -97,14 +103,16 @@
         self.assertEqual(google_crc32c.value(b"x" * 512), struct.unpack_from("<I", raw, 588)[0])
 
     @given(u16, u32, u32, u32, u64, u32, u32)
-    def test_submission_entries_come_back(self, cid: int, nsid: int, two: int, three: int, meta: int,
-                                          ten: int, twelve: int) -> None:
+    def test_submission_entries_come_back(
+        self, cid: int, nsid: int, two: int, three: int, meta: int, ten: int, twelve: int
+    ) -> None:
         command = Command(2, cid, nsid, two, three, meta, cdw10=ten, cdw12=twelve)
         self.assertEqual(command, unpack_command(command.pack()))
 
     @given(u16, st.integers(0, 0x7FF), st.booleans(), st.integers(0, 3), u32, u32)
-    def test_completions_come_back(self, cid: int, status: int, final: bool, retry: int, a: int,
-                                   b: int) -> None:
+    def test_completions_come_back(
+        self, cid: int, status: int, final: bool, retry: int, a: int, b: int
+    ) -> None:
         completion = Completion(cid, status, final, retry, a, b, 5, 1)
         self.assertEqual(completion, unpack_completion(completion.pack()))
 
@@ -137,7 +145,7 @@
             pair.carry()
         pair.to_host.clear()
         for at in range(0, len(garbage), split):
-            pair.controller.feed(garbage[at:at + split])
+            pair.controller.feed(garbage[at : at + split])
         if pair.controller.over and pair.to_host:
             last = bytes(pair.to_host)
             self.assertIn(last[0], (PduType.IC_RESP, PduType.C2H_TERM, PduType.CAPSULE_RESP, PduType.R2T))
@@ -166,7 +174,7 @@
         good = e.capsule_cmd(bytes(64))
 
         def changed(at: int, value: int) -> bytes:
-            return good[:at] + bytes([value]) + good[at + 1:]
+            return good[:at] + bytes([value]) + good[at + 1 :]
 
         h2c = PduType.H2C_DATA
         cases = {
@@ -175,8 +183,11 @@
             "digest not agreed": (changed(1, 1), FatalError.INVALID_HEADER_FIELD, 1),
             "header length": (changed(2, 71), FatalError.INVALID_HEADER_FIELD, 2),
             "endless": (good[:4] + b"\xff\xff\xff\x7f" + good[8:], FatalError.INVALID_HEADER_FIELD, 4),
-            "data offset": (e.capsule_cmd(bytes(64), b"x" * 8)[:3] + b"\x07" + e.capsule_cmd(
-                bytes(64), b"x" * 8)[4:], FatalError.INVALID_HEADER_FIELD, 3),
+            "data offset": (
+                e.capsule_cmd(bytes(64), b"x" * 8)[:3] + b"\x07" + e.capsule_cmd(bytes(64), b"x" * 8)[4:],
+                FatalError.INVALID_HEADER_FIELD,
+                3,
+            ),
             "second ICReq": (initialize(PduType.IC_REQ, False, False, 0), FatalError.SEQUENCE_ERROR, 0),
             "data nobody asked for": (e.data(h2c, 1, 2, 0, b"x", True), FatalError.SEQUENCE_ERROR, 0),
         }
@@ -187,8 +198,9 @@
                 pair.controller.feed(raw)
                 self.assertTrue(pair.controller.over)
                 sent = bytes(pair.to_host)
-                self.assertEqual((PduType.C2H_TERM, error, points_at),
-                                 (sent[0], *struct.unpack_from("<HI", sent, 8)))
+                self.assertEqual(
+                    (PduType.C2H_TERM, error, points_at), (sent[0], *struct.unpack_from("<HI", sent, 8))
+                )
 
     def test_a_rotten_digest(self) -> None:
         """Of a header: fatal. Of data: the command fails and may come again, the queue goes on."""
@@ -206,8 +218,9 @@
         pair.submit(Command(1), b"w" * 100)
         pair.to_controller[-50] ^= 1
         pair.carry()
-        self.assertEqual([(Status.TRANSIENT_TRANSPORT_ERROR, False)],
-                         [(c.status, c.final) for c, _ in pair.done])
+        self.assertEqual(
+            [(Status.TRANSIENT_TRANSPORT_ERROR, False)], [(c.status, c.final) for c, _ in pair.done]
+        )
         self.assertEqual([], pair.taken + pair.ended)
 
     def test_held_writes_are_bounded(self) -> None:
@@ -217,8 +230,7 @@
         for _ in range(20):
             pair.submit(Command(1), b"w" * (1 << 20))
         pair.controller.feed(bytes(pair.to_controller))
-        self.assertEqual(4,
-                         len(Decoder(TO_HOST, MOST).feed(bytes(pair.to_host))))
+        self.assertEqual(4, len(Decoder(TO_HOST, MOST).feed(bytes(pair.to_host))))
         pair.to_controller.clear()
         pair.carry()
         self.assertEqual(20, len(pair.taken), "and all of it comes in the end")
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -14,8 +14,20 @@
         """Three flows, five disks, one slot each: only moving earlier choices gives 2, 2, 1."""
         self.begin(5, 1, 1.0)
         for id, (volume, shard) in enumerate(
-                [("f1", 1), ("f1", 2), ("f1", 4), ("f1", 5), ("f2", 1), ("f2", 3), ("f2", 3), ("f2", 3),
-                 ("f3", 2), ("f3", 2), ("f3", 2)]):
+            [
+                ("f1", 1),
+                ("f1", 2),
+                ("f1", 4),
+                ("f1", 5),
+                ("f2", 1),
+                ("f2", 3),
+                ("f2", 3),
+                ("f2", 3),
+                ("f3", 2),
+                ("f3", 2),
+                ("f3", 2),
+            ]
+        ):
             self.take(id, volume, shard)
         self.end()
         self.kept("papers_example")
@@ -58,9 +70,15 @@
     def test_crowded_shelf(self) -> None:
         """An overdue forward cuts the rate before its answer, which then cuts no more; time grows it."""
         self.start()
-        for id, (answered, how) in enumerate([(0.1, Ending.HONOURED), (1.0, Ending.HONOURED),
-                                              (1.5, Ending.TIMED_OUT), (1.6, Ending.HONOURED),
-                                              (2.6, Ending.TURNED_AWAY)]):
+        for id, (answered, how) in enumerate(
+            [
+                (0.1, Ending.HONOURED),
+                (1.0, Ending.HONOURED),
+                (1.5, Ending.TIMED_OUT),
+                (1.6, Ending.HONOURED),
+                (2.6, Ending.TURNED_AWAY),
+            ]
+        ):
             self.take(id)
             self.end()
             if id == 1:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -27,7 +27,7 @@
             body = bytes(range(256)) * 64
             self.shelves[1].says = lambda r: [whole(200, r.body, "X-Own: 1\r\n")]
             caller = await self.call(wish("a1", "post", 1, body=body))
-            self.assertEqual((200, body), (caller.status, caller.got[-len(body):]))
+            self.assertEqual((200, body), (caller.status, caller.got[-len(body) :]))
             caller.got = b""
             caller.stream.write(wish("a2"))
             await self.wait(0.1)
@@ -154,18 +154,29 @@
     def test_what_is_no_transaction_gets_an_error_and_reaches_no_shelf(self) -> None:
         good = wish("1")
         spoilt = [
-            good.replace(b"GET /read/", b"GET /nothing/"), good.replace(b"Tier: plain", b"Tier: gold"),
-            good.replace(b"Tier: plain\r\n", b""), good.replace(b"1000", b"soon"),
-            good.replace(b"1000", b"0"), good.replace(b"1000", b"-5"),
+            good.replace(b"GET /read/", b"GET /nothing/"),
+            good.replace(b"Tier: plain", b"Tier: gold"),
+            good.replace(b"Tier: plain\r\n", b""),
+            good.replace(b"1000", b"soon"),
+            good.replace(b"1000", b"0"),
+            good.replace(b"1000", b"-5"),
             good.replace(b"Req-Id: 0000000000000001\r\n", b""),
-            good.replace(b"Req-Id: 0000", b"Req-Id: zzzz"), good.replace(b"Req-Id: 00", b"Req-Id: "),
-            good.replace(b"7f3a9c21e0b4d655", b"7f3a"), good.replace(b"units=1", b"units=99"),
-            good.replace(b"units=1", b"units=-1"), good.replace(b"shard=0", b"shard=7"),
-            good.replace(b"shard=0,", b""), good.replace(b"hosts=1", b"hosts=0"),
-            good.replace(b"units=1", b"units=1,units=2"), good.replace(b"IO-Info", b"IO-Inf"),
-            good.replace(b"GET", b"POST"), good.replace(b"Tier: plain", b"Tier: plain\r\nTier: plain"),
+            good.replace(b"Req-Id: 0000", b"Req-Id: zzzz"),
+            good.replace(b"Req-Id: 00", b"Req-Id: "),
+            good.replace(b"7f3a9c21e0b4d655", b"7f3a"),
+            good.replace(b"units=1", b"units=99"),
+            good.replace(b"units=1", b"units=-1"),
+            good.replace(b"shard=0", b"shard=7"),
+            good.replace(b"shard=0,", b""),
+            good.replace(b"hosts=1", b"hosts=0"),
+            good.replace(b"units=1", b"units=1,units=2"),
+            good.replace(b"IO-Info", b"IO-Inf"),
+            good.replace(b"GET", b"POST"),
+            good.replace(b"Tier: plain", b"Tier: plain\r\nTier: plain"),
             good[:-2] + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + good,
-            b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 70_000, b"\0\1\2\3\r\n\r\n", b"nonsense\r\n\r\n",
+            b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 70_000,
+            b"\0\1\2\3\r\n\r\n",
+            b"nonsense\r\n\r\n",
             good.replace(b"\r\n\r\n", b"\r\nContent-Length: 60000000\r\n\r\n") + b"x" * 100_000,
             good.replace(b"\r\n\r\n", b"\r\nContent-Length: 3\r\n\r\nabc"),
         ]
@@ -236,6 +247,7 @@
 
     def test_a_defect_met_by_a_held_request_costs_its_connection_alone(self) -> None:
         """What was sent ahead is gone on with from the loop, not from the connection's own task."""
+
         async def work() -> None:
             head = self.start()
             honest = head.clients.requested
@@ -282,15 +294,18 @@
 
     def test_answers_on_the_wire_and_what_the_decisions_hear(self) -> None:
         for says, status, ending in (
-                ([whole(200, b"x")], 200, "honoured"), ([whole(500)], 504, "error"),
-                ([whole(503, b"", "Srv-Declined: 1\r\n")], 503, "turned away"), ([whole(503)], 504, "error"),
-                ([b""], 504, "broken"), ([b"HTTP/1.1 20", b""], 504, "broken"),
-                ([b"noise\r\n\r\n"], 504, "error"),
-                ([b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"z" * 9000], 504, "error"),
-                ([b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", b""], 504, "broken"),
-                ([b"HTTP/1.1 100 C\r\n\r\n" * 3 + whole(200, b"x")], 200, "honoured"),
-                ([whole(200, b"x", "Srv-Load: {\r\nOther-Hosts: many\r\nVolume-Load: ?\r\n")], 200,
-                 "honoured")):
+            ([whole(200, b"x")], 200, "honoured"),
+            ([whole(500)], 504, "error"),
+            ([whole(503, b"", "Srv-Declined: 1\r\n")], 503, "turned away"),
+            ([whole(503)], 504, "error"),
+            ([b""], 504, "broken"),
+            ([b"HTTP/1.1 20", b""], 504, "broken"),
+            ([b"noise\r\n\r\n"], 504, "error"),
+            ([b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"z" * 9000], 504, "error"),
+            ([b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", b""], 504, "broken"),
+            ([b"HTTP/1.1 100 C\r\n\r\n" * 3 + whole(200, b"x")], 200, "honoured"),
+            ([whole(200, b"x", "Srv-Load: {\r\nOther-Hosts: many\r\nVolume-Load: ?\r\n")], 200, "honoured"),
+        ):
             with self.subTest(says=says):
                 self.setUp()
 
@@ -357,6 +372,7 @@
 
     def test_an_answer_that_meets_its_own_call_off_hurts_nobody(self) -> None:
         """The bytes are read, and before their reader goes on the client leaves or the cut-off comes."""
+
         async def work() -> None:
             head = self.start()
             honest = self.transport.connect
@@ -394,8 +410,9 @@
                 return [b""] if seen.count(shelf.connections) > 1 else [whole(200, b"x")]
 
             shelf.says = says
-            statuses = [(await self.call(wish(str(n), "post", body=b"x"), 0.05)).status
-                        for n in range(300, 340)]
+            statuses = [
+                (await self.call(wish(str(n), "post", body=b"x"), 0.05)).status for n in range(300, 340)
+            ]
             self.assertLess(statuses.count(504), 4)
             self.assertEqual(0, head.pool.held, "none is kept, used or not")
             shelf.says = lambda r: [whole(200, b"x")]
@@ -410,6 +427,7 @@
 
     def test_nothing_is_sent_right_behind_an_answer_on_the_same_connection(self) -> None:
         """The second transaction is there as the first is answered; the connection's end is on its way."""
+
         async def work() -> None:
             head = self.start()
             self.shelves[0].says = lambda r: [whole(200, b"x"), b""]
@@ -444,8 +462,14 @@
 
             shelf.listener.on_stream = deaf
             caller = await self.call(wish("152", "post", body=bytes(5000)), 0.9)
-            self.assertEqual((200, 1, 0), (caller.status, head.driver.counts["forwards unreached"],
-                                           head.driver.counts["forwards broken"]))
+            self.assertEqual(
+                (200, 1, 0),
+                (
+                    caller.status,
+                    head.driver.counts["forwards unreached"],
+                    head.driver.counts["forwards broken"],
+                ),
+            )
 
         self.play(work)
 
@@ -546,9 +570,17 @@
         async def work() -> None:
             head = self.start()
             await self.wait(0.2)
-            for raw in (whole(200, b"{"), whole(200, b'{"generation":9,"reset":true,"instances":[{}]}'),
-                        whole(200, json.dumps({"generation": 9, "reset": False, "instances": [
-                            instance(0, address="nowhere")]}).encode()), b"noise\r\n\r\n"):
+            for raw in (
+                whole(200, b"{"),
+                whole(200, b'{"generation":9,"reset":true,"instances":[{}]}'),
+                whole(
+                    200,
+                    json.dumps(
+                        {"generation": 9, "reset": False, "instances": [instance(0, address="nowhere")]}
+                    ).encode(),
+                ),
+                b"noise\r\n\r\n",
+            ):
                 self.list.raw = raw
                 await self.wait(11.0)
                 self.assertEqual(1, head.discovery.version)
@@ -621,8 +653,10 @@
     def test_older_news_is_not_believed_until_the_whole_list_says_so(self) -> None:
         async def work() -> None:
             head = self.start(known={"generation": 50, "reset": True, "instances": [instance(0)]})
-            self.list.raw = whole(200, json.dumps({"generation": 3, "reset": False, "instances": [
-                instance(0, "gone")]}).encode())
+            self.list.raw = whole(
+                200,
+                json.dumps({"generation": 3, "reset": False, "instances": [instance(0, "gone")]}).encode(),
+            )
             await self.wait(0.04)
             self.assertEqual({0}, {s.cell for s in head.discovery.known.values()})
             await self.wait(2.0)
@@ -686,16 +720,22 @@
 class Configuration(unittest.TestCase):
     def test_what_is_missing_or_wrong_is_named(self) -> None:
         for changed, said in (
-                ({"listen": "here"}, "listen"), ({"limits": {}}, "limits.sockets"), ({"seed": "xyz"}, "seed"),
-                ({"settings": 3}, "settings"), ({"settings": {**SETTINGS, "services": []}}, "settings"),
-                ({"settings": {k: v for k, v in SETTINGS.items() if k != "grades"}}, "grades"),
-                ({"known": {"generation": "x"}}, "known"), ({"discovery": "a:99999"}, "discovery"),
-                ({"settings": {**SETTINGS, "specifics": []}}, "settings"),
-                ({"settings": {**SETTINGS, "services": [{**SETTINGS["services"][0], "aim": "soon"}]}},
-                 "promised"),
-                ({"settings": {**SETTINGS, "contract": {**SETTINGS["contract"], "fall": float("nan")}}},
-                 "span"),
-                ({"settings": {**SETTINGS, "grades": [{"name": "plain", "neverOver": [9]}]}}, "limit")):
+            ({"listen": "here"}, "listen"),
+            ({"limits": {}}, "limits.sockets"),
+            ({"seed": "xyz"}, "seed"),
+            ({"settings": 3}, "settings"),
+            ({"settings": {**SETTINGS, "services": []}}, "settings"),
+            ({"settings": {k: v for k, v in SETTINGS.items() if k != "grades"}}, "grades"),
+            ({"known": {"generation": "x"}}, "known"),
+            ({"discovery": "a:99999"}, "discovery"),
+            ({"settings": {**SETTINGS, "specifics": []}}, "settings"),
+            (
+                {"settings": {**SETTINGS, "services": [{**SETTINGS["services"][0], "aim": "soon"}]}},
+                "promised",
+            ),
+            ({"settings": {**SETTINGS, "contract": {**SETTINGS["contract"], "fall": float("nan")}}}, "span"),
+            ({"settings": {**SETTINGS, "grades": [{"name": "plain", "neverOver": [9]}]}}, "limit"),
+        ):
             with self.subTest(changed=changed), self.assertRaises(Unusable) as caught:
                 read_order(json.dumps(order(**changed)).encode(), "the/place")
             self.assertIn("the/place", str(caught.exception))
@@ -704,15 +744,22 @@
 
     def test_the_program_says_so_in_one_line_and_ends_with_2(self) -> None:
         for env in ({}, {"GW_CONFIG": "/nowhere/config.json"}):
-            done = subprocess.run([sys.executable, "-m", "gorsethread.platform"], env=env, text=True,
-                                  capture_output=True, timeout=30)
+            done = subprocess.run(
+                [sys.executable, "-m", "gorsethread.platform"],
+                env=env,
+                text=True,
+                capture_output=True,
+                timeout=30,
+            )
             self.assertEqual((2, 1), (done.returncode, done.stderr.count("\n")), done.stderr)
 
     def test_the_lean_start_imports_nothing_it_does_not_use(self) -> None:
-        code = ("import sys, gorsethread.platform.__main__ as m; print(*sorted(n for n in sys.modules if "
-                "n.split('.')[0] in ('typer', 'numpy', 'matplotlib', 'google') or n.startswith(("
-                "'gorsethread.nvme', 'gorsethread.queues', 'gorsethread.sitefile', 'gorsethread.accounts', "
-                "'gorsethread.lab', 'gorsethread.cli'))))")
+        code = (
+            "import sys, gorsethread.platform.__main__ as m; print(*sorted(n for n in sys.modules if "
+            "n.split('.')[0] in ('typer', 'numpy', 'matplotlib', 'google') or n.startswith(("
+            "'gorsethread.nvme', 'gorsethread.queues', 'gorsethread.sitefile', 'gorsethread.accounts', "
+            "'gorsethread.lab', 'gorsethread.cli'))))"
+        )
         done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=30)
         self.assertEqual("\n", done.stdout, done.stderr)
 
@@ -749,9 +796,14 @@
         nobody: dict[str, Any] = {"generation": 0, "reset": True, "instances": []}
         with open(f"{folder}/config.json", "w") as file:
             json.dump(order(listen=listen, discovery="127.0.0.1:9", settings=settings, known=nobody), file)
-        started = self.enterContext(subprocess.Popen(
-            [sys.executable, "-c", WATCHED.replace("PLANTED", planted)], stderr=subprocess.PIPE, text=True,
-            env={"GW_CONFIG": f"{folder}/config.json"}))
+        started = self.enterContext(
+            subprocess.Popen(
+                [sys.executable, "-c", WATCHED.replace("PLANTED", planted)],
+                stderr=subprocess.PIPE,
+                text=True,
+                env={"GW_CONFIG": f"{folder}/config.json"},
+            )
+        )
         self.addCleanup(started.kill)
         return started
 
@@ -776,8 +828,9 @@
         self.assertEqual(0, program.wait(10))
 
     def test_what_the_platform_refuses_would_be_seen(self) -> None:
-        planted = ('import os, socket; os.system("true"); socket.socket(socket.AF_UNIX).bind("\\0x"); '
-                   "sys.exit()")
+        planted = (
+            'import os, socket; os.system("true"); socket.socket(socket.AF_UNIX).bind("\\0x"); ' "sys.exit()"
+        )
         program = self.program("127.0.0.1:1", planted)
         said = program.communicate(timeout=20)[1]
         self.assertIn("REFUSED os.system", said)
@@ -786,8 +839,14 @@
     def test_run_is_one_program_in_the_place_of_the_shell(self) -> None:
         deploy = tomllib.loads((Path(__file__).parent.parent / "deploy" / "balancer.toml").read_text())
         self.assertRegex(deploy["run"], r"^exec [^;&|<>$`]+$")
-        self.assertEqual([], [path for path in deploy["policy"] + deploy["node"] if not Path(
-            __file__).parent.parent.joinpath(path).exists()])
+        self.assertEqual(
+            [],
+            [
+                path
+                for path in deploy["policy"] + deploy["node"]
+                if not Path(__file__).parent.parent.joinpath(path).exists()
+            ],
+        )
 
     def test_an_address_that_cant_be_had(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as taken:
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -24,10 +24,17 @@
 from gorsethread.transport.virtual import Network, VirtualLoop, VirtualTransport
 
 FLEET, HEAD, LIFE = 5, 2, 1000
-facts = st.one_of(st.builds(Placed, st.integers(1, 3), st.integers(0, 3), st.integers(0, 5)),
-                  st.builds(Freed, st.integers(1, 3), st.integers(0, 3)))
-records = st.lists(st.builds(lambda life, place, fact: Record((life, place), fact), st.integers(1, 2),
-                             st.integers(1, 9), facts), max_size=12, unique_by=lambda r: r.number)
+facts = st.one_of(
+    st.builds(Placed, st.integers(1, 3), st.integers(0, 3), st.integers(0, 5)),
+    st.builds(Freed, st.integers(1, 3), st.integers(0, 3)),
+)
+records = st.lists(
+    st.builds(
+        lambda life, place, fact: Record((life, place), fact), st.integers(1, 2), st.integers(1, 9), facts
+    ),
+    max_size=12,
+    unique_by=lambda r: r.number,
+)
 
 
 def placed(place: int, extent: int = 0, shard: int = 1, life: int = LIFE) -> Record:
@@ -123,8 +130,7 @@
         for data in (noise, whole[:at] + noise + whole[at:]):
             found = read(data)
             if found is not None:
-                self.assertLessEqual({r.number for r in found.records},
-                                     {r.number for r in of(whole).records})
+                self.assertLessEqual({r.number for r in found.records}, {r.number for r in of(whole).records})
 
 
 class Recovery(unittest.TestCase):
@@ -275,8 +281,9 @@
         self.files.broken.add("head 2")
         self.add(store, 2)
         self.wait(0.1)
-        self.assertEqual(([1], [2], State.FULL),
-                         (self.kept, self.lost, store.disk.state(store.transport.now())))
+        self.assertEqual(
+            ([1], [2], State.FULL), (self.kept, self.lost, store.disk.state(store.transport.now()))
+        )
         self.assertGreater(store.disk.refuses(store.transport.now(), 0), 0.0)
         for place in range(3, 40):
             self.wait(0.2)
--- a/tests/test_returning.py
+++ b/tests/test_returning.py
@@ -17,8 +17,14 @@
 LAST = (7, 40)
 
 
-def returning(own: tuple[int, int] = LAST, whole: bool = True, empty: bool = False, accepted: bool = False,
-              others: frozenset[int] = OTHERS, held_by: int = 1) -> Return:
+def returning(
+    own: tuple[int, int] = LAST,
+    whole: bool = True,
+    empty: bool = False,
+    accepted: bool = False,
+    others: frozenset[int] = OTHERS,
+    held_by: int = 1,
+) -> Return:
     return Return(0.0, own, whole, empty, accepted, others, held_by)
 
 
@@ -73,8 +79,11 @@
             self.assertEqual(needed, returning(held_by=held_by).needed)
 
     def test_without_copies_a_first_start_and_a_whole_folder_are_full_at_once(self) -> None:
-        for r in (returning(NONE, empty=True, held_by=0), returning(held_by=0),
-                  returning(NONE, empty=True, others=frozenset())):
+        for r in (
+            returning(NONE, empty=True, held_by=0),
+            returning(held_by=0),
+            returning(NONE, empty=True, others=frozenset()),
+        ):
             self.assertIs(Stage.FULL, r.stage)
         self.assertIs(Stage.CARE, self.after(returning(whole=False, held_by=0), 1000.0))
 
@@ -94,8 +103,9 @@
     PROMISES = 2
 
     def check(self, plant: Callable[[Return], None] = lambda r: None) -> dict[str, Any]:
-        def made(own: int, whole: bool, empty: bool, heard: tuple[Any, ...], fetched: tuple[int, ...],
-                 now: float) -> Return:
+        def made(
+            own: int, whole: bool, empty: bool, heard: tuple[Any, ...], fetched: tuple[int, ...], now: float
+        ) -> Return:
             r = Return(0.0, (1, own) if own else NONE, whole, empty, False, frozenset({1, 2}), 1)
             plant(r)
             for n, last in heard:
@@ -127,13 +137,38 @@
             if up:
                 for n in (1, 2):
                     if n not in [h for h, _ in heard]:
-                        found.append(("answers", (promised, own, copies, True,
-                                                  tuple(sorted((*heard, (n, copies[n - 1])))), fetched, late,
-                                                  lost)))
+                        found.append(
+                            (
+                                "answers",
+                                (
+                                    promised,
+                                    own,
+                                    copies,
+                                    True,
+                                    tuple(sorted((*heard, (n, copies[n - 1])))),
+                                    fetched,
+                                    late,
+                                    lost,
+                                ),
+                            )
+                        )
                 for n, last in heard:
                     if last > own and n not in fetched:
-                        found.append(("gives back", (promised, own, copies, True, heard,
-                                                     tuple(sorted((*fetched, n))), late, lost)))
+                        found.append(
+                            (
+                                "gives back",
+                                (
+                                    promised,
+                                    own,
+                                    copies,
+                                    True,
+                                    heard,
+                                    tuple(sorted((*fetched, n))),
+                                    late,
+                                    lost,
+                                ),
+                            )
+                        )
                 if not late:
                     found.append(("time", (promised, own, copies, True, heard, fetched, True, lost)))
                 found.append(("is killed", (promised, own, copies, False, (), (), False, lost)))
@@ -154,11 +189,17 @@
             has = max([d["own"], *(last for n, last in d["heard"] if n in d["fetched"])])
             return r.stage is not Stage.FULL or has >= d["promised"]
 
-        result: dict[str, Any] = check_safety(Protocol(
-            name="returning", candidate=False,
-            fields=("promised", "own", "copies", "up", "heard", "fetched", "late", "lost"),
-            initial=(0, 0, (0, 0), False, (), (), False, 0), transitions=transitions,
-            invariants={"full is whole": whole_when_full}), 100_000)
+        result: dict[str, Any] = check_safety(
+            Protocol(
+                name="returning",
+                candidate=False,
+                fields=("promised", "own", "copies", "up", "heard", "fetched", "late", "lost"),
+                initial=(0, 0, (0, 0), False, (), (), False, 0),
+                transitions=transitions,
+                invariants={"full is whole": whole_when_full},
+            ),
+            100_000,
+        )
         return result
 
     def test_no_order_of_kills_and_lost_disks_makes_it_full_without_a_promise(self) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -177,8 +177,18 @@
             self.health()
             self.end()
         self.health()
-        for id, how in enumerate((Ending.BROKEN, Ending.CALLED_OFF, Ending.BROKEN, Ending.NOT_SENT,
-                                  Ending.BROKEN, Ending.BROKEN, Ending.UNREACHED), 20):
+        for id, how in enumerate(
+            (
+                Ending.BROKEN,
+                Ending.CALLED_OFF,
+                Ending.BROKEN,
+                Ending.NOT_SENT,
+                Ending.BROKEN,
+                Ending.BROKEN,
+                Ending.UNREACHED,
+            ),
+            20,
+        ):
             self.until(12.0 + 3.0 * id)
             self.take(id, volume=f"v{id}", profile=1, within=20.0)
             self.end()
--- a/tests/test_same_decisions.py
+++ b/tests/test_same_decisions.py
@@ -51,28 +51,65 @@
 def setup_of(facts: StartFacts) -> dict[str, Any]:
     """The bench's start-up message for the same facts."""
     return {
-        "balancers": facts.heads, "membershipMode": "subscribe",
+        "balancers": facts.heads,
+        "membershipMode": "subscribe",
         "clients": {"marksRetry": facts.repeats_marked},
-        "contract": {"askWithin": facts.ask_within, "fall": facts.cold.span, "cold": facts.cold.warm_after,
-                     "coldFrom": facts.cold.first_part, "orderSettle": facts.key_rest,
-                     "stopSendingWithin": facts.drain_grace},
-        "permissions": {"maxAttempts": facts.most_forwards, "retryAfter": True,
-                        "maxRetryAfter": facts.longest_return},
-        "specifics": {"coldUnits": facts.cold.units, "mostUnits": facts.largest_units,
-                      "shareWorth": facts.share_worth},
-        "services": [{"aim": p.promised, "effect": _word(EFFECTS, p.effect), "group": _word(GROUPS, p.group),
-                      "window": p.remembered, "keepOrder": p.in_order, "worth": p.value}
-                     for p in facts.profiles],
-        "grades": [{"floorRate": p.reserve, "proportion": p.weight, "neverOver": p.limit,
-                    "limitBurst": p.limit_burst, "baseRate": p.usual} for p in facts.plans],
+        "contract": {
+            "askWithin": facts.ask_within,
+            "fall": facts.cold.span,
+            "cold": facts.cold.warm_after,
+            "coldFrom": facts.cold.first_part,
+            "orderSettle": facts.key_rest,
+            "stopSendingWithin": facts.drain_grace,
+        },
+        "permissions": {
+            "maxAttempts": facts.most_forwards,
+            "retryAfter": True,
+            "maxRetryAfter": facts.longest_return,
+        },
+        "specifics": {
+            "coldUnits": facts.cold.units,
+            "mostUnits": facts.largest_units,
+            "shareWorth": facts.share_worth,
+        },
+        "services": [
+            {
+                "aim": p.promised,
+                "effect": _word(EFFECTS, p.effect),
+                "group": _word(GROUPS, p.group),
+                "window": p.remembered,
+                "keepOrder": p.in_order,
+                "worth": p.value,
+            }
+            for p in facts.profiles
+        ],
+        "grades": [
+            {
+                "floorRate": p.reserve,
+                "proportion": p.weight,
+                "neverOver": p.limit,
+                "limitBurst": p.limit_burst,
+                "baseRate": p.usual,
+            }
+            for p in facts.plans
+        ],
     }
 
 
 def bench_event(method: str, facts: tuple[Any, ...], page: list[Any]) -> list[dict[str, Any]]:
     """One of the driver's calls as the bench's wire has it; a list is gathered until it ends."""
     if method == "request_taken":
-        names = ("corr", "tierClass", "contract", "item", "dropDead", "vol", "quotaUnits", "slotNo",
-                 "setSize")
+        names = (
+            "corr",
+            "tierClass",
+            "contract",
+            "item",
+            "dropDead",
+            "vol",
+            "quotaUnits",
+            "slotNo",
+            "setSize",
+        )
         event = {k: v for k, v in zip(names, facts[0], strict=False) if v is not None}
         return [{"verb": "order", **event, "stateBits": 2 if facts[0].repeat else 0}]
     if method == "attempt_ended":
@@ -89,11 +126,20 @@
         page[:] = ["remembered" if facts[1] else "all" if facts[0] else "changes"]
     elif method == "shelf_listed":
         id, zone, shard, ready, since = facts
-        page.append({"shelf": id, "rackZone": zone, "pod": shard, "since": since,
-                     "condition": "Ready" if ready else "Terminating"})
+        page.append(
+            {
+                "shelf": id,
+                "rackZone": zone,
+                "pod": shard,
+                "since": since,
+                "condition": "Ready" if ready else "Terminating",
+            }
+        )
     elif method == "list_ended":
-        return [{"verb": "page", "page": 0, "membersList": page[1:]},
-                {"verb": "sync", "form": page[0], "page": 0}]
+        return [
+            {"verb": "page", "page": 0, "membersList": page[1:]},
+            {"verb": "sync", "form": page[0], "page": 0},
+        ]
     return []
 
 
@@ -116,8 +162,9 @@
             with self.subTest(seed=seed):
                 told, decided = self.play(seed)
                 self.assertGreater(sum(a[0] == "forward" for a in decided), 100)
-                self.assertEqual({"forward", "push_back", "give_up", "wake", "follow_list"},
-                                 {a[0] for a in decided})
+                self.assertEqual(
+                    {"forward", "push_back", "give_up", "wake", "follow_list"}, {a[0] for a in decided}
+                )
                 self.assertEqual(decided, self.through_bench(told, seed))
 
     def test_with_and_without_accounts(self) -> None:
@@ -167,8 +214,10 @@
                     f = link.held.pop(0)
                     if not f.over:
                         f.over = True
-                        how = chance.choice([Ending.HONOURED] * 6 + [Ending.ERROR, Ending.TURNED_AWAY,
-                                                                     Ending.BROKEN, Ending.UNREACHED])
+                        how = chance.choice(
+                            [Ending.HONOURED] * 6
+                            + [Ending.ERROR, Ending.TURNED_AWAY, Ending.BROKEN, Ending.UNREACHED]
+                        )
                         told_too = Told(elsewhere=chance.randrange(3)) if chance.random() < 0.5 else NOTHING
                         driver._ended(f, how, told_too)
         clock.move(clock.time + 3.0)
@@ -187,13 +236,25 @@
         shard = driver.placement.shard_of(volume, extent)
         if not write and shard < 0:
             return
-        command = io_command(Opcode.WRITE if write else Opcode.READ, volume, extent * 64,
-                             attempt=int(chance.random() < 0.1))
+        command = io_command(
+            Opcode.WRITE if write else Opcode.READ, volume, extent * 64, attempt=int(chance.random() < 0.1)
+        )
         key = f"{volume}/{extent}" if profile == 1 else None
-        driver.take(Deaf(), Order(command), profile=profile, plan=0, key=key,
-                    cut_off=driver.transport.now() + chance.uniform(0.05, 1.0), volume=volume,
-                    place=(volume, extent), units=float(1 + chance.randrange(8)), shard=shard, heads=1,
-                    repeat=command.repeat, arrived=driver.transport.now())
+        driver.take(
+            Deaf(),
+            Order(command),
+            profile=profile,
+            plan=0,
+            key=key,
+            cut_off=driver.transport.now() + chance.uniform(0.05, 1.0),
+            volume=volume,
+            place=(volume, extent),
+            units=float(1 + chance.randrange(8)),
+            shard=shard,
+            heads=1,
+            repeat=command.repeat,
+            arrived=driver.transport.now(),
+        )
 
     def through_bench(self, told: list[tuple[Any, ...]], seed: int) -> list[tuple[Any, ...]]:
         link = Link()
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -24,34 +24,52 @@
     def test_each_fault_names_its_line_and_field(self) -> None:
         cases = {
             ('plan: "plain" blocks', 'plan: "gold" blocks'): "s:13: volume[0].plan: there is no plan 'gold'",
-            ("promised: 0.3", "promised: -1"):
-                "s:7: profile[0].promised: -1 is not over 0 and 3600 at most (seconds)",
-            ("shard: 0 shard: 1 head",
-             "shard: 0 shard: 8 head"): "s:14: volume[0].shard[1]: there is no shard 8",
-            ("key_rest: 0.3",
-             "key_rest: 300"): "s:17: rules.key_rest: 300 is not 0 or more and 60 at most (seconds)",
-            ("units: 40",
-             "units: 4000"): "s:18: rules.cold.units: 4000 units are more than the machine bears cold "
-                                          "(600)",
-            ("largest_bytes: 131072",
-             "largest_bytes: 100000"): "s:19: links.largest_bytes: 100000 is no power of two",
-            ("number: 1 address: \"127.0.0.1:4\"", "number: 0 address: \"127.0.0.1:4\""):
-                "s:6: shelf[1].number: 0 stands twice",
-            ('address: "127.0.0.1:2"', 'address: "127.0.0.1"'):
-                "s:4: head[0].address: '127.0.0.1' is not host:port",
-            ("effect: IRREVERSIBLE",
-             ""): "s:8: profile[1].effect: is missing (REDOABLE, LABELLED or IRREVERSIBLE)",
-            ("match { operation: WRITE }", "match { operation: WRITE hints: 3 }"):
-                "s:7: profile: no profile takes every other WRITE; the last one of each operation must match "
-                "without conditions",
+            (
+                "promised: 0.3",
+                "promised: -1",
+            ): "s:7: profile[0].promised: -1 is not over 0 and 3600 at most (seconds)",
+            (
+                "shard: 0 shard: 1 head",
+                "shard: 0 shard: 8 head",
+            ): "s:14: volume[0].shard[1]: there is no shard 8",
+            (
+                "key_rest: 0.3",
+                "key_rest: 300",
+            ): "s:17: rules.key_rest: 300 is not 0 or more and 60 at most (seconds)",
+            (
+                "units: 40",
+                "units: 4000",
+            ): "s:18: rules.cold.units: 4000 units are more than the machine bears cold " "(600)",
+            (
+                "largest_bytes: 131072",
+                "largest_bytes: 100000",
+            ): "s:19: links.largest_bytes: 100000 is no power of two",
+            (
+                'number: 1 address: "127.0.0.1:4"',
+                'number: 0 address: "127.0.0.1:4"',
+            ): "s:6: shelf[1].number: 0 stands twice",
+            (
+                'address: "127.0.0.1:2"',
+                'address: "127.0.0.1"',
+            ): "s:4: head[0].address: '127.0.0.1' is not host:port",
+            (
+                "effect: IRREVERSIBLE",
+                "",
+            ): "s:8: profile[1].effect: is missing (REDOABLE, LABELLED or IRREVERSIBLE)",
+            (
+                "match { operation: WRITE }",
+                "match { operation: WRITE hints: 3 }",
+            ): "s:7: profile: no profile takes every other WRITE; the last one of each operation must match "
+            "without conditions",
         }
         for change, told in cases.items():
             with self.subTest(told):
                 self.assertEqual([told], self.faults(change))
 
     def test_all_faults_come_at_once_in_order(self) -> None:
-        found = self.faults(("weight: 1", "weight: 0"), ("queue: 20", "queue: 0"),
-                            ('tenant: "t"', 'tenant: "u"'))
+        found = self.faults(
+            ("weight: 1", "weight: 0"), ("queue: 20", "queue: 0"), ('tenant: "t"', 'tenant: "u"')
+        )
         self.assertEqual(["11", "13", "21"], [f.split(":")[1] for f in found])
 
     def test_what_does_not_parse(self) -> None:
@@ -70,8 +88,12 @@
     def test_the_first_profile_that_fits(self) -> None:
         site = parse_site(SITE)
         sorter = Sorter(site)
-        found = [sorter.profile("plain", op, 4096, hints)
-                 for op, hints in ((Opcode.READ, 0), (Opcode.WRITE, 16), (Opcode.WRITE, 0))]
+        found = [
+            sorter.profile("plain", op, 4096, hints)
+            for op, hints in ((Opcode.READ, 0), (Opcode.WRITE, 16), (Opcode.WRITE, 0))
+        ]
         self.assertEqual([0, 1, 2], found)
-        self.assertEqual((16.0, 1, None), (start_facts(site).largest_units, start_facts(site).heads,
-                                           start_facts(site).budget))
+        self.assertEqual(
+            (16.0, 1, None),
+            (start_facts(site).largest_units, start_facts(site).heads, start_facts(site).budget),
+        )
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -12,10 +12,21 @@
 
 class Sockets(unittest.TestCase):
     def test_the_last_counts_of_each_life_are_added_up(self) -> None:
-        logs = [[line("counts"), line("head serves"), line("counts", taken=5), "Traceback", "[2.00] {broken",
-                 line("counts", taken=9, forwards_honoured=4), line("counts"), line("head serves"),
-                 line("head ends", taken=1), line("head ended", taken=1, pushed_back=1)],
-                [line("counts", taken=2, forwards_broken=1)]]
+        logs = [
+            [
+                line("counts"),
+                line("head serves"),
+                line("counts", taken=5),
+                "Traceback",
+                "[2.00] {broken",
+                line("counts", taken=9, forwards_honoured=4),
+                line("counts"),
+                line("head serves"),
+                line("head ends", taken=1),
+                line("head ended", taken=1, pushed_back=1),
+            ],
+            [line("counts", taken=2, forwards_broken=1)],
+        ]
         window = {"client_tries": 7, "refused": 1, "outcomes": [4, 0, 0, 0, 0, 2, 0, 0, 0]}
         rows = {name: (told, seen) for name, told, seen in compare(logs, {"windows": [window, window]})}
         self.assertEqual((12, 14), rows["transactions"])
--- a/tests/test_spacing.py
+++ b/tests/test_spacing.py
@@ -21,10 +21,16 @@
 
 
 class Spaced(unittest.TestCase):
-    @given(st.integers(1, 40), st.integers(1, 12), st.floats(5, 500), st.floats(1e9, 2e9),
-           st.lists(st.floats(0, 3), min_size=40, max_size=40))
+    @given(
+        st.integers(1, 40),
+        st.integers(1, 12),
+        st.floats(5, 500),
+        st.floats(1e9, 2e9),
+        st.lists(st.floats(0, 3), min_size=40, max_size=40),
+    )
     def test_no_second_sees_more_than_the_bound_and_none_waits_for_long(
-            self, heads: int, each: int, a_second: float, wall: float, late: list[float]) -> None:
+        self, heads: int, each: int, a_second: float, wall: float, late: list[float]
+    ) -> None:
         """Every head wants `each` connections at once, from a moment of its own on."""
         at = []
         for n in range(heads):
@@ -74,8 +80,9 @@
     def test_acts_strike_as_many_as_they_say(self) -> None:
         for kind, number in (("7 in 10", 7), ("9 in 10", 9), ("all", 10), ("a tenth at a time", 10)):
             acts = script_of((kind,), 10, 4, 1, 1.0).acts
-            self.assertEqual((number, 10 if kind.startswith("a tenth") else 1),
-                             (len(acts), len({a.at for a in acts})))
+            self.assertEqual(
+                (number, 10 if kind.startswith("a tenth") else 1), (len(acts), len({a.at for a in acts}))
+            )
 
     def test_beside_heads_that_come_back_alone(self) -> None:
         def found(alone: bool) -> Any:
@@ -94,8 +101,9 @@
         """How long it took is shown and not asked for here: it hangs on what else the machine does."""
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "result.json"
-            CliRunner().invoke(app, ["lab", "return", "--site", str(PATH), "--processes", "4", "--json",
-                                     str(path)])
+            CliRunner().invoke(
+                app, ["lab", "return", "--site", str(PATH), "--processes", "4", "--json", str(path)]
+            )
             found = json.loads(path.read_text())
         clean = {name: found[name] for name in ("stale_decisions", "numbers_reused", "lost", "duplicated")}
         self.assertEqual({0}, set(clean.values()), found)
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -86,6 +86,7 @@
 
     def test_refusals_of_long_ago_lengthen_no_later_pause(self) -> None:
         """A watch that stands again and brings nothing new ends them, as one that brings news."""
+
         async def work() -> None:
             self.watch_shelf()
             head = self.start(settings=settings(200, False))
@@ -116,6 +117,7 @@
 
     def test_what_the_agent_holds_after_an_outage_is_used_at_once(self) -> None:
         """Pushed lists count as told at the return, so a head with no watch may not wait for long."""
+
         async def work() -> None:
             self.watch_shelf()
             self.start(settings=settings(200, True))
@@ -169,8 +171,10 @@
                 answers = c.got.count(b"HTTP/1.1 ")
                 crossed = len(owed[c]) - answers
                 # A request that crossed the end of its connection was not read: it is sent anew elsewhere.
-                self.assertTrue(crossed == 0 or crossed == 1 and c.ended_at - owed[c][-1] <= 2 * LATE_WAY,
-                                (len(owed[c]), answers, c.ended_at - owed[c][-1]))
+                self.assertTrue(
+                    crossed == 0 or crossed == 1 and c.ended_at - owed[c][-1] <= 2 * LATE_WAY,
+                    (len(owed[c]), answers, c.ended_at - owed[c][-1]),
+                )
                 self.assertGreater(answers, 10, "it served on")
                 self.assertGreater(max(owed[c]) - told, 1.5, "and not only at first")
 
@@ -185,8 +189,15 @@
         asked = []
         for n in range(heads):
             host = PrintingHost()
-            facts = StartFacts(**{**FACTS, "heads": heads, "list_on_request": True, "ask_within": 10.0,
-                                  "cold": ColdRule(8.0, 2.0, 10.0, 0.25)})
+            facts = StartFacts(
+                **{
+                    **FACTS,
+                    "heads": heads,
+                    "list_on_request": True,
+                    "ask_within": 10.0,
+                    "cold": ColdRule(8.0, 2.0, 10.0, 0.25),
+                }
+            )
             policy = Policy(host, facts, 77 + n)
             for _ in range(refused):
                 policy.list_refused()
@@ -211,4 +222,3 @@
     def test_a_head_alone_asks_at_once(self) -> None:
         self.assertEqual([0.0], self.calls(1, 0))
         self.assertLessEqual(self.calls(1, 1)[0], 0.5)
-
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -17,8 +17,18 @@
 from gorsethread.membership.words import Kind, Message, State, Unreadable, Word, beats, read, write
 
 HOME = ("10.0.0.1", 1000)
-WORDS = st.builds(Word, st.just(3), st.integers(0, 3), st.integers(0, 3), st.sampled_from(list(State)),
-                  st.just(0), st.just(0), st.just("10.0.0.1"), st.just(1003), st.integers(0, 3))
+WORDS = st.builds(
+    Word,
+    st.just(3),
+    st.integers(0, 3),
+    st.integers(0, 3),
+    st.sampled_from(list(State)),
+    st.just(0),
+    st.just(0),
+    st.just("10.0.0.1"),
+    st.just(1003),
+    st.integers(0, 3),
+)
 RAW = write(Message(Kind.PING, 1, 1, 0, 5, (Word(3, 1, 0, 0, 0, 0, *HOME, 1),)), 7)
 
 
@@ -58,7 +68,7 @@
     @given(st.binary(max_size=300))
     @settings(max_examples=200)
     def test_noise_is_told_from_messages(self, raw: bytes) -> None:
-        for data in (raw, RAW[:len(raw) % len(RAW)], RAW[:5] + raw):
+        for data in (raw, RAW[: len(raw) % len(RAW)], RAW[:5] + raw):
             if data != RAW:
                 try:
                     read(data, 7)
@@ -67,8 +77,12 @@
                 self.assertEqual(data, write(read(data, 7), 7))
 
     def test_other_fleets_versions_and_sizes_are_refused(self) -> None:
-        for raw, why in ((RAW, "another fleet"), (RAW + bytes(300), "over the bound"), (b"", "malformed"),
-                         (RAW[:1] + b"\x01" + RAW[2:], "another version")):
+        for raw, why in (
+            (RAW, "another fleet"),
+            (RAW + bytes(300), "over the bound"),
+            (b"", "malformed"),
+            (RAW[:1] + b"\x01" + RAW[2:], "another version"),
+        ):
             with self.assertRaises(Unreadable) as caught:
                 read(raw, 8 if why == "another fleet" else 7)
             self.assertEqual(why, str(caught.exception))
@@ -145,8 +159,10 @@
                 self.assertNotEqual([], FleetWorld(script, plant, 120.0).play().reasons)
 
     def test_bytes_do_not_grow_with_the_fleet(self) -> None:
-        small, large = (FleetWorld(read_script(f"seed 1\nheads {n}\n1 kill head-0 for 1\n"), calm=30.0).play()
-                        for n in (6, 48))
+        small, large = (
+            FleetWorld(read_script(f"seed 1\nheads {n}\n1 kill head-0 for 1\n"), calm=30.0).play()
+            for n in (6, 48)
+        )
         self.assertEqual([], small.reasons + large.reasons)
         self.assertLess(large.bytes_a_head_a_second, 2.0 * small.bytes_a_head_a_second + 200.0)
 
@@ -195,13 +211,18 @@
 
         first = (1, 0, int(State.ALIVE))
         protocol = Protocol(
-            name="lives", candidate=False,
+            name="lives",
+            candidate=False,
             fields=("life", "inc", "up", "a", "b", "said", "dead_a", "dead_b"),
             initial=(1, 0, True, first, first, frozenset({first}), frozenset(), frozenset()),
             transitions=transitions,
-            invariants={"a dead life stays dead": lambda d: not any(
-                held[0] in dead and held[2] < State.LEFT
-                for held, dead in ((d["a"], d["dead_a"]), (d["b"], d["dead_b"])))})
+            invariants={
+                "a dead life stays dead": lambda d: not any(
+                    held[0] in dead and held[2] < State.LEFT
+                    for held, dead in ((d["a"], d["dead_a"]), (d["b"], d["dead_b"]))
+                )
+            },
+        )
         result: dict[str, Any] = check_safety(protocol)
         return result
 
@@ -213,7 +234,10 @@
     def test_a_flaw_in_the_order_is_found(self) -> None:
         def flawed(one: Word, other: Word | None) -> bool:
             return other is None or (one.life, one.incarnation, one.state) > (
-                other.life, other.incarnation, other.state)
+                other.life,
+                other.incarnation,
+                other.state,
+            )
 
         self.assertIs(False, self.check(flawed)["properties"]["a dead life stays dead"]["holds"])
 
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -181,8 +181,9 @@
         self.play(work)
 
     @given(st.floats(-1000, 1000), st.sampled_from([0.0, 1e-4, -1e-4, 0.3]), st.floats(0, 100))
-    def test_a_timer_never_comes_early_on_its_own_clock(self, offset: float, drift: float,
-                                                        seconds: float) -> None:
+    def test_a_timer_never_comes_early_on_its_own_clock(
+        self, offset: float, drift: float, seconds: float
+    ) -> None:
         self.begin(offset=offset, drift=drift)
         came: list[float] = []
 
--- a/tests/test_webworld.py
+++ b/tests/test_webworld.py
@@ -17,10 +17,12 @@
 STILL = "2 still shelf-0 for 4\n2 still shelf-1 for 4"
 RUDE = "\n".join(f"1 rude head-{h} for 5" for h in (0, 1, 2))
 RESETS = "factor 2\n1 slow shelf-0 by 9 for 5\n1 slow shelf-1 by 9 for 5\n" + "\n".join(
-    f"{at} reset head-{h} -> shelf-{s}" for at in (2, 3, 4, 5) for h in (0, 1, 2) for s in (0, 1))
+    f"{at} reset head-{h} -> shelf-{s}" for at in (2, 3, 4, 5) for h in (0, 1, 2) for s in (0, 1)
+)
 # Two shelves come back cold, then each head starts anew, twice.
 COLD = "heads 4\nfactor 3\n1 kill shelf-0 for 0.5\n1 kill shelf-1 for 0.5\n" + "".join(
-    f"{at + 0.05 * head:.2f} kill head-{head} for 0.1\n" for at in (2.6, 3.6) for head in range(4))
+    f"{at + 0.05 * head:.2f} kill head-{head} for 0.1\n" for at in (2.6, 3.6) for head in range(4)
+)
 # A part of the defect's name, and the script that shows it.
 SHOWING = {
     "ended under a request counts as never": RESETS,
@@ -42,8 +44,8 @@
     "each shelf's home": COLD,
     "starts are not heard": COLD,
     "just answered on is closed": RUDE,
-    "not counted as they end": "heads 2\nfactor 4\n" + "".join(
-        f"1 kill shelf-{shelf} for 0.3\n" for shelf in range(4)),
+    "not counted as they end": "heads 2\nfactor 4\n"
+    + "".join(f"1 kill shelf-{shelf} for 0.3\n" for shelf in range(4)),
     "is not given back": "heads 1\nshelves 2\nfactor 4\n1 kill shelf-0 for 0.3",
 }
 
@@ -70,8 +72,10 @@
     site.CopyFrom(SITE)
     site.rules.drain_grace, site.links.connect_within = 0.25, 2.0
     resets = "\n".join(f"2 reset head-{head} -> shelf-1" for head in range(3))
-    script = read_script(f"seed 5\nseconds 8\nfactor 3\n1.9 connects shelf-1 by 0.7 for 3\n{resets}\n"
-                         "2.1 drain shelf-1 for 5\n")
+    script = read_script(
+        f"seed 5\nseconds 8\nfactor 3\n1.9 connects shelf-1 by 0.7 for 3\n{resets}\n"
+        "2.1 drain shelf-1 for 5\n"
+    )
     name = next(m for m in WEB_MUTANTS if "sent whenever that comes up" in m)
     assert play(site, script, "", True).reasons == []
     assert any("rule 3" in reason for reason in play(site, script, name, True).reasons)
--- a/tests/test_witness.py
+++ b/tests/test_witness.py
@@ -12,25 +12,64 @@
 
 
 def sent(t: float, label: int, profile: int = 0, key: str = "", units: int = 1, attempt: int = 0) -> Seen:
-    return {"t": t, "who": "client", "e": "sent", "label": label, "attempt": attempt, "head": 0, "volume": 1,
-            "profile": profile, "units": units, "key": key, "by": t + 1, "due": t}
+    return {
+        "t": t,
+        "who": "client",
+        "e": "sent",
+        "label": label,
+        "attempt": attempt,
+        "head": 0,
+        "volume": 1,
+        "profile": profile,
+        "units": units,
+        "key": key,
+        "by": t + 1,
+        "due": t,
+    }
 
 
 def answer(t: float, label: int, how: str = "honoured", attempt: int = 0) -> Seen:
-    return {"t": t, "who": "client", "e": "answer", "label": label, "attempt": attempt, "how": how,
-            "status": 0,
-            "wrong": 0}
+    return {
+        "t": t,
+        "who": "client",
+        "e": "answer",
+        "label": label,
+        "attempt": attempt,
+        "how": how,
+        "status": 0,
+        "wrong": 0,
+    }
 
 
 def arrived(t: float, label: int, shelf: int = 0, units: int = 1, attempt: int = 0) -> Seen:
-    return {"t": t, "who": f"shelf {shelf}", "e": "arrived", "shelf": shelf, "start": 1, "head": 0,
-            "label": label, "attempt": attempt, "volume": 1, "units": units, "op": 1}
+    return {
+        "t": t,
+        "who": f"shelf {shelf}",
+        "e": "arrived",
+        "shelf": shelf,
+        "start": 1,
+        "head": 0,
+        "label": label,
+        "attempt": attempt,
+        "volume": 1,
+        "units": units,
+        "op": 1,
+    }
 
 
 def ended(t: float, label: int, how: str = "honoured", shelf: int = 0) -> Seen:
-    return {"t": t, "who": f"shelf {shelf}", "e": "ended", "shelf": shelf, "start": 1, "head": 0,
-            "label": label,
-            "attempt": 0, "how": how, "ran": how == "honoured"}
+    return {
+        "t": t,
+        "who": f"shelf {shelf}",
+        "e": "ended",
+        "shelf": shelf,
+        "start": 1,
+        "head": 0,
+        "label": label,
+        "attempt": 0,
+        "how": how,
+        "ran": how == "honoured",
+    }
 
 
 def ran(t: float, label: int) -> Seen:
@@ -81,9 +120,10 @@
         self.assertEqual(1, verdict.duplicated)
 
     def test_labelled_stay_in_group_and_window(self) -> None:
-        site = SITE.replace('name: "write" promised: 0.3 cut_off: 1 effect: REDOABLE',
-                            'name: "write" promised: 0.3 cut_off: 9 effect: LABELLED group: SHARD '
-                            'remembered: 1')
+        site = SITE.replace(
+            'name: "write" promised: 0.3 cut_off: 1 effect: REDOABLE',
+            'name: "write" promised: 0.3 cut_off: 9 effect: LABELLED group: SHARD ' "remembered: 1",
+        )
         whole = sent(0, 1, 2), arrived(0.1, 1), answer(5, 1, "given up")
         self.kept(*whole, arrived(0.9, 1), site=site)
         self.broken(2, *whole, arrived(0.9, 1, 1), site=site)
@@ -114,11 +154,14 @@
         self.broken(6, *base, *further, site=site)
 
     def test_limits(self) -> None:
-        site = SITE.replace('weight: 1 usual', 'weight: 1 limit: 10 limit_burst: 20 limit_slack: 2 usual')
+        site = SITE.replace("weight: 1 usual", "weight: 1 limit: 10 limit_burst: 20 limit_slack: 2 usual")
 
         def many(number: int) -> list[Seen]:
-            return [s for n in range(number) for s in (sent(0, n, units=5), arrived(0.1, n, units=5),
-                                                       answer(0.2, n))]
+            return [
+                s
+                for n in range(number)
+                for s in (sent(0, n, units=5), arrived(0.1, n, units=5), answer(0.2, n))
+            ]
 
         self.kept(*many(4), site=site)
         self.broken(7, *many(6), site=site)
