A drain heard twice is not freed by the word that lay between, where it comes last

Found by an example that hypothesis drew anew in the run of all tests: drain (version 2), drain (4), ready (3). Cause: membership/news.py, peer_said: a word that says the same as the latest was passed over whole, its version too, so an older word of another state counted as later than both. Its version is kept now; until when the stop is believed stays. Held by test_what_lies_between_two_drains (fails before) and by the drawn test.

--- a/gorsethread/membership/news.py
+++ b/gorsethread/membership/news.py
@@ -101,6 +101,8 @@
             own, latest = self.own.get(n.shelf), self.latest.get(n.shelf)
             if own is None or self._known(n) or latest is not None and not self._newer(n, latest):
                 self.ignored += 1
+                if latest is not None and n.life == latest.life and n.version > latest.version:
+                    self._said_later(n)
                 continue
             if n.state == State.READY:
                 # Guards against a list that began anew and had not heard of its shelves yet: a head that does
@@ -162,6 +164,12 @@
         the list said nothing that a later one does not know."""
         return self.followed and (n.life, n.version) <= (self.life, self.version)
 
+    def _said_later(self, n: News) -> None:
+        """The same as was heard last, of a later list: what lies between the two has no say any more."""
+        self.latest[n.shelf] = n
+        if (believed := self.beyond.get(n.shelf)) is not None:
+            self.beyond[n.shelf] = Believed(n, believed.until)
+
     @staticmethod
     def _newer(n: News, than: News) -> bool:
         if n.life == than.life:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -105,6 +105,15 @@
         m.list_said(LIFE, 3, [], False, 2.0 + KEPT_FOR)
         self.assertEqual(([], 3), (m.to_tell(2.0 + KEPT_FOR), len(m.own)))
 
+    def test_what_lies_between_two_drains_and_comes_behind_both_frees_nothing(self) -> None:
+        m = fresh()
+        m.peer_said([news(2, State.DRAINING, 2), news(2, State.DRAINING, 4), news(2, State.READY, 3)], 1.0)
+        self.assertTrue(m.stopped(2))
+        m.list_said(LIFE, 3, [(2, 1, "ready")], False, 1.1)
+        self.assertTrue(m.stopped(2), "the own list has not come as far")
+        m.list_said(LIFE, 4, [(2, 1, "draining")], False, 1.2)
+        self.assertEqual({}, m.beyond)
+
     @given(HISTORY, st.data())
     def test_any_order_of_news_ends_where_the_list_does(
         self, history: list[tuple[int, str]], data: st.DataObject
