--- /dev/null
+++ b/tests/test_platform_program.py
@@ -0,0 +1,155 @@
+"""The program as the platform starts it: its configuration, its start and its end, as a real process."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import tomllib
+import unittest
+from pathlib import Path
+from typing import Any
+
+from gorsethread.platform.config import Unusable, read_order
+from gorsethread.transport.real import free_ports
+from tests.live import SETTINGS, order
+
+
+class Configuration(unittest.TestCase):
+    def test_what_is_missing_or_wrong_is_named(self) -> None:
+        for changed, said in (
+            ({"listen": "here"}, "listen"),
+            ({"limits": {}}, "limits.sockets"),
+            ({"seed": "xyz"}, "seed"),
+            ({"settings": 3}, "settings"),
+            ({"settings": {**SETTINGS, "services": []}}, "settings"),
+            ({"settings": {k: v for k, v in SETTINGS.items() if k != "grades"}}, "grades"),
+            ({"known": {"generation": "x"}}, "known"),
+            ({"discovery": "a:99999"}, "discovery"),
+            ({"settings": {**SETTINGS, "specifics": []}}, "settings"),
+            (
+                {"settings": {**SETTINGS, "services": [{**SETTINGS["services"][0], "aim": "soon"}]}},
+                "promised",
+            ),
+            ({"settings": {**SETTINGS, "contract": {**SETTINGS["contract"], "fall": float("nan")}}}, "span"),
+            ({"settings": {**SETTINGS, "grades": [{"name": "plain", "neverOver": [9]}]}}, "limit"),
+        ):
+            with self.subTest(changed=changed), self.assertRaises(Unusable) as caught:
+                read_order(json.dumps(order(**changed)).encode(), "the/place")
+            self.assertIn("the/place", str(caught.exception))
+            self.assertIn(said, str(caught.exception))
+        self.assertEqual(("head", 1), read_order(json.dumps(order(unknown=1)).encode(), "p").listen)
+
+    def test_the_program_says_so_in_one_line_and_ends_with_2(self) -> None:
+        for env in ({}, {"GW_CONFIG": "/nowhere/config.json"}):
+            done = subprocess.run(
+                [sys.executable, "-m", "gorsethread.platform"],
+                env=env,
+                text=True,
+                capture_output=True,
+                timeout=30,
+            )
+            self.assertEqual((2, 1), (done.returncode, done.stderr.count("\n")), done.stderr)
+
+    def test_the_lean_start_imports_nothing_it_does_not_use(self) -> None:
+        code = (
+            "import sys, gorsethread.platform.__main__ as m; print(*sorted(n for n in sys.modules if "
+            "n.split('.')[0] in ('typer', 'numpy', 'matplotlib', 'google') or n.startswith(("
+            "'gorsethread.nvme', 'gorsethread.queues', 'gorsethread.sitefile', 'gorsethread.accounts', "
+            "'gorsethread.lab', 'gorsethread.cli'))))"
+        )
+        done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=30)
+        self.assertEqual("\n", done.stdout, done.stderr)
+
+
+# What the platform's filter refuses, and names that would need DNS; the program runs on as it is.
+WATCHED = """
+import ipaddress, runpy, sys
+
+def saw(event, facts):
+    named = event in ("subprocess.Popen", "os.fork", "os.forkpty", "os.posix_spawn", "os.system", "os.exec",
+                      "pty.spawn", "socket.gethostbyname", "socket.gethostbyaddr", "ctypes.dlopen")
+    if event == "socket.getaddrinfo":
+        try:
+            ipaddress.ip_address(facts[0])
+        except ValueError:
+            named = True
+    if event in ("socket.bind", "socket.connect"):
+        named = not isinstance(facts[1], tuple)
+    if named:
+        print("REFUSED", event, facts, file=sys.stderr, flush=True)
+
+sys.addaudithook(saw)
+PLANTED
+runpy.run_module("gorsethread.platform", run_name="__main__")
+"""
+
+
+class WholeProgram(unittest.TestCase):
+    """The real program as the platform starts it, on loopback."""
+
+    def program(self, listen: str, planted: str = "") -> "subprocess.Popen[str]":
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        settings = {**SETTINGS, "services": [{**s, "giveUp": 0.2} for s in SETTINGS["services"]]}
+        nobody: dict[str, Any] = {"generation": 0, "reset": True, "instances": []}
+        with open(f"{folder}/config.json", "w") as file:
+            json.dump(order(listen=listen, discovery="127.0.0.1:9", settings=settings, known=nobody), file)
+        started = self.enterContext(
+            subprocess.Popen(
+                [sys.executable, "-c", WATCHED.replace("PLANTED", planted)],
+                stderr=subprocess.PIPE,
+                text=True,
+                env={"GW_CONFIG": f"{folder}/config.json"},
+            )
+        )
+        self.addCleanup(started.kill)
+        return started
+
+    def test_it_serves_reloads_and_ends_in_order(self) -> None:
+        port = free_ports(1)[0]
+        program = self.program(f"127.0.0.1:{port}")
+        assert program.stderr is not None
+        first = next(line for line in program.stderr if "head serves" in line)
+        self.assertIn(str(port), first)
+        with socket.create_connection(("127.0.0.1", port), 5) as client:
+            client.sendall(b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n")
+            self.assertTrue(client.recv(1000).startswith(b"HTTP/1.1 200 "))
+            program.send_signal(signal.SIGHUP)
+            next(line for line in program.stderr if "configuration read again" in line)
+            client.sendall(b"nonsense\r\n\r\n")
+            self.assertTrue(client.recv(1000).startswith(b"HTTP/1.1 400 "))
+        program.send_signal(signal.SIGTERM)
+        program.send_signal(signal.SIGTERM)
+        said = program.stderr.read()
+        self.assertIn("head ended", said)
+        self.assertNotIn("REFUSED", said)
+        self.assertEqual(0, program.wait(10))
+
+    def test_what_the_platform_refuses_would_be_seen(self) -> None:
+        planted = (
+            'import os, socket; os.system("true"); socket.socket(socket.AF_UNIX).bind("\\0x"); ' "sys.exit()"
+        )
+        program = self.program("127.0.0.1:1", planted)
+        said = program.communicate(timeout=20)[1]
+        self.assertIn("REFUSED os.system", said)
+        self.assertIn("REFUSED socket.bind", said)
+
+    def test_run_is_one_program_in_the_place_of_the_shell(self) -> None:
+        deploy = tomllib.loads((Path(__file__).parent.parent / "deploy" / "balancer.toml").read_text())
+        self.assertRegex(deploy["run"], r"^exec [^;&|<>$`]+$")
+        self.assertEqual(
+            [],
+            [
+                path
+                for path in deploy["policy"] + deploy["node"]
+                if not Path(__file__).parent.parent.joinpath(path).exists()
+            ],
+        )
+
+    def test_an_address_that_cant_be_had(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            program = self.program(f"127.0.0.1:{taken.getsockname()[1]}")
+            said = program.communicate(timeout=20)[1]
+        self.assertEqual((2, 1), (program.returncode, said.count("\n")), said)
+        self.assertIn("listen", said)
