--- a/gorsethread/faults/webworld.py
+++ b/gorsethread/faults/webworld.py
@@ -12,18 +12,11 @@
 from gorsethread.platform.program import CLIENTS_PART, KILL_AFTER, LONGEST_COUNTED, LiveHead
 from gorsethread.sitefile import site_pb2 as pb
 from gorsethread.sitefile.reading import split_address
-from gorsethread.standins.web import (
-    HEADS_FROM,
-    OWED_WITHIN,
-    RudeClient,
-    WebClient,
-    WebLink,
-    WebList,
-    WebShelf,
-    WebTry,
-    instance,
-    settings_of,
-)
+from gorsethread.standins.web.backend import WebShelf
+from gorsethread.standins.web.bad_clients import OWED_WITHIN, RudeClient
+from gorsethread.standins.web.clients import WebClient, WebLink, WebTry
+from gorsethread.standins.web.discovery import WebList
+from gorsethread.standins.web.words import HEADS_FROM, instance, settings_of
 from gorsethread.witness.judge import MOMENT
 
 PEERS_AT = 7946
--- a/gorsethread/harness/service.py
+++ b/gorsethread/harness/service.py
@@ -24,7 +24,10 @@
 from gorsethread.standins.nodelist import NodeList
 from gorsethread.standins.record import Fault, Recorder
 from gorsethread.standins.shelf import Shelf
-from gorsethread.standins.web import HEADS_FROM, WebClient, WebList, WebShelf, instance, settings_of
+from gorsethread.standins.web.backend import WebShelf
+from gorsethread.standins.web.clients import WebClient
+from gorsethread.standins.web.discovery import WebList
+from gorsethread.standins.web.words import HEADS_FROM, instance, settings_of
 from gorsethread.transport.base import Transport, Unreachable
 from gorsethread.transport.real import RealTransport, free_ports
 from gorsethread.witness.judge import Verdict, Witness
--- /dev/null
+++ b/gorsethread/standins/web/backend.py
@@ -0,0 +1,174 @@
+"""A fake backend that speaks HTTP, with answers spoilt on request."""
+
+from collections.abc import Callable
+from typing import Any
+
+from gorsethread.http1.bounds import Unreadable
+from gorsethread.http1.serving import Request, Serving, last_words
+from gorsethread.nvme.command import Command, Completion, Opcode, Status, io_command, told_service
+from gorsethread.nvme.subsystem import BLOCK
+from gorsethread.sitefile import site_pb2 as pb
+from gorsethread.standins.record import Fault
+from gorsethread.standins.shelf import HEAD_NAME, Held, Shelf
+from gorsethread.standins.web.words import ATTEMPTS, HEADS_FROM, body_of, id_of
+from gorsethread.transport.base import Stream, StreamClosed
+
+GOOD = -3  # of a shelf's noises, those that hold a whole answer in front
+
+
+class WebIo:
+    """A request at a shelf, in the shape that the machine behind it knows."""
+
+    __slots__ = ("command", "host", "owned", "target", "connection", "answered")
+
+    def __init__(self, connection: "ShelfConnection", command: Command, head: int, target: bytes) -> None:
+        self.connection, self.command, self.target = connection, command, target
+        self.host = f"{HEAD_NAME}{head}"
+        self.owned: Any = None
+        self.answered = False
+
+    def answer(self, completion: Completion, data: bytes = b"") -> None:
+        if not self.answered:
+            self.answered = True
+            self.connection.answer(self, completion)
+
+
+class ShelfConnection:
+    """One connection of one head; one request at a time."""
+
+    def __init__(self, shelf: "WebShelf", stream: Stream, head: int) -> None:
+        self.shelf, self.stream, self.head = shelf, stream, head
+        self.codec = Serving()
+        self.io: WebIo | None = None
+
+    async def serve(self) -> None:
+        try:
+            while True:
+                self.codec.feed(await self.stream.read())
+                self.proceed()
+        except StreamClosed:
+            if self.io is not None and not self.io.answered:
+                self.shelf.given_up(self.io)
+        except Unreadable as error:
+            self.shelf.recorder.saw("bad request", shelf=self.shelf.number, reason=str(error))
+            self.stream.write(last_words(error.status))
+            self.stream.close()
+
+    def proceed(self) -> None:
+        while (request := self.codec.next()) is not None:
+            self.shelf.requested(self, request)
+
+    def say(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
+        said, goes_on = self.codec.answer(status, headers, body)
+        self.stream.write(said)
+        if not goes_on:
+            self.stream.close()
+        elif self.codec.begun:
+            self.shelf.transport.soon(self.proceed)
+
+    def answer(self, io: WebIo, completion: Completion) -> None:
+        self.io = None
+        if completion.pushed_back:
+            self.say(503, [(b"srv-declined", b"1")], b"")
+        elif not completion.honoured:
+            self.say(500, [], b"")
+        elif (noise := self.shelf.noise()) is not None:
+            if noise in self.shelf.noises[GOOD:]:
+                self.codec.answer(200, [], b"")  # it goes on; else it is of no more use, though it stays open
+            self.stream.write(noise(io))
+        else:
+            elsewhere, usage, _ = told_service(completion)
+            headers = [(b"other-hosts", b"%d" % elsewhere), (b"volume-load", b"%d" % usage)]
+            self.say(200, headers, self.shelf.body_for(io))
+
+
+def _whole(body: bytes, more: bytes = b"") -> bytes:
+    return b"HTTP/1.1 200 OK\r\n" + more + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+class WebShelf(Shelf):
+    """Has the fault 'spoil' besides: that part of its answers can't be used, though all of them ran."""
+
+    def __init__(self, *arguments: Any) -> None:
+        super().__init__(*arguments)
+        self.profiles = {p.name.encode(): p for p in self.site.profile}
+        self.spoil_part = self.spoil_until = 0.0
+        self.noises: list[Callable[[WebIo], bytes]] = [
+            lambda io: b"\x00\xff\x17 what is this \r\n\r\n" * 3,
+            lambda io: b"HTTP/1.1 200 OK\r\nX-Pad: " + b"a" * 40_000,
+            lambda io: b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 77\r\n\r\nhello",
+            lambda io: b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"b" * 60_000,
+            lambda io: b"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\n",
+            lambda io: b"HTTP/1.1 200 OK\r\n\r\n" + self.body_for(io),
+            # These three are good, and bring more than belongs to them.
+            lambda io: _whole(self.body_for(io)) + _whole(b"another's answer"),
+            lambda io: b"HTTP/1.1 102 Processing\r\n\r\n" + _whole(self.body_for(io)) + b"zzz",
+            lambda io: _whole(self.body_for(io), b"Other-Hosts: x\r\nVolume-Load: -7e9999\r\n") + b"\r\n",
+        ]
+
+    def body_for(self, io: WebIo) -> bytes:
+        """Made for this request alone, and says where it lies."""
+        return f"{id_of(io.command.label, io.command.attempt)} {self.me.shard}".encode()
+
+    def noise(self) -> Callable[[WebIo], bytes] | None:
+        if self.transport.now() >= self.spoil_until or self.chance.random() >= self.spoil_part:
+            return None
+        return self.noises[self.chance.randrange(len(self.noises))]
+
+    def _fault(self, fault: Fault) -> None:
+        super()._fault(fault)
+        if fault.kind == "spoil":
+            self.spoil_part, self.spoil_until = fault.part, self.transport.now() + fault.seconds
+
+    def _listen(self, host: str, port: int) -> None:
+        self.port = port
+        self._listeners = [self._listen_to(host, h.number) for h in self.site.head]
+
+    def _listen_to(self, host: str, head: int) -> Any:
+        async def on_stream(stream: Stream) -> None:
+            await ShelfConnection(self, stream, head).serve()
+
+        return self.transport.listen(host, HEADS_FROM + head, on_stream)
+
+    def stop(self) -> None:
+        for listener in self._listeners:
+            listener.close()
+
+    def _profile(self, io: Any) -> pb.Profile:
+        return self.profiles[io.target.split(b"/")[1]]
+
+    def requested(self, connection: ShelfConnection, request: Request) -> None:
+        try:
+            id = int((request.one(b"req-id") or b"").decode(), 16)
+            info = dict(part.split("=") for part in (request.one(b"io-info") or b"").decode().split(","))
+            volume, units, shard = int(info["volume"], 16), int(info["units"]), int(info["shard"])
+            volume, blocks = self.volumes[volume].number, units * self.site.links.unit_bytes // BLOCK
+        except (ValueError, KeyError) as error:
+            self.recorder.saw("bad request", shelf=self.number, reason=repr(error))
+            connection.say(400, [], b"")
+            return
+        write = request.method == b"PUT"
+        command = io_command(
+            Opcode.WRITE if write else Opcode.READ,
+            volume,
+            0,
+            blocks,
+            attempt=id % ATTEMPTS,
+            shard=shard,
+            label=id // ATTEMPTS,
+        )
+        if request.body != (body_of(id, units) if write else b""):
+            self.recorder.saw("bad request", shelf=self.number, reason="not the body that the client sent")
+        io = connection.io = WebIo(connection, command, connection.head, request.target)
+        self.announced(io)  # type: ignore[arg-type]
+        io.owned = Held(units, request.body)
+        if shard not in (-1, self.me.shard):
+            self._saw_end(io, "turned away", False)  # type: ignore[arg-type]
+            io.answer(Completion(0, Status.COMMAND_INTERRUPTED))
+            return
+        self.taken(io, request.body)  # type: ignore[arg-type]
+
+    def given_up(self, io: WebIo) -> None:
+        """Its connection has ended: what has not begun is dropped, what runs runs on."""
+        self._withdraw(io)  # type: ignore[arg-type]
+        io.answered = True
--- /dev/null
+++ b/gorsethread/standins/web/bad_clients.py
@@ -0,0 +1,66 @@
+"""Fake clients that send what is no request."""
+
+from gorsethread.sitefile import site_pb2 as pb
+from gorsethread.sitefile.reading import split_address
+from gorsethread.standins.record import Recorder
+from gorsethread.transport.base import Chance, StreamClosed, Transport, Unreachable
+
+OWED_WITHIN = 3.5  # seconds from connecting in which a bad client is owed an error or a close
+
+
+class RudeClient:
+    """Sends what can't be read, and holds that it is owed an error or a close."""
+
+    def __init__(self, transport: Transport, site: pb.Site, recorder: Recorder) -> None:
+        self.transport, self.site, self.recorder = transport, site, recorder
+        self.chance: Chance = transport.chance("rude")
+        profile, plan = site.profile[0].name, site.plan[0].name
+        good = (
+            f"GET /{profile}/0000000100000001 HTTP/1.1\r\nHost: a\r\n"
+            f"Req-Id: 00000000000000ff\r\nTier: {plan}\r\nReq-Deadline-Ms: 900\r\n"
+            "IO-Info: volume=0000000000000001,units=1,shard=0,hosts=1\r\n"
+        )
+        inner, put = (good + "\r\n").encode(), good.replace("GET", "PUT").encode()
+        self.words = [
+            b"\x16\x03\x01 hello\r\n\r\n",
+            b"GET / HTTP/1.0\r\n\r\n",
+            b"GET /" + b"a" * 30_000,
+            (good.replace("volume=", "volumes=") + "\r\n").encode(),
+            (good.replace("Req-Id: 00000000000000ff\r\n", "") + "\r\n").encode(),
+            (good.replace("900", "soon") + "\r\n").encode(),
+            (good.replace(plan, "nobody's") + "\r\n").encode(),
+            (good.replace("units=1", "units=-3") + "\r\n").encode(),
+            (good + "Content-Length: -1\r\n\r\n").encode(),
+            (good + "Content-Length: 60000000\r\n\r\n").encode() + b"z" * 50_000,
+            put + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner,
+            put + b"Content-Length: 5\r\nContent-Length: 9\r\n\r\nhello" + inner,
+            inner[:60],
+            b"",
+        ]
+
+    async def at(self, head: pb.Head, until: float) -> None:
+        """Comes to one head again and again."""
+        while self.transport.now() < until:
+            words = self.words[self.chance.randrange(len(self.words))]
+            self.transport.spawn(self._come(head, words))
+            await self.transport.sleep(self.chance.uniform(0.01, 0.2))
+
+    async def _come(self, head: pb.Head, words: bytes) -> None:
+        try:
+            stream = await self.transport.connect(*split_address(head.address), 1.0)
+        except Unreachable:
+            return
+        stream.write(words)
+        timer = self.transport.at(self.transport.now() + OWED_WITHIN, stream.close)
+        began = self.transport.now()
+        got = b""
+        try:
+            while not got.startswith(b"HTTP/1.1 ") or len(got) < 12:
+                got += await stream.read()
+        except StreamClosed:
+            pass
+        timer.cancel()
+        stream.close()
+        late = self.transport.now() - began >= OWED_WITHIN - 0.001
+        if late or got and got[9:10] not in (b"4", b"5"):
+            self.recorder.saw("rude", head=head.number, words=repr(words[:80]), got=repr(got[:40]), late=late)
--- /dev/null
+++ b/gorsethread/standins/web/words.py
@@ -0,0 +1,97 @@
+"""What the platform's parties have in common: ids, bodies, settings and entries of the list."""
+
+from typing import Any
+
+from gorsethread.sitefile import site_pb2 as pb
+from gorsethread.sitefile.reading import split_address
+
+HEADS_FROM = 8000  # the port at which a shelf or discovery is reached by head 0; the next ones follow
+ATTEMPTS = 4  # of a client's transaction, told apart in an id
+EFFECTS = {pb.REDOABLE: "free", pb.LABELLED: "guarded", pb.IRREVERSIBLE: "single_shot"}
+GROUPS = {pb.GROUP_UNSET: "all", pb.ALL: "all", pb.ZONE: "zone", pb.SHARD: "cell"}
+
+
+def id_of(label: int, attempt: int) -> str:
+    return f"{label * ATTEMPTS + attempt:016x}"
+
+
+def settings_of(site: pb.Site) -> dict[str, Any]:
+    """The site in the words of the platform's configuration."""
+    rules, budget = site.rules, {}
+    if rules.HasField("budget"):
+        budget = {
+            "furtherRatio": rules.budget.part,
+            "freeResends": rules.budget.free,
+            "ratioSpan": rules.budget.span,
+        }
+    return {
+        "azs": [f"room-{n}" for n in range(1 + max((s.zone for s in site.shelf), default=0))],
+        "balancers": len(site.head),
+        "clients": {"marksRetry": True},
+        "membershipMode": "subscribe",
+        "contract": {
+            "askWithin": site.list.ask_within,
+            "cold": rules.cold.warm_after,
+            "coldFrom": rules.cold.first_part,
+            "fall": rules.cold.span,
+            "stopSendingWithin": rules.drain_grace,
+            "orderSettle": rules.key_rest,
+            **budget,
+        },
+        "permissions": {
+            "peerMessages": True,
+            "connIdle": 15.0,
+            "dialTimeout": site.links.connect_within,
+            "maxAttempts": rules.most_forwards,
+            "retryAfter": True,
+            "maxRetryAfter": rules.longest_return,
+        },
+        "services": [
+            {
+                "name": p.name,
+                "aim": p.promised,
+                "giveUp": p.cut_off,
+                "effect": EFFECTS[p.effect],
+                "group": GROUPS[p.group],
+                "window": p.remembered,
+                "keepOrder": p.in_order,
+                "worth": p.value,
+            }
+            for p in site.profile
+        ],
+        "grades": [
+            {
+                "name": p.name,
+                "floorRate": p.reserve,
+                "proportion": p.weight,
+                "neverOver": p.limit,
+                "limitBurst": p.limit_burst,
+                "baseRate": p.usual,
+            }
+            for p in site.plan
+        ],
+        "specifics": {
+            "coldUnits": rules.cold.units,
+            "mostUnits": site.links.largest_bytes // site.links.unit_bytes,
+            "shards": len(site.shelf),
+            "shareWorth": rules.share_worth,
+        },
+    }
+
+
+def instance(
+    number: int, address: str, shard: int, zone: int, state: str, started: float, head: int
+) -> dict[str, Any]:
+    """An entry of discovery's list as one head gets it. started: Unix time, 0 for long ago."""
+    return {
+        "instanceId": f"s-{number}",
+        "hostPort": f"{split_address(address)[0]}:{HEADS_FROM + head}",
+        "zone": f"room-{zone}",
+        "cell": shard,
+        "lifecycle": state,
+        "startedAtMs": started * 1000,
+    }
+
+
+def body_of(id: int, units: int) -> bytes:
+    return f"{id:016x}".encode() * (4 * units)
