--- a/tests/crossing/test_clients.py
+++ b/tests/crossing/test_clients.py
@@ -118,6 +118,31 @@
         self.assertTrue(backend.accepts_nothing(0.3))
 
 
+class TroubleOfOthers(CrossingTest):
+    """What goes wrong elsewhere frees no request of its answer."""
+
+    def test_bad_clients_and_a_backend_that_talks_nonsense_cost_nobody_else_an_answer(self) -> None:
+        good, bad = Server(self), Server(self)
+        self.start(good, bad)
+        asker = self.ask(wish("aa1", "post", patience=5000, body=b"x"))
+        peer = good.accept()
+        peer.message()
+        rude = [b"\x16\x03\x01", b"GET / HTTP/1.0\r\n\r\n", b"PUT /read/7f", 200 * wish("aa2", "nothing")]
+        others = [self.ask(rude[n % len(rude)]) for n in range(80)]
+        spoilt = self.ask(wish("aa3", "post", shard=1, patience=5000, body=b"x"))
+        nonsense, _ = bad.next_request()
+        nonsense.send(b"\x00\xff what is this\r\n\r\n")
+        self.assertEqual(504, spoilt.message().status, "it may have run")
+        for other in others:
+            other.reset()
+        peer.send(answer(200, b"mine"))
+        self.assertEqual(b"mine", asker.message().body)
+        asker.send(wish("aa4"))
+        peer, _ = good.next_request()
+        peer.send(answer(200, b"and the next"))
+        self.assertEqual(b"and the next", asker.message().body)
+
+
 class Shutdown(CrossingTest):
     """SIGTERM, and what comes before, with and after it."""
 
