--- /dev/null
+++ b/gorsethread/transport/virtual/__init__.py
@@ -0,0 +1,15 @@
+"""The virtual side: many processes in one, on a clock that jumps to what is due next and a network whose
+every delay, split and loss comes from a seed. Nothing here reads a real clock, opens a socket or draws
+chance of its own.
+
+Each process has a transport of its own. What reaches it from outside (timers, bytes, new connections) passes
+its gate: a paused process finds all of it due at once when it goes on, a killed one nothing any more.
+"""
+
+from gorsethread.transport.virtual.disk import Disk
+from gorsethread.transport.virtual.loop import Stuck, VirtualLoop
+from gorsethread.transport.virtual.network import Network, Weather
+from gorsethread.transport.virtual.process import VirtualTransport
+from gorsethread.transport.virtual.streams import RESEND
+
+__all__ = ["RESEND", "Disk", "Network", "Stuck", "VirtualLoop", "VirtualTransport", "Weather"]
--- /dev/null
+++ b/gorsethread/transport/virtual/datagrams.py
@@ -0,0 +1,57 @@
+"""Single messages, each of which may be lost, doubled or late."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from gorsethread.transport.base import MOST_DATAGRAM
+
+if TYPE_CHECKING:
+    from gorsethread.transport.virtual.process import VirtualTransport
+
+HELD_MOST = 256  # datagrams and other things due that wait for a paused process
+
+
+class VirtualDatagrams:
+    """A port for datagrams; each finds its own way, so they overtake each other."""
+
+    def __init__(
+        self,
+        transport: "VirtualTransport",
+        host: str,
+        port: int,
+        on_datagram: Callable[[bytes, tuple[str, int]], None],
+    ) -> None:
+        self.transport, self.port, self.on_datagram = transport, port, on_datagram
+        self._address = (host, port)
+        transport.network.ports[self._address] = self
+
+    def send(self, to: tuple[str, int], data: bytes) -> None:
+        if len(data) > MOST_DATAGRAM:
+            raise ValueError(f"a datagram of {len(data)} bytes")
+        network, w, mine = self.transport.network, self.transport.network.weather, self.transport.name
+        other = network.ports.get(to)
+        if other is None or not self.transport.alive:
+            return
+        chance = network.chance(f"datagrams {mine} {other.transport.name}")
+        for _ in range(2 if chance.random() < w.doubled else 1):
+            if chance.random() < w.lost or not network.reaches(mine, other.transport.name):
+                continue
+            delay = chance.uniform(w.least_delay, w.most_delay)
+            delay += chance.uniform(0.0, w.late_most) if chance.random() < w.late else 0.0
+            network.loop.call_later(delay, self._arrive, to, data)
+
+    def _arrive(self, to: tuple[str, int], data: bytes) -> None:
+        network, mine = self.transport.network, self.transport.name
+        other = network.ports.get(to)
+        if other is None or not network.reaches(mine, other.transport.name):
+            return
+        network.saw(mine, other.transport.name, "datagram", len(data), xxhash.xxh3_64_intdigest(data))
+        held = other.transport
+        if not held.paused or len(held._held) < HELD_MOST:  # else the system drops it
+            held.gate(lambda: other.on_datagram(data, self._address))
+
+    def close(self) -> None:
+        if self.transport.network.ports.get(self._address) is self:
+            del self.transport.network.ports[self._address]
--- /dev/null
+++ b/gorsethread/transport/virtual/process.py
@@ -0,0 +1,269 @@
+"""One process of a simulation: its transport, its gate, its signals."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+from gorsethread.transport.base import Stream, Unreachable
+from gorsethread.transport.program import Draws, Program
+from gorsethread.transport.virtual.datagrams import VirtualDatagrams
+from gorsethread.transport.virtual.disk import Disk, VirtualBlocks, VirtualJournal
+from gorsethread.transport.virtual.loop import BEGINS, VirtualTimer, settle
+from gorsethread.transport.virtual.network import Network
+from gorsethread.transport.virtual.streams import Pipe, VirtualListener, VirtualStream
+
+EPOCH = 1.8e9  # seconds since the epoch when a world begins
+SYN_AGAIN = 0.5  # seconds until a lost connection request is sent again, doubling
+NEVER_EARLY = 2e-9  # seconds; more than the loop's resolution and the rounding of clocks
+FLUSH = (0.0005, 0.003)  # seconds that a flush to disk takes
+
+
+class VirtualTransport(Program):
+    """One process of a world. offset, drift: of its monotonic clock against the world's time (seconds, and
+    seconds a second); wall_offset of its wall clock, which may jump."""
+
+    def __init__(
+        self, network: Network, disk: Disk, name: str, offset: float = 0.0, drift: float = 0.0
+    ) -> None:
+        super().__init__(network.loop)
+        self.network, self.disk, self.name = network, disk, name
+        self.offset, self.drift, self.wall_offset = offset, drift, 0.0
+        self.alive = True
+        self.paused = False
+        self.streams: dict[int, VirtualStream] = {}  # open ends of its own
+        self._held: list[Callable[[], None]] = []  # due while it is paused; emptied as it goes on
+        self._tasks: dict[int, asyncio.Task[None]] = {}  # emptied as they end
+        self._listeners: list[VirtualListener] = []
+        self._ports: list[VirtualDatagrams] = []
+        self.journals: dict[str, VirtualJournal] = {}  # emptied as they are closed
+        self._spawned = 0
+        self._on_terminate: Callable[[], None] = self.finish
+        self._on_reload: Callable[[], None] = self.kill  # what a program that names nothing gets
+
+    # ---- the gate
+
+    def gate(self, act: Callable[[], None]) -> None:
+        """Does now what comes from outside, or later, or never."""
+        if not self.alive:
+            return
+        if self.paused:
+            self._held.append(act)
+        else:
+            act()
+
+    def pause(self) -> None:
+        self.paused = True
+
+    def go_on(self) -> None:
+        self.paused = False
+        held, self._held = self._held, []
+        for act in held:
+            self.network.loop.call_soon(self.gate, act)
+
+    def kill(self) -> None:
+        """As SIGKILL: nothing of it runs any more, its connections end, its files stay."""
+        self._die()
+        for stream in list(self.streams.values()):
+            stream._shut(stream.unread > 0)
+
+    def vanish(self) -> None:
+        """Its machine is gone: peers are told nothing."""
+        self._die()
+        self.network.vanished.add(self.name)
+        for stream in list(self.streams.values()):
+            stream.vanish()
+
+    def _die(self) -> None:
+        if self.alive:
+            for journal in self.journals.values():
+                journal.torn()
+        self.alive = False
+        self._held.clear()
+        for listener in self._listeners:
+            listener.close()
+        for port in self._ports:
+            port.close()
+        for task in list(self._tasks.values()):
+            task.cancel()
+
+    # ---- what the program asks for
+
+    def now(self) -> float:
+        return self.network.loop.time() * (1.0 + self.drift) + self.offset
+
+    def wall(self) -> float:
+        return EPOCH + self.network.loop.time() - BEGINS + self.wall_offset
+
+    def at(self, when: float, act: Callable[[], None]) -> VirtualTimer:
+        timer = VirtualTimer()
+
+        def due() -> None:
+            if not timer.cancelled:
+                act()
+
+        # Never early, else whoever waits for that moment looks again and again while no time passes.
+        true = (when - self.offset) / (1.0 + self.drift) + NEVER_EARLY
+        timer.handle = self.network.loop.call_at(true, self.gate, due)
+        return timer
+
+    def soon(self, act: Callable[[], None]) -> None:
+        self.network.loop.call_soon(self.gate, act)
+
+    async def sleep(self, seconds: float) -> None:
+        waiting = self.network.loop.create_future()
+        self.at(self.now() + seconds, lambda: settle(waiting))
+        await waiting
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        if not self.alive:
+            work.close()
+            return
+        self._spawned += 1
+        number = self._spawned
+        task = self.network.loop.create_task(work)
+        self._tasks[number] = task
+        task.add_done_callback(lambda task: self._task_ended(number, task))
+
+    def _task_ended(self, number: int, task: "asyncio.Task[None]") -> None:
+        self._tasks.pop(number, None)
+        if self.alive:
+            self.ended(task)
+
+    async def connect(self, host: str, port: int, within: float) -> Stream:
+        network, address = self.network, (host, port)
+        by, again = network.loop.time() + within, SYN_AGAIN
+        chance = network.chance(f"connects {self.name}")
+        while True:
+            owner = network.machines.get(address, "")
+            delay = chance.uniform(network.weather.least_delay, network.weather.most_delay)
+            delay += network.slow_connects.get(owner, 0.0)
+            reached = network.reaches(self.name, owner) and network.reaches(owner, self.name)
+            wait = 2 * delay if reached else again
+            if network.loop.time() + wait > by:
+                await self.sleep(max(0.0, by - network.loop.time()))
+                raise Unreachable(f"{host}:{port}: no answer in time")
+            await self.sleep(wait)
+            if not reached:
+                again *= 2
+                continue
+            listener = network.listeners.get(address)
+            if listener is None:
+                raise Unreachable(f"{host}:{port}: connection refused")
+            return self._join(listener, host, port)
+
+    def _join(self, listener: VirtualListener, host: str, port: int) -> VirtualStream:
+        network, server = self.network, listener.transport
+        mine = VirtualStream(network, self, f"{host}:{port}")
+        theirs = VirtualStream(network, server, f"127.0.0.1:{network.port()}")
+        mine.other, theirs.other = theirs, mine
+        mine.out, theirs.out = Pipe(network, mine, theirs), Pipe(network, theirs, mine)
+        server.gate(lambda: _accept(listener, theirs))
+        return mine
+
+    def listen(
+        self,
+        host: str,
+        port: int,
+        on_stream: Callable[[Stream], Awaitable[None]],
+        admits: Callable[[], bool] | None = None,
+    ) -> VirtualListener:
+        if (host, port) in self.network.listeners:
+            raise OSError(f"{host}:{port} is in use")
+        self.network.vanished.discard(self.name)
+        listener = VirtualListener(self, host, port or self.network.port(), on_stream, admits)
+        self._listeners.append(listener)
+        return listener
+
+    def datagrams(
+        self, host: str, port: int, on_datagram: Callable[[bytes, tuple[str, int]], None]
+    ) -> VirtualDatagrams:
+        port = port or self.network.port()
+        if (host, port) in self.network.ports:
+            raise OSError(f"{host}:{port} is in use")
+        self.network.vanished.discard(self.name)
+        made = VirtualDatagrams(self, host, port, on_datagram)
+        self._ports.append(made)
+        return made
+
+    def on_terminate(self, act: Callable[[], None]) -> None:
+        self._on_terminate = act
+
+    def on_reload(self, act: Callable[[], None]) -> None:
+        self._on_reload = act
+
+    def terminate(self) -> None:
+        """As SIGTERM."""
+        self.gate(self._on_terminate)
+
+    def reload(self) -> None:
+        """As SIGHUP."""
+        self.gate(self._on_reload)
+
+    def chance(self, name: str) -> Draws:
+        return self.network.chance(f"{self.name}: {name}")
+
+    def load(self, path: str) -> bytes | None:
+        file = self.disk.files.get(path)
+        return bytes(file) if file is not None else None
+
+    def save(self, path: str, data: bytes) -> None:
+        if self.name in self.disk.broken:
+            raise OSError(28, "No space left on device", path)
+        if self.alive:
+            self.disk.files[path] = bytearray(data)
+
+    async def flush(self, chance: Draws) -> None:
+        """As long as a flush to this process's disk takes."""
+        await self.sleep(chance.uniform(*FLUSH) + self.disk.slow.get(self.name, 0.0))
+
+    async def keep(self, path: str, data: bytes) -> None:
+        await self.flush(self.chance(f"keep {path}"))
+        self.save(path, data)
+
+    def journal(self, path: str) -> VirtualJournal:
+        if path not in self.disk.files:
+            raise OSError(2, "No such file or directory", path)
+        made = self.journals[path] = VirtualJournal(self, path, self.disk.files[path])
+        return made
+
+    def lock(self, path: str) -> Callable[[], None] | None:
+        holder = self.disk.locks.get(path)
+        if holder is not None and holder.alive:
+            return None
+        self.disk.locks[path] = self
+
+        def give_up() -> None:
+            if self.disk.locks.get(path) is self:
+                del self.disk.locks[path]
+
+        return give_up
+
+    def names(self, folder: str) -> list[str]:
+        inside = folder.rstrip("/") + "/"
+        return sorted(path[len(inside) :] for path in self.disk.files if path.startswith(inside))
+
+    def remove(self, path: str) -> None:
+        self.disk.files.pop(path, None)
+
+    def blocks(self, path: str) -> VirtualBlocks:
+        return VirtualBlocks(self.disk.files.setdefault(path, bytearray()))
+
+    def append(self, path: str) -> Callable[[bytes], None]:
+        file = self.disk.files.setdefault(path, bytearray())
+
+        def add(data: bytes) -> None:
+            if self.alive:
+                file.extend(data)
+
+        return add
+
+
+def _accept(listener: VirtualListener, stream: VirtualStream) -> None:
+    if listener.admits is not None and not listener.admits():
+        stream.close()
+        return
+    listener.transport.spawn(_serve(listener, stream))
+
+
+async def _serve(listener: VirtualListener, stream: Stream) -> None:
+    await listener.on_stream(stream)
