The turn in which the listener closes and crowded descriptors are forced by tests

A connection that the system takes in the very turn in which the listener closes is served and waited for (in-process, as only there the turn can be chosen); a new client takes no connection whose request is on its way.

--- a/tests/crossing/test_clients.py
+++ b/tests/crossing/test_clients.py
@@ -1,10 +1,28 @@
 """Orders that cross between clients and the gateway: ends of connections, requests sent ahead, shutdown."""
 
+import asyncio
+import json
 import signal
 import socket
+import tempfile
 import time
+from pathlib import Path
 
-from tests.crossing.rig import HOST, CrossingTest, Gateway, Server, answer, has_read_all, until
+from gorsethread.logs import log_for, start_logs
+from gorsethread.platform.config import read_order
+from gorsethread.platform.program import LiveHead
+from gorsethread.transport.real import RealTransport
+from tests.crossing.rig import (
+    HOST,
+    CrossingTest,
+    Discovery,
+    Gateway,
+    Peer,
+    Server,
+    answer,
+    has_read_all,
+    until,
+)
 from tests.live import wish
 
 LARGE = bytes(range(256)) * 7800  # 2 MB: two of these are more than the system's buffers take at once
@@ -243,3 +261,39 @@
         self.assertGreater(answered, 10)
         self.assertTrue(asker.ends())
         self.assertEqual(0, self.gateway.process.wait(5))
+
+
+class ListenerThatCloses(CrossingTest):
+    """In this process, where a client can connect in the very turn in which the listener closes."""
+
+    def test_a_connection_accepted_in_that_turn_is_served_and_waited_for(self) -> None:
+        self.backends = [Server(self), Server(self)]
+        instances = [self.instance(n, backend) for n, backend in enumerate(self.backends)]
+        discovery = Discovery(self, instances)
+        path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "config.json"
+        path.write_text(json.dumps(self.config(discovery, instances, **SHORT_LIVED)))
+        start_logs(True, "critical")
+        clients: list[Peer] = []
+
+        async def work() -> None:
+            transport = RealTransport()
+            order = read_order(path.read_bytes(), str(path))
+            gateway = LiveHead(transport, order, str(path), log_for())
+            gateway.start()
+            closes = gateway._listener.close
+
+            def close() -> None:
+                # The system takes the connection; the loop has no turn until the listener is closed.
+                clients.append(Peer(socket.create_connection(order.listen, 5)))
+                self.addCleanup(clients[0].close)
+                clients[0].send(b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n")
+                closes()
+
+            gateway._listener.close = close  # type: ignore[method-assign]
+            await gateway.end()
+            await transport.end()
+
+        asyncio.run(work())
+        got = clients[0].message()
+        self.assertEqual((200, "close"), (got.status, got.headers["connection"]))
+        self.assertTrue(clients[0].ends())
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -137,6 +137,21 @@
         self.play(work)
 
 
+class Crowded(Rig):
+    def test_room_is_never_made_by_a_connection_whose_request_is_on_its_way(self) -> None:
+        async def work() -> None:
+            head = self.start()
+            begun = [await self.call(wish(f"{n:x}")[:60], 0.0) for n in range(1, head.clients.most + 1)]
+            await self.wait(0.01)  # the last one's first bytes are there
+            newcomer = await self.call(wish("ff1"))
+            self.assertEqual((b"", True), (newcomer.got, bool(newcomer.ended_at)), "there is no room")
+            begun[0].stream.write(wish("1")[60:])
+            await self.wait(0.1)
+            self.assertEqual(200, begun[0].status)
+
+        self.play(work)
+
+
 class BadClients(Rig):
     def test_what_is_no_transaction_gets_an_error_and_reaches_no_shelf(self) -> None:
         good = wish("1")
