--- a/tests/crossing/test_backends.py
+++ b/tests/crossing/test_backends.py
@@ -1,5 +1,6 @@
 """Orders that cross between the gateway and its backends."""
 
+import signal
 import socket
 import time
 
@@ -83,6 +84,16 @@
         self.assertGreater(2000, left, "it was not late: this shows nothing")
         self.assertLessEqual(told, left + SLACK_MS)
 
+    def test_a_connection_that_dies_before_its_first_byte_never_ran_and_is_tried_again(self) -> None:
+        self.begin(kind="post")
+        self.gateway.signal(signal.SIGSTOP)
+        self.backend.let_in().reset()
+        self.gateway.signal(signal.SIGCONT)
+        peer, request = self.backend.next_request()
+        self.assertIn("a1", request.headers["req-id"])
+        peer.send(answer(200, b"once"))
+        self.assertEqual(b"once", self.asker.message().body)
+
 
 class KeyedRequests(CrossingTest):
     """A backend forgets a key after its window; a repeat that comes later would run a second time."""
