--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -279,6 +279,7 @@
             head.clients.requested = requested  # type: ignore[method-assign]
             bomb = await self.call(wish("14", more="X-Bomb: 1\r\n"))
             self.assertNotEqual(0.0, bomb.ended_at)
+            self.assertEqual(500, bomb.status, "what was read is owed an answer")
             self.assertEqual(200, (await self.call(wish("15"))).status)
 
         self.play(work)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -69,6 +69,16 @@
         self.assertTrue(self.policy.may_begin(1, 1, 100.5, 100.999))
         self.assertFalse(self.policy.may_begin(1, 1, 100.5, 101.0))
 
+    def test_in_slow_start_an_attempt_older_than_a_lease_holds_does_not_begin(self) -> None:
+        self.start()
+        self.take(1)
+        self.end()
+        late = 100.0 + self.policy.lent_for + 0.01
+        self.assertTrue(self.policy.may_begin(1, 1, 100.0, late), "a warm backend")
+        self.policy.shelves[1].since = 99.0
+        self.assertTrue(self.policy.may_begin(1, 1, 100.0, late - 0.02))
+        self.assertFalse(self.policy.may_begin(1, 1, 100.0, late))
+
     def test_drain(self) -> None:
         """A shelf told to drain, then gone, then replaced by another that holds the same shard."""
         self.start(2)
