Scenes wait until a process that came back is up before they end it

A named point reached late starts its process anew just as the scene ends; Cast.play returns once the process is started, not once it serves, and ServiceTrial.play then sent SIGTERM to an interpreter that had no handler yet, which ends it by the signal. Ruled out: a fault of the gateway's own end (its handler stands before it listens).

--- a/gorsethread/harness/service.py
+++ b/gorsethread/harness/service.py
@@ -294,6 +294,8 @@
             runs = [asyncio.ensure_future(c.run()) for c in clients]
             self._begun()
             await self.cast.play(script, zero)
+            # A process that was started just now has no handler of SIGTERM yet, and would end by the signal.
+            await self._all_listen()
             await asyncio.gather(*runs)
             await self._settled()
         finally:
--- a/tests/test_harness.py
+++ b/tests/test_harness.py
@@ -84,6 +84,15 @@
 7 kill shelf-1 for 0.5
 8 drain shelf-3 for 3
 """
+# A head that comes back as the scene ends: it must be up before it is told to end.
+LAST_START = """
+seed 9
+heads 2
+shelves 2
+seconds 2
+factor 1
+3 kill head-0 for 1.5
+"""
 SITE = read_site(Path(__file__).parent.parent / "deploy" / "site.txtpb")
 MOMENT = 0.1  # seconds
 STAMPEDE = 0.5  # of the heads whose first calls come in one moment
@@ -143,6 +152,10 @@
         killed = [x["head"] for x in real.records if x["e"] == "head killed"]
         self.assertEqual([0, 1, 2, 3, 5], sorted(killed))
 
+    def test_a_head_that_comes_back_as_the_scene_ends_is_up_before_it_is_told_to_end(self) -> None:
+        trial = self.played(script=LAST_START)
+        self.assertEqual([], trial.result.reasons)
+
     def test_heads_of_a_site_file_with_every_way_struck(self) -> None:
         script = read_script(WAYS)
         self.assertEqual([], unplayable(script, site.PLAYED, site.PARTIES))
