An answer without a length is served where its connection ends in order

Cause: http1/asking.py refused every answer with neither a Content-Length nor chunks as spoilt ("no length: where the answer ends can't be told"), so that one that came whole was never passed on, and a request that may run once only was given up. The operators' terms: of the answers without a length that come whole half at least are forwarded, and a reset is no end.

Change: a stream tells an end in order (StreamEnded) from any other (StreamClosed); Asking.ended() is the answer that such an end makes whole, and nothing else is; the list from discovery is read the same way. An answer with neither a length nor an end ends as an error 0.25 s behind its last byte, so that its retry is not held up.

--- a/gorsethread/http1/asking.py
+++ b/gorsethread/http1/asking.py
@@ -1,6 +1,7 @@
 """The client's side of one connection: requests into bytes, the answer to each out of bytes.
 
-Stricter than h11 where the platform's pages ask: a body's length must be told, in one way, within the bound.
+Stricter than h11 where the platform's pages ask: a body's length is told in one way, within the bound. A body
+without any length ends with the connection, and is whole only where that end came in order.
 """
 
 from typing import NamedTuple
@@ -34,6 +35,7 @@
         self._body: list[bytes] = []
         self._size = self._before = 0
         self.waiting = False
+        self.ends_with_connection = False  # the answer that is coming has no length
 
     def request(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> bytes:
         """Its bytes. To be called only while nothing is waited for."""
@@ -58,6 +60,16 @@
         except h11.RemoteProtocolError as error:
             raise Spoilt(str(error)) from None
 
+    def ended(self) -> Answer | None:
+        """The server has ended the connection in order: the answer that is whole by that, else None."""
+        if not self.ends_with_connection:
+            return None
+        try:
+            self._wire.receive_data(b"")
+            return self._next()
+        except h11.RemoteProtocolError as error:
+            raise Spoilt(str(error)) from None
+
     def _next(self) -> Answer | None:
         while True:
             event = self._wire.next_event()
@@ -86,19 +98,19 @@
         except ValueError as error:
             raise Spoilt(str(error)) from None
         chunked = any(name == b"transfer-encoding" for name, _ in headers)
-        if length is None and not chunked and head.status_code not in (204, 304):
-            raise Spoilt("no length: where the answer ends can't be told")
         if length is not None and length > MOST_ANSWER:
             raise Spoilt("body over the bound")
+        self.ends_with_connection = length is None and not chunked and head.status_code not in (204, 304)
         self._head = head
 
     def _whole(self) -> Answer:
         head, body, wire = self._head, b"".join(self._body), self._wire
         assert head is not None
         self._head, self._body, self._size, self._before = None, [], 0, 0
-        self.waiting = False
         more, _ = wire.trailing_data
-        last = bool(more) or wire.our_state is not h11.DONE or wire.their_state is not h11.DONE
+        last = self.ends_with_connection or bool(more)
+        last = last or wire.our_state is not h11.DONE or wire.their_state is not h11.DONE
+        self.waiting = self.ends_with_connection = False
         if not last:
             wire.start_next_cycle()
         return Answer(head.status_code, list(head.headers), body, last)
--- a/gorsethread/platform/discovery.py
+++ b/gorsethread/platform/discovery.py
@@ -13,7 +13,7 @@
 from gorsethread.platform.config import Address, Naming, Unusable, address_of
 from gorsethread.platform.listing import Instance, ListAnswer
 from gorsethread.platform.shelves import Pool
-from gorsethread.transport.base import Stream, StreamClosed, Transport, Unreachable
+from gorsethread.transport.base import Stream, StreamClosed, StreamEnded, Transport, Unreachable
 
 CONNECT_WITHIN = 1.0  # seconds
 SPACED = 0.1  # seconds between calls that bring nothing new; a watch goes on for twice as long
@@ -33,6 +33,19 @@
     return int.from_bytes(blake2b(instance.encode(), digest_size=7).digest())
 
 
+async def read_answer(stream: Stream, asking: Asking) -> Answer:
+    """The answer to what was asked on that stream, also one that ends with its connection."""
+    answer: Answer | None = None
+    while answer is None:
+        try:
+            answer = asking.feed(await stream.read())
+        except StreamEnded:
+            answer = asking.ended()
+            if answer is None:
+                raise
+    return answer
+
+
 class Discovery:
     """wait: seconds that a call may wait for news at most. driver and pool are set before start()."""
 
@@ -120,10 +133,8 @@
             by = asked + (0.0 if self._whole else wait) + ANSWER_WITHIN
             # Guards against a machine that vanished without a word: the head would be deaf to drains.
             timer = self.transport.at(by, stream.close)
-            answer = None
             try:
-                while answer is None:
-                    answer = asking.feed(await stream.read())
+                answer = await read_answer(stream, asking)
             finally:
                 timer.cancel()
             if address != self.address:
--- a/gorsethread/platform/shelves.py
+++ b/gorsethread/platform/shelves.py
@@ -12,7 +12,7 @@
 from gorsethread.http1.asking import Answer, Asking
 from gorsethread.http1.bounds import Headers, Spoilt
 from gorsethread.model import Ending
-from gorsethread.transport.base import Stream, StreamClosed, Transport, Unreachable
+from gorsethread.transport.base import Stream, StreamClosed, StreamEnded, Timer, Transport, Unreachable
 
 DECLINED = b"srv-declined"
 ELSEWHERE, USAGE = b"other-hosts", b"volume-load"
@@ -20,6 +20,8 @@
 REST = 0.005  # seconds after an answer within which an end of the connection may still be on its way
 BREAKS_FREE, BREAKS_PART = 1.0, 0.04  # of kept connections used again: more, and none is kept for a while
 HALF_LIFE = 5.0  # seconds
+# Seconds without a byte, after which an answer that has no length and whose connection stays open has no end.
+END_WITHIN = 0.25
 MILLISECOND = 0.001
 
 
@@ -45,7 +47,7 @@
 class Connection:
     """One connection and what is out on it. over: it has ended, or is not used any more."""
 
-    __slots__ = ("link", "stream", "asking", "out", "idle_since", "uses", "over")
+    __slots__ = ("link", "stream", "asking", "out", "idle_since", "uses", "over", "end_timer")
 
     def __init__(self, link: "ShelfLink", stream: Stream) -> None:
         self.link, self.stream = link, stream
@@ -54,6 +56,7 @@
         self.out: Forward | None = None
         self.idle_since = 0.0
         self.uses = 0
+        self.end_timer: Timer | None = None  # while the end of an answer without a length is waited for
 
 
 class Trust:
@@ -258,10 +261,9 @@
     async def _listen(self, connection: Connection) -> None:
         try:
             while True:
-                data = await connection.stream.read()
+                answer = await self._read(connection)
                 if connection.over:
                     return  # ended in this very turn: what was out on it has its ending
-                answer = connection.asking.feed(data)
                 if answer is not None:
                     self._answered(connection, answer)
         except StreamClosed:
@@ -272,12 +274,45 @@
                     self.pool.trust.seen(True, self.transport.now())
                 self.end(f, Ending.UNREACHED if unsent else Ending.BROKEN)
         except Spoilt as error:
-            f = self.lose(connection)
-            if f is not None:
-                self.pool.spoilt[str(error)[:40]] += 1
-                self.end(f, Ending.ERROR)
+            self._spoilt(connection, str(error))
         self.pool.freed()
 
+    async def _read(self, connection: Connection) -> Answer | None:
+        """Reads once; the answer where that made it whole."""
+        try:
+            data = await connection.stream.read()
+        except StreamEnded:
+            answer = None if connection.over else connection.asking.ended()
+            if answer is None:
+                raise
+            return answer
+        if connection.over:
+            return None
+        answer = connection.asking.feed(data)
+        if connection.asking.ends_with_connection:
+            self._await_end(connection)
+        return answer
+
+    def _await_end(self, connection: Connection) -> None:
+        """An answer without a length ends right behind its last byte, by the end of its connection. Guards
+        against a backend that leaves it open: the request would wait for its whole time."""
+        if connection.end_timer is not None:
+            connection.end_timer.cancel()
+        by = self.transport.now() + END_WITHIN
+        connection.end_timer = self.transport.at(by, lambda: self._never_ended(connection))
+
+    def _never_ended(self, connection: Connection) -> None:
+        if not connection.over and connection.asking.ends_with_connection:
+            self._spoilt(connection, "an answer with neither a length nor an end")
+            self.pool.freed()
+
+    def _spoilt(self, connection: Connection, reason: str) -> None:
+        """What came is no answer, and the connection is of no more use; its request may have run."""
+        f = self.lose(connection)
+        if f is not None:
+            self.pool.spoilt[reason[:40]] += 1
+            self.end(f, Ending.ERROR)
+
     def _answered(self, connection: Connection, answer: Answer) -> None:
         f, connection.out = connection.out, None
         assert f is not None
@@ -316,6 +351,8 @@
             self.pool.busy.pop(f.transaction, None)
         elif connection in self.kept:
             self.kept.remove(connection)
+        if connection.end_timer is not None:
+            connection.end_timer.cancel()
         if not connection.over:
             connection.over = True
             self.pool.held -= 1
--- a/gorsethread/standins/web/backend.py
+++ b/gorsethread/standins/web/backend.py
@@ -14,6 +14,7 @@
 from gorsethread.transport.base import Stream, StreamClosed
 
 GOOD = -3  # of a shelf's noises, those that hold a whole answer in front
+ENDS = GOOD - 1  # the one that has no length, and is whole as its connection ends
 
 
 class WebIo:
@@ -76,6 +77,8 @@
             if noise in self.shelf.noises[GOOD:]:
                 self.codec.answer(200, [], b"")  # it goes on; else it is of no more use, though it stays open
             self.stream.write(noise(io))
+            if noise is self.shelf.noises[ENDS]:
+                self.stream.close()
         else:
             elsewhere, usage, _ = told_service(completion)
             headers = [(b"other-hosts", b"%d" % elsewhere), (b"volume-load", b"%d" % usage)]
@@ -100,6 +103,8 @@
             lambda io: b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"b" * 60_000,
             lambda io: b"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\n",
             lambda io: b"HTTP/1.1 200 OK\r\n\r\n" + self.body_for(io),
+            # This one is good, as its connection ends behind it.
+            lambda io: b"HTTP/1.0 200 OK\r\n\r\n" + self.body_for(io),
             # These three are good, and bring more than belongs to them.
             lambda io: _whole(self.body_for(io)) + _whole(b"another's answer"),
             lambda io: b"HTTP/1.1 102 Processing\r\n\r\n" + _whole(self.body_for(io)) + b"zzz",
--- a/gorsethread/transport/base.py
+++ b/gorsethread/transport/base.py
@@ -15,6 +15,10 @@
     action = "Nothing at once: connections end; if one party's end again and again, look at that party."
 
 
+class StreamEnded(StreamClosed):
+    """The peer has ended its sending in order: all that it sent before has been read."""
+
+
 class Unreachable(Trouble):
     """No connection was established in time; nothing was sent."""
 
@@ -43,7 +47,8 @@
     def unsent(self) -> int: ...
 
     async def read(self) -> bytes:
-        """Some bytes, at least one and at most READ_MOST; StreamClosed at the end or a reset."""
+        """Some bytes, at least one and at most READ_MOST; StreamEnded at the end that the peer made in
+        order, StreamClosed at any other, such as a reset."""
         ...
 
     def quiet(self) -> bool:
--- a/gorsethread/transport/real.py
+++ b/gorsethread/transport/real.py
@@ -24,6 +24,7 @@
     Chance,
     Stream,
     StreamClosed,
+    StreamEnded,
     Timer,
     Unreachable,
 )
@@ -44,6 +45,7 @@
         self._corked: list[bytes] = []  # what was written in this turn of the loop; emptied at its end
         self._corked_size = 0
         self._sending_ended = False
+        self._closed_here = False
         stream.set_nodelay(True)
 
     @property
@@ -55,6 +57,8 @@
         try:
             return await self._stream.read_bytes(READ_MOST, partial=True)
         except StreamClosedError as error:
+            if error.real_error is None and not self._closed_here:
+                raise StreamEnded("closed by peer") from None
             raise StreamClosed(str(error.real_error or "closed")) from None
 
     def quiet(self) -> bool:
@@ -122,6 +126,8 @@
 
     def close(self) -> None:
         self._flush()
+        if not self._stream.closed():
+            self._closed_here = True
         self._stream.close()
 
 
--- a/gorsethread/transport/virtual/streams.py
+++ b/gorsethread/transport/virtual/streams.py
@@ -7,7 +7,7 @@
 
 import xxhash
 
-from gorsethread.transport.base import Stream, StreamClosed
+from gorsethread.transport.base import Stream, StreamClosed, StreamEnded
 from gorsethread.transport.virtual.loop import settle
 from gorsethread.transport.virtual.network import Network
 
@@ -115,7 +115,7 @@
             if self._got:
                 break
             if self._ended:
-                raise StreamClosed(self._ended)
+                raise (StreamClosed if self._broken else StreamEnded)(self._ended)
             self._reader = self.network.loop.create_future()
             await self._reader
         left, data = self._got.popleft()
