Discovery that is slow is waited for; behind a call that hung the next comes in time

Causes, found by reading the watch line by line beside the terms (discovery that is slow or crowded; a change counts as told 6 s after discovery had it and could be reached, whatever call failed): - platform/discovery.py gave a call up 1 s behind its wait, and one for the whole list after 1 s, while a service that handles calls in turn lets them wait for 1 to 2 s by the deployments' own settings: crowded for long, it would never have been heard. - policy.list_refused counted its pause from the failure. A call that hung took 4 s before, and with growing pauses the next came up to 8 s after discovery could be reached again.

Change: one bound for a call, its connection's coming up among it (CALL_WITHIN, 4.2 s); calls wait at most 2.4 s for news, so an answer may be 1.8 s late.

--- a/gorsethread/head/driver.py
+++ b/gorsethread/head/driver.py
@@ -156,8 +156,9 @@
             self.happened("shelf_listed", *entry)
         self.happened("list_ended")
 
-    def list_refused(self) -> None:
-        self.happened("list_refused")
+    def list_refused(self, waited: float = 0.0) -> None:
+        """waited: seconds that the call took until it failed."""
+        self.happened("list_refused", waited)
 
     def peer_told(self, origin: int, words: str) -> None:
         self.happened("peer_told", origin, words)
--- a/gorsethread/platform/discovery.py
+++ b/gorsethread/platform/discovery.py
@@ -15,11 +15,13 @@
 from gorsethread.platform.shelves import Pool
 from gorsethread.transport.base import Stream, StreamClosed, StreamEnded, Transport, Unreachable
 
-CONNECT_WITHIN = 1.0  # seconds
+CONNECT_WITHIN = 2.0  # seconds: a system that got no answer asks for a connection again after one
 SPACED = 0.1  # seconds between calls that bring nothing new; a watch goes on for twice as long
 SHORTEST_WAIT = 0.5  # of the longest that a call may wait: each is drawn, or the calls of all heads, which a
 # change of the list answers at once, stay in step, and where all fall silent all heads notice in one moment
-ANSWER_WITHIN = 1.0  # seconds after a call's wait is over: the platform deems its news told soon after
+# Seconds from a call's beginning, its connection's coming up among them, to its answer. A crowded service
+# answers a second or two behind a call's wait; a silent one has to show early enough for the next call.
+CALL_WITHIN = 4.2
 
 
 class Failed(Trouble):
@@ -63,6 +65,7 @@
         self._clocks = transport.wall() - transport.now()
         self._stream: Stream | None = None
         self._asking = False
+        self._call_began = 0.0
         self._whole = False  # the next call asks for the whole list
         self._moved = False
         self._heard = False  # an answer on the watch that is open
@@ -110,7 +113,7 @@
                 self._asking = False
                 if not self.stopped:
                     self.log.info("the list is not followed", reason=str(error)[:200])
-                    self.driver.list_refused()
+                    self.driver.list_refused(self.transport.now() - self._call_began)
                 return
             finally:
                 self._end_call()
@@ -119,29 +122,30 @@
     async def _watch(self) -> None:
         """One call after the other on one connection, until one fails."""
         address = self.address
+        self._call_began = self.transport.now()
         stream = self._stream = await self.transport.connect(*address, CONNECT_WITHIN)
         self.log.info("the list is watched", since=self.version)
         self._heard = False
         asking = Asking()
         while not self.stopped and address == self.address:
-            target, asked = b"/v1/servers", self.transport.now()
+            target = b"/v1/servers"
             wait = self.chance.uniform(SHORTEST_WAIT, 1.0) * self.wait
             if not self._whole:
                 target += b"?since=%d&timeout_ms=%d" % (self.version, round(wait * 1000))
             host = f"{address[0]}:{address[1]}".encode()
             stream.write(asking.request(b"GET", target, [(b"host", host)], b""))
-            by = asked + (0.0 if self._whole else wait) + ANSWER_WITHIN
             # Guards against a machine that vanished without a word: the head would be deaf to drains.
-            timer = self.transport.at(by, stream.close)
+            timer = self.transport.at(self._call_began + CALL_WITHIN, stream.close)
             try:
                 answer = await read_answer(stream, asking)
             finally:
                 timer.cancel()
             if address != self.address:
                 return  # the old service still spoke in the turn in which the watch was moved
-            if not self._take(answer) and self.transport.now() < asked + SPACED:
+            if not self._take(answer) and self.transport.now() < self._call_began + SPACED:
                 # Guards against a service that answers at once with nothing new; the watch still goes on.
                 await self.transport.sleep(SPACED)
+            self._call_began = self.transport.now()
             if answer.last:
                 stream.close()
                 stream = self._stream = await self.transport.connect(*address, CONNECT_WITHIN)
--- a/gorsethread/platform/program.py
+++ b/gorsethread/platform/program.py
@@ -19,7 +19,7 @@
 KILL_AFTER, LONGEST_COUNTED = 0.7, 3.0  # it is killed no sooner than its clients' longest wait and this later
 SPARE = 0.35  # seconds before that by which it has ended
 LAST_ANSWERS = 0.4  # seconds that what is open at the end may still take
-LONGEST_WAIT = 3.0  # seconds that a call of discovery may wait: a silence shows in 4 and counts as told in 6
+LONGEST_WAIT = 2.4  # seconds that a call of discovery may wait for news; its answer may come later
 
 
 class NoPlacement:
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -37,11 +37,11 @@
 SILENT_PAUSE = 12.0  # usual times of a shelf that fell silent, until it gets one more forward
 BREAKS_MOST = 3  # connections broken in turn from which a shelf needs no rest
 DRAIN_PART = 0.75  # of the grace: a send may still have to wait for a connection
-HELD_UP = 0.25  # seconds of the grace for a process that is held up before it hears of a drain, or as it sends
+HELD_UP = 0.25  # seconds of the grace for a process held up before it hears of a drain, or as it sends
 LENT_PART = 0.4  # of the shortest promise: how long a lent part of a cold shelf holds, from the asking
 ASK_PART, FIRST_ASK_PART = 0.05, 0.2  # of the time a list may stand, over which heads that ask at once spread
 ASK_SPREAD_MOST = 10.0  # seconds of that time
-ASK_PAUSE_MOST = 4.0  # seconds: a change of the list counts as told after 6, whatever call failed
+ASK_PAUSE_MOST, LEAST_PAUSE_MOST = 4.0, 0.8  # seconds: a change counts as told after 6, whatever call failed
 LOOK_AGAIN, KNOWN = 0.02, 5.0  # seconds until what held something back is looked at; that a rate tells of now
 
 
@@ -173,17 +173,16 @@
     def may_begin(self, id: int, shelf: int, decided: float, now: float) -> bool:
         """Whether a forward that waited for its connection since it was decided may still go out."""
         t, s = self.transactions.get(id), self.shelves.get(shelf)
-        if t is None or s is None or not s.ready and now > s.last_send:
-            return False
-        if t.ran_at is not None and not self._is_repeatable(t, now):
+        if t is None or s is None or not s.ready and now > s.last_send or not self._is_repeatable(t, now):
             return False
         return not 0.0 < now - s.since < self.facts.cold.warm_after or now <= decided + self.lent_for
 
-    def list_refused(self) -> None:
+    def list_refused(self, waited: float = 0.0) -> None:
         self.now = self.host.clock()
         self.list_waits += 1
         step = max(0.25, ASK_PART * self.ask_spread) * 2.0 ** min(self.list_waits, 30)
-        most = min(self.facts.ask_within or 0.5 * self.facts.drain_grace, step, ASK_PAUSE_MOST)
+        left = max(LEAST_PAUSE_MOST, ASK_PAUSE_MOST - waited)
+        most = min(self.facts.ask_within or 0.5 * self.facts.drain_grace, step, left)
         self.list_ask_at = self.now + most * (0.1 + 0.9 * self.draws.next())
 
     def list_begins(self, whole: bool, remembered: bool) -> None:
