A change of one backend no longer ranks every backend again for every volume

Cause: policy._find_holders emptied each volume's ranking at each list, and _ranking hashed all backends anew.

Change: who left and who joined as holder is worked out once a list, and each ranking gives up and takes in just these (bisection: 12 hashes in place of 3,200). Holders and the next end of a drain are found in one pass without a sort.

--- a/gorsethread/model.py
+++ b/gorsethread/model.py
@@ -18,6 +18,12 @@
     ZONE = "zone"
     SHARD = "shard"
 
+    def spans(self, one: "Shelf", other: "Shelf") -> bool:
+        """Whether each of the two drops repeats of what the other ran."""
+        if self is Group.ALL:
+            return True
+        return one.zone == other.zone if self is Group.ZONE else one.shard == other.shard
+
 
 class Ending(Enum):
     """How a forward ended."""
@@ -80,6 +86,21 @@
     in_order: bool
     value: float
 
+    @property
+    def idempotent(self) -> bool:
+        """It may run again at any time, on any shelf."""
+        return self.effect is Effect.REDOABLE
+
+    @property
+    def keyed(self) -> bool:
+        """Its repeats are dropped, by the shelves of its group and for as long as they remember it."""
+        return self.effect is Effect.LABELLED
+
+    @property
+    def everywhere(self) -> bool:
+        """No shelf would run a repeat that another drops."""
+        return not self.keyed or self.group is Group.ALL
+
 
 @dataclass(frozen=True, slots=True)
 class Plan:
@@ -97,6 +118,10 @@
     warm_after: float
     first_part: float
 
+    def borne(self, age: float) -> float:
+        """Units within the span that all heads together may send to a shelf of that age."""
+        return self.units * (1.0 + (1.0 / self.first_part - 1.0) * max(0.0, age) / self.warm_after)
+
 
 @dataclass(frozen=True, slots=True)
 class ForwardBudget:
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -10,21 +10,12 @@
 from bisect import insort
 from collections import deque
 from collections.abc import Iterator
+from functools import partial
 from hashlib import blake2b
 
 from gorsethread.draws import Draws
 from gorsethread.host import Host
-from gorsethread.model import (
-    AttemptEnded,
-    Effect,
-    Ending,
-    Group,
-    RequestTaken,
-    Shelf,
-    StartFacts,
-    Transaction,
-    Volume,
-)
+from gorsethread.model import AttemptEnded, Ending, RequestTaken, Shelf, StartFacts, Transaction, Volume
 
 FIRST_BOUND = 4.0  # the design's start and ceiling
 HIGHEST_BOUND = 32.0
@@ -50,6 +41,10 @@
     return (t.late, -t.profile.value / max(t.units, 1.0), t.promised_by, t.order)
 
 
+def _place(v: Volume, s: Shelf) -> bytes:
+    return blake2b(f"{v.id.partition('/')[2]}/{s.id}".encode(), digest_size=8).digest()
+
+
 class Policy:
     def __init__(self, host: Host, facts: StartFacts, seed: int) -> None:
         self.host, self.facts = host, facts
@@ -215,14 +210,24 @@
         self._find_holders()
 
     def _find_holders(self) -> None:
+        before, self.held_by, self.drained_at = self.held_by, {}, float("inf")
         for id, s in list(self.shelves.items()):
-            if not s.ready and not s.out and s.last_send <= self.now:
+            if s.ready or s.last_send > self.now:
+                other = self.held_by.get(s.shard)
+                if other is None or (other.ready, other.since, other.id) < (s.ready, s.since, id):
+                    self.held_by[s.shard] = s
+                if not s.ready:
+                    self.drained_at = min(self.drained_at, s.last_send)
+            elif not s.out:
                 del self.shelves[id]
-        usable = [s for s in self.shelves.values() if s.ready or s.last_send > self.now]
-        self.held_by = {s.shard: s for s in sorted(usable, key=lambda s: (s.ready, s.since, s.id))}
-        self.drained_at = min((s.last_send for s in usable if not s.ready), default=float("inf"))
+        left = [s for shard, s in before.items() if self.held_by.get(shard) is not s]
+        joined = [s for shard, s in self.held_by.items() if before.get(shard) is not s]
         for v in self.volumes.values():
-            v.ranking = []
+            # Guards against ranking thousands of shelves again at each change of one of them.
+            for s in left if v.ranking else ():
+                v.ranking.remove(s)
+            for s in joined if v.ranking else ():
+                insort(v.ranking, s, key=partial(_place, v))
         self.changed = True
 
     def batch_ended(self) -> None:
@@ -383,12 +388,7 @@
     def _ranking(self, v: Volume) -> list[Shelf]:
         """Rendezvous hashing on raw ids, so every head ranks the same way."""
         if not v.ranking:
-            name = v.id.partition("/")[2]
-
-            def place(s: Shelf) -> bytes:
-                return blake2b(f"{name}/{s.id}".encode(), digest_size=8).digest()
-
-            v.ranking = sorted(self.held_by.values(), key=place)
+            v.ranking = sorted(self.held_by.values(), key=partial(_place, v))
         return v.ranking
 
     def _has_enough(self, s: Shelf, chosen: int) -> bool:
@@ -536,12 +536,7 @@
             return 0.0  # an earlier life of this head may have spent the part
         # By shard: a list that began anew may leave out a shelf for a moment, which is as cold as before.
         spent = sum(units for at, units in self.lent.get(s.shard, ()) if at > self.now - rule.span)
-        return self._borne(age) / self.facts.heads - spent
-
-    def _borne(self, age: float) -> float:
-        """Units within the span that all heads together may send to a shelf of that age."""
-        rule = self.facts.cold
-        return rule.units * (1.0 + (1.0 / rule.first_part - 1.0) * max(0.0, age) / rule.warm_after)
+        return rule.borne(age) / self.facts.heads - spent
 
     def _home(self, shard: int) -> int:
         """The head that lends what the shard's shelf bears while it is cold, the same one at every head."""
@@ -553,7 +548,7 @@
         log = [entry for entry in self.lent.get(shard, ()) if entry[0] > self.now - self.lent_kept]
         # No word of another makes a shelf older than this head's own list has it.
         own = self.now - s.since if (s := self.held_by.get(shard)) and s.since > 0.0 else 0.0
-        borne = self._borne(min(age, own) if own < self.facts.cold.warm_after else 0.0)
+        borne = self.facts.cold.borne(min(age, own) if own < self.facts.cold.warm_after else 0.0)
         lends = (
             0.0 <= age < self.facts.cold.warm_after
             and 0.0 < units <= self.facts.largest_units
@@ -629,8 +624,7 @@
 
     def _end(self, t: Transaction) -> None:
         t.over = True
-        everywhere = t.profile.effect is not Effect.LABELLED or t.profile.group is Group.ALL
-        harmless = t.ran_at is None or everywhere and self._is_repeatable(t, self.now)
+        harmless = t.ran_at is None or t.profile.everywhere and self._is_repeatable(t, self.now)
         if harmless and t.out == 0 and self.now < t.cut_off:
             s = self.held_by.get(t.shard)
             self.host.push_back(t.id, min(self.facts.longest_return, s.time if s else self.quickest))
@@ -648,9 +642,9 @@
 
     def _is_repeatable(self, t: Transaction, now: float) -> bool:
         """Whether one more run of what may have run changes nothing, as far as its profile goes."""
-        if t.profile.effect is Effect.REDOABLE or t.ran_at is None:
+        if t.profile.idempotent or t.ran_at is None:
             return True
-        return t.profile.effect is Effect.LABELLED and now < t.ran_at + t.profile.remembered
+        return t.profile.keyed and now < t.ran_at + t.profile.remembered
 
     def _within_budget(self) -> bool:
         if not (budget := self.facts.budget):
@@ -662,13 +656,9 @@
 
     def _may_go_to(self, t: Transaction, s: Shelf) -> bool:
         """A labelled transaction that may have run stays where its repeat would be known."""
-        if t.ran_on is None or t.profile.effect is Effect.REDOABLE:
+        if t.ran_on is None or t.profile.idempotent:
             return True
-        if not self._is_repeatable(t, self.now):
-            return False
-        return (group := t.profile.group) is Group.ALL or (
-            s.zone == t.ran_on.zone if group is Group.ZONE else s.shard == t.ran_on.shard
-        )
+        return self._is_repeatable(t, self.now) and t.profile.group.spans(s, t.ran_on)
 
     # ---- (6) key turns
 
--- /dev/null
+++ b/tests/test_ranking.py
@@ -0,0 +1,77 @@
+"""The ranking of backends for a volume: after any changes as ranked anew, and cheap in large fleets."""
+
+from unittest import mock
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gorsethread import policy as decisions
+from gorsethread.model import Shelf, StartFacts, Volume
+from gorsethread.policy import Policy
+from tests.harness import FACTS, OPEN_PLAN, PrintingHost
+
+SHARDS = 6
+# (backend, shard, ready) of each entry of one list, and whether the list is whole.
+LISTS = st.lists(
+    st.tuples(
+        st.lists(st.tuples(st.integers(1, 12), st.integers(0, SHARDS - 1), st.booleans()), max_size=6),
+        st.booleans(),
+    ),
+    max_size=12,
+)
+LARGE, VOLUMES = 3200, 20
+HASHES_MOST = 2 * LARGE.bit_length()  # for one backend put in its place among that many
+
+
+def policy() -> Policy:
+    return Policy(PrintingHost(), StartFacts(**FACTS), 7)
+
+
+def volume(name: str) -> Volume:
+    return Volume(f"0/{name}", OPEN_PLAN, 0.0, 1, 0.0, PrintingHost().now)  # in use, so not forgotten
+
+
+def tell(told: Policy, entries: list[tuple[int, int, bool]], whole: bool) -> None:
+    told.list_begins(whole, False)
+    for id, shard, ready in entries:
+        told.shelf_listed(id, 0, shard, ready, 0.0)
+    told.list_ended()
+    told.batch_ended()
+
+
+@given(LISTS, st.booleans())
+def test_after_any_lists_it_is_as_ranked_anew(
+    lists: list[tuple[list[tuple[int, int, bool]], bool]], time_passes: bool
+) -> None:
+    told, one = policy(), volume("a")
+    told.volumes[one.id] = one
+    for entries, whole in lists:
+        tell(told, entries, whole)
+        if time_passes:
+            told.host.now += 0.5  # some of the grace of those that drain
+        anew = volume("a")
+        assert told._ranking(one) == told._ranking(anew)
+        assert set(told._ranking(one)) == set(told.held_by.values())
+
+
+def test_a_change_of_one_backend_ranks_none_of_the_others_again() -> None:
+    told = policy()
+    tell(told, [(n, n, True) for n in range(LARGE)], True)
+    volumes = [volume(f"v{n}") for n in range(VOLUMES)]
+    for one in volumes:
+        told.volumes[one.id] = one
+        told._ranking(one)
+    hashed: list[int] = []
+    honest = decisions._place
+
+    def place(one: Volume, backend: Shelf) -> bytes:
+        hashed.append(backend.id)
+        return honest(one, backend)
+
+    with mock.patch.object(decisions, "_place", place):
+        tell(told, [(1, 1, False)], False)  # drains, and holds its shard on
+        tell(told, [(LARGE + 1, 1, True)], False)  # another takes its place
+        for one in volumes:
+            told._ranking(one)
+    assert 0 < len(hashed) <= VOLUMES * HASHES_MOST
+    assert all(told._ranking(one) == told._ranking(volume(one.id[2:])) for one in volumes)
