What hangs through a shutdown is answered before the kill, however long its client waits

Cause: at SIGTERM platform/program.py sets the time by which the process has ended (3.35 s where a client may wait 3 s or more), but only requests that came later were bound to it. Ruled out: close_idle, which rightly leaves open requests alone.

Change: LiveHead.end tells the driver, and that the decisions, when the process ends (ends_by): deadlines of open requests that lie later move there, so that attempts end and waiting requests are answered by it.

--- a/gorsethread/head/driver.py
+++ b/gorsethread/head/driver.py
@@ -149,6 +149,16 @@
         self.happened("client_left", t.id)
         self._close(t)
 
+    def ends_by(self, when: float) -> None:
+        """The program ends then: each open request is answered before, however long its client would wait."""
+        for t in self.open.values():
+            if t.cut_off > when:
+                t.cut_off = when
+                heapq.heappush(self._cut_offs, (when, t.id))
+        if self.open and when < self._cut_off_at:
+            self._await_cut_off(when)
+        self.happened("ends_by", when)
+
     def listed(self, entries: list[tuple[int, int, int, bool, float]], whole: bool, remembered: bool) -> None:
         """(shelf, zone, shard, ready, since) of each entry; since in this head's time, 0: long ago."""
         self.happened("list_begins", whole, remembered)
--- a/gorsethread/platform/program.py
+++ b/gorsethread/platform/program.py
@@ -103,6 +103,7 @@
         self._count("head ends")
         lasts = min(self.order.longest, LONGEST_COUNTED) + KILL_AFTER - SPARE
         self.clients.end_by = self.transport.now() + lasts
+        self.driver.ends_by(self.clients.end_by)
         await self.transport.sleep(max(STILL_COMING, lasts - LAST_ANSWERS))
         self.clients.ending = True
         self._listener.close()
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -147,6 +147,14 @@
             t.over = True
             self._close(t)
 
+    def ends_by(self, when: float) -> None:
+        """This head itself ends then: what its clients would wait longer for is answered before."""
+        self.now = self.host.clock()
+        for t in self.transactions.values():
+            if t.cut_off > when:
+                t.cut_off, t.promised_by = when, min(t.promised_by, when)
+                self._note(max(self.now, when - self._expected(t)), t)
+
     def woken(self, name: str) -> None:
         if self.host.clock() >= self.alarm - 0.001:  # a clock may round a delay down
             self.alarm = float("inf")
--- a/tests/crossing/test_clients.py
+++ b/tests/crossing/test_clients.py
@@ -32,6 +32,8 @@
         {"name": "post", "aim": 0.4, "effect": "single_shot", "worth": 3.0},
     ]
 }
+LONG_LIVED = [{**service, "giveUp": 9.0} for service in SHORT_LIVED["services"]]
+KILLED_AFTER = 3.0 + 0.7  # seconds after SIGTERM, where a client may wait for 3 s or more
 ALL_ANSWERED_BY = 0.6 + 0.7  # seconds after SIGTERM, from which it may be killed
 
 
@@ -204,6 +206,23 @@
         self.assertEqual(b"last", asker.message().body)
         self.assertEqual(0, self.gateway.process.wait(5))
 
+    def test_what_hangs_through_the_end_is_answered_before_the_kill_however_long_its_client_waits(
+        self,
+    ) -> None:
+        backend = Server(self)
+        self.start(backend, services=LONG_LIVED)
+        reader = self.ask(wish("a1", patience=9000))
+        writer = self.ask(wish("a2", "post", patience=9000, body=b"x"))
+        for _ in range(2):
+            backend.next_request()
+        began = time.monotonic()
+        self.gateway.signal(signal.SIGTERM)
+        self.assertIn(reader.message().status, (503, 504))
+        self.assertEqual(504, writer.message().status, "it may run yet")
+        self.assertLess(time.monotonic() - began, KILLED_AFTER)
+        self.assertEqual(0, self.gateway.process.wait(KILLED_AFTER))
+        self.assertLess(time.monotonic() - began, KILLED_AFTER)
+
     def test_twice_and_together_with_a_reload_ends_once_and_in_order(self) -> None:
         backend = Server(self)
         self.start(backend, **SHORT_LIVED)
