Where lists are pushed, a new process hears its agent before it takes a request

Cause: LiveHead.start listened at once, with the list that the process was told at its start, which may be old. Where lists are pushed, what the agent on the machine has counts as told from the first moment of a new process, so that with a short grace the first requests went to backends that had drained or gone.

Change: such a process serves once the agent's first answer is there or its first call has failed, and after 1.5 s anyway. The first call asks for what is known already and does not wait for news. SIGTERM before that ends it at once. An address that can't be had is a typed error (CannotListen), with exit status 2 also where that shows only later.

Measured: four new tests on real connections; the one of the order failed before (a connection was taken before the agent had answered). test_standing's scenes of pushed lists wait 0.1 s until the process serves; what they hold is as before.

--- a/gorsethread/faults/webmutants.py
+++ b/gorsethread/faults/webmutants.py
@@ -313,7 +313,8 @@
 @mutant("signals: told to end, it ends at once")
 def _ends_at_once(head: LiveHead) -> None:
     async def end() -> None:
-        head._listener.close()
+        if head._listener is not None:
+            head._listener.close()
         for connection in list(head.clients.connections):
             connection.end()
 
--- a/gorsethread/platform/__main__.py
+++ b/gorsethread/platform/__main__.py
@@ -7,7 +7,7 @@
 
 from gorsethread.logs import log_for, start_logs
 from gorsethread.platform.config import Unusable, read_order
-from gorsethread.platform.program import LiveHead
+from gorsethread.platform.program import CannotListen, LiveHead
 from gorsethread.transport.real import RealTransport, run
 
 
@@ -33,14 +33,12 @@
         transport.on_terminate(transport.finish)
         try:
             head.start()
-        except OSError as error:
-            print(f"gorsethread: {path}: listen: {error}", file=sys.stderr)
-            status = 2
-            return
-        try:
             await transport.until_finished()
             await head.end()
             await transport.until_finished()  # raises what failed meanwhile
+        except CannotListen as error:
+            print(f"gorsethread: {path}: listen: {error}", file=sys.stderr)
+            status = 2
         except Exception as error:
             log.exception("the head must end: a defect", reason=repr(error))
             status = 1
--- a/gorsethread/platform/config.py
+++ b/gorsethread/platform/config.py
@@ -36,8 +36,9 @@
 @dataclass(frozen=True)
 class Order:
     """One head's orders. dial_within, idle: seconds, of connections to shelves; longest: how many seconds a
-    client waits at most. peers: every head's address by its number, this one's too, where heads may send each
-    other messages; else none."""
+    client waits at most. pushed: whether discovery's agent on this machine is sent the list, so that what it
+    has counts as told from the first moment of a new process. peers: every head's address by its number,
+    this one's too, where heads may send each other messages; else none."""
 
     name: str
     listen: Address
@@ -50,6 +51,7 @@
     dial_within: float
     idle: float
     longest: float
+    pushed: bool = False
     peer_listen: Address | None = None
     peers: tuple[Address, ...] = ()
 
@@ -119,6 +121,7 @@
         _check_figures(part)
     peer_listen, peers = _peers(given, facts)
     # Also where lists are pushed, it is to the machine's agent, which a head hears by a watch of its own.
+    pushed = not facts.list_on_request
     facts = replace(facts, may_tell=bool(peers), list_on_request=True)
     naming = Naming(
         {s["name"].encode(): n for n, s in enumerate(settings["services"])},
@@ -139,6 +142,7 @@
         float(_field(settings, "permissions.dialTimeout", int, float)),
         float(_field(settings, "permissions.connIdle", int, float)),
         float(max(s.get("giveUp", 0.0) for s in settings["services"])),
+        pushed,
         peer_listen,
         peers,
     )
--- a/gorsethread/platform/discovery.py
+++ b/gorsethread/platform/discovery.py
@@ -1,5 +1,6 @@
 """Follows discovery by its watch; a failed call is told to the decisions, which say when to ask again."""
 
+from collections.abc import Callable
 from hashlib import blake2b
 from typing import Any
 
@@ -22,6 +23,7 @@
 # Seconds from a call's beginning, its connection's coming up among them, to its answer. A crowded service
 # answers a second or two behind a call's wait; a silent one has to show early enough for the next call.
 CALL_WITHIN = 4.2
+NO_WAIT = 0.001  # seconds that a call waits which is to be answered at once
 
 
 class Failed(Trouble):
@@ -65,6 +67,8 @@
         self._clocks = transport.wall() - transport.now()
         self._stream: Stream | None = None
         self._asking = False
+        # Called once, at the first answer or failure. None: nobody waits for that, or no more.
+        self.first_call_over: Callable[[], None] | None = None
         self._call_began = 0.0
         self._whole = False  # the next call asks for the whole list
         self._moved = False
@@ -98,6 +102,11 @@
         self.stopped = True
         self._end_call()
 
+    def _first_call_is_over(self) -> None:
+        waiting, self.first_call_over = self.first_call_over, None
+        if waiting is not None:
+            waiting()
+
     def _end_call(self) -> None:
         if self._stream is not None:
             self._stream.close()
@@ -112,6 +121,7 @@
                     continue
                 self._asking = False
                 if not self.stopped:
+                    self._first_call_is_over()
                     self.log.info("the list is not followed", reason=str(error)[:200])
                     self.driver.list_refused(self.transport.now() - self._call_began)
                 return
@@ -130,6 +140,8 @@
         while not self.stopped and address == self.address:
             target = b"/v1/servers"
             wait = self.chance.uniform(SHORTEST_WAIT, 1.0) * self.wait
+            if self.first_call_over is not None:
+                wait = NO_WAIT  # what is known already is asked for, not what comes
             if not self._whole:
                 target += b"?since=%d&timeout_ms=%d" % (self.version, round(wait * 1000))
             host = f"{address[0]}:{address[1]}".encode()
@@ -182,6 +194,7 @@
                 shelves={s.instance_id: s.lifecycle for s in told.instances[:20]},
             )
             self._pass_on(told.instances, told.reset, False)
+        self._first_call_is_over()
         return news
 
     def _pass_on(self, instances: list[Instance], whole: bool, remembered: bool) -> None:
--- a/gorsethread/platform/program.py
+++ b/gorsethread/platform/program.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from typing import Any
 
+from gorsethread.errors import Trouble
 from gorsethread.head.driver import Driver
 from gorsethread.head.linktable import LinkTable
 from gorsethread.head.messages import Messages
@@ -10,7 +11,7 @@
 from gorsethread.platform.config import Order, Unusable, read_order
 from gorsethread.platform.discovery import Discovery
 from gorsethread.platform.shelves import Pool, ShelfLink
-from gorsethread.transport.base import Transport
+from gorsethread.transport.base import Listener, Transport
 
 CLIENTS_PART, SHELVES_PART = 0.5, 0.4  # of the descriptors; the rest is for discovery and the program itself
 SWEEP_EVERY = 0.25  # seconds
@@ -18,10 +19,17 @@
 STILL_COMING = 0.5  # seconds after SIGTERM that new connections may come
 KILL_AFTER, LONGEST_COUNTED = 0.7, 3.0  # it is killed no sooner than its clients' longest wait and this later
 SPARE = 0.35  # seconds before that by which it has ended
+FIRST_LIST_WITHIN = 1.5  # seconds that a process whose agent is sent the list waits for it before it serves
 LAST_ANSWERS = 0.4  # seconds that what is open at the end may still take
 LONGEST_WAIT = 2.4  # seconds that a call of discovery may wait for news; its answer may come later
 
 
+class CannotListen(Trouble):
+    """An address that the configuration names can't be listened on."""
+
+    action = "See what else uses that address, or name another in the file GW_CONFIG names, and start anew."
+
+
 class NoPlacement:
     """The platform's requests name their shard; a new object's later ones do."""
 
@@ -64,18 +72,36 @@
                 transport, order.peer_listen, order.peers, order.facts.index, self.driver.peer_told
             )
             self.driver.teller = self.messages.tell
-        self.ended = False
+        self._listener: Listener | None = None
+        self._told_to_end = self.ended = False
 
     def start(self) -> None:
-        """OSError where its address can't be had."""
+        """CannotListen where an address can't be had; it ends the program where that shows only later."""
         if self.messages is not None:
-            self.messages.start()
+            try:
+                self.messages.start()
+            except OSError as error:
+                raise CannotListen(str(error)) from error
+        if self.order.pushed:
+            # Guards against requests sent by an old list to backends that the agent knows as drained or gone.
+            self.discovery.first_call_over = self._serve_late
+            self.transport.at(self.transport.now() + FIRST_LIST_WITHIN, self._serve_late)
         self.discovery.start(self.order.known)
-        self._listener = self.transport.listen(
-            *self.order.listen, self.clients.on_stream, self.clients.admits
-        )
+        if not self.order.pushed:
+            self._serve()
         self._sweep()
         self._report()
+
+    def _serve_late(self) -> None:
+        if self._listener is None and not self._told_to_end:
+            self._serve()
+
+    def _serve(self) -> None:
+        clients = self.clients
+        try:
+            self._listener = self.transport.listen(*self.order.listen, clients.on_stream, clients.admits)
+        except OSError as error:
+            raise CannotListen(str(error)) from error
         self.log.info(
             "head serves",
             address=f"{self.order.listen[0]}:{self.order.listen[1]}",
@@ -101,22 +127,28 @@
         """In order: serves on while it may, as clients go on using the connections they have and find no
         other head; then only what is open, each to its answer before the head is killed."""
         self._count("head ends")
+        self._told_to_end = True
+        if self._listener is not None:
+            await self._serve_to_the_end(self._listener)
+        self.ended = True
+        self.discovery.stop()
+        if self.messages is not None:
+            self.messages.stop()
+        for link in list(self.pool.links.values()):
+            link.close()
+        self._count("head ended")
+
+    async def _serve_to_the_end(self, listener: Listener) -> None:
+        """Serves on for most of the time there is, then answers what is open."""
         lasts = min(self.order.longest, LONGEST_COUNTED) + KILL_AFTER - SPARE
         self.clients.end_by = self.transport.now() + lasts
         self.driver.ends_by(self.clients.end_by)
         await self.transport.sleep(max(STILL_COMING, lasts - LAST_ANSWERS))
         self.clients.ending = True
-        self._listener.close()
+        listener.close()
         while self.clients.holds_any():
             self.clients.close_idle()
             await self.transport.sleep(0.02)
-        self.ended = True
-        self.discovery.stop()
-        if self.messages is not None:
-            self.messages.stop()
-        for link in list(self.pool.links.values()):
-            link.close()
-        self._count("head ended")
 
     def _sweep(self) -> None:
         if not self.ended:
--- a/tests/crossing/test_discovery.py
+++ b/tests/crossing/test_discovery.py
@@ -18,8 +18,9 @@
 from gorsethread.transport.real import RealTransport
 from tests.crossing.rig import HOST, PATIENCE, CrossingTest, Discovery, Gateway, Peer, Server, answer
 from tests.harness import FACTS, PrintingHost
-from tests.live import LiveRig, NewsList, wish
+from tests.live import SETTINGS, LiveRig, NewsList, wish
 
+READY_WITHIN = 3.0  # seconds from a process's first call, of the 10 that nine in ten restarts may take
 TOLD_AFTER = 6.0  # seconds after discovery can be reached, from which a change counts as told
 
 
@@ -141,6 +142,55 @@
         self.is_served(1)
 
 
+class PushedToAnAgent(DiscoveryTest):
+    """What the agent on this machine has counts as told from the first moment of a new process."""
+
+    GRACE = 0.25  # seconds
+
+    def begin(self, plant: str = "") -> Peer:
+        self.service = Server(self)
+        self.backends = [Server(self), Server(self)]
+        self.known = [self.instance(n, backend) for n, backend in enumerate(self.backends)]
+        contract = {**SETTINGS["contract"], "stopSendingWithin": self.GRACE}
+        del contract["askWithin"]
+        configuration = self.config(self.service, self.known, membershipMode="push")
+        configuration["settings"]["contract"] = contract
+        self.gateway = Gateway(self, configuration, plant, serves=False)
+        self.watch = self.service.accept()
+        self.target = self.watch.message().target
+        return self.watch
+
+    def test_no_request_is_taken_before_the_agent_has_told_what_drains(self) -> None:
+        self.begin()
+        with self.assertRaises(ConnectionRefusedError):
+            socket.create_connection((HOST, self.gateway.port), 1.0)
+        self.watch.send(self.said(2, False, self.instance(0, self.backends[0], "draining")))
+        self.gateway.logged("head serves")
+        asker = self.ask(wish("a1", patience=600))
+        with self.assertRaises(TimeoutError, msg="sent to a backend whose drain counted as told"):
+            self.backends[0].next_request(within=0.8)
+        self.assertIn(asker.message().status, (503, 504))
+        self.is_served(1)
+
+    def test_an_agent_that_refuses_is_not_waited_for(self) -> None:
+        self.begin()
+        self.watch.send(answer(503))
+        self.gateway.logged("head serves")
+        self.is_served(0)
+
+    def test_an_agent_that_hangs_is_waited_for_a_moment_only(self) -> None:
+        self.begin()
+        began = time.monotonic()
+        self.gateway.logged("head serves")
+        self.assertLess(time.monotonic() - began, READY_WITHIN)
+        self.is_served(0)
+
+    def test_told_to_end_meanwhile_it_ends_at_once(self) -> None:
+        self.begin()
+        self.gateway.signal(signal.SIGTERM)
+        self.assertEqual(0, self.gateway.process.wait(READY_WITHIN))
+
+
 class SlowOrHanging(DiscoveryTest):
     """Discovery takes its time, or takes calls and answers none of them."""
 
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -15,6 +15,7 @@
 TOLD_AFTER = 6.0  # seconds from a watch's silence until what it misses counts as told
 LONGEST = 2.0  # seconds a client waits at most; it is killed 0.7 s later
 MUTE, HALF, HELD = "no byte on a new call", "half an answer", "a call that waits"
+READY_IN = 0.1  # seconds from a process's start: where lists are pushed it serves once it has heard its agent
 LATE_WAY = 0.01  # seconds from a head to a shelf
 
 
@@ -59,6 +60,7 @@
         async def work() -> float:
             self.watch_shelf()
             self.start(settings=settings(heads, pushed))
+            await self.wait(READY_IN)
             await self.load(self.user.now() + at)
             self.list.silence(how == HALF, more=how == MUTE)
             if how == MUTE:
@@ -121,6 +123,7 @@
         async def work() -> None:
             self.watch_shelf()
             self.start(settings=settings(200, True))
+            await self.wait(READY_IN)
             await self.load(self.user.now() + 1.0)
             self.list.down = True
             await self.load(self.user.now() + 8.0)
