--- a/gorsethread/faults/mutants.py
+++ b/gorsethread/faults/mutants.py
@@ -9,7 +9,7 @@
 from gorsethread.faults.planting import kept_in, sometimes, told_as
 from gorsethread.head.carrying import Forward
 from gorsethread.head.driver import Open
-from gorsethread.head.links import ShelfLink
+from gorsethread.head.links import BackendLink
 from gorsethread.head.program import Head
 from gorsethread.model import Ending
 from gorsethread.nvme.command import Completion, Status
@@ -25,7 +25,7 @@
     policy.facts = replace(policy.facts, **changed)
 
 
-def _on_links(head: Head, change: Callable[[ShelfLink], None]) -> None:
+def _on_links(head: Head, change: Callable[[BackendLink], None]) -> None:
     """Changes each link as it is made."""
     follower: Any = head.follower
     links = follower.links
@@ -41,7 +41,7 @@
     links.listed = listed
 
 
-def _override(link: ShelfLink, name: str, method: Callable[..., Any]) -> None:
+def _override(link: BackendLink, name: str, method: Callable[..., Any]) -> None:
     """Links have slots: another class of the same layout takes the method."""
     link.__class__ = type(
         "PlantedLink", (type(link),), {"__slots__": (), name: lambda self, *arguments: method(*arguments)}
@@ -176,7 +176,7 @@
 
 @mutant("links: what is over is sent all the same once connected")
 def _sends_what_is_over(head: Head) -> None:
-    def change(link: ShelfLink) -> None:
+    def change(link: BackendLink) -> None:
         honest = link._connect
 
         async def connect() -> None:
@@ -193,7 +193,7 @@
 
 @mutant("links: sends again what was out as the connection broke")
 def _replays(head: Head) -> None:
-    def change(link: ShelfLink) -> None:
+    def change(link: BackendLink) -> None:
         honest = link._broke
 
         def broke(reason: str) -> None:
@@ -211,7 +211,7 @@
 def _mixes_answers(head: Head) -> None:
     kept, now = [b""], sometimes(20)
 
-    def change(link: ShelfLink) -> None:
+    def change(link: BackendLink) -> None:
         honest = link._done
 
         def done(f: Forward, completion: Completion, data: bytes) -> None:
@@ -228,7 +228,7 @@
 
 @mutant("links: a failure is taken for a success")
 def _failure_is_success(head: Head) -> None:
-    def change(link: ShelfLink) -> None:
+    def change(link: BackendLink) -> None:
         honest = link._done
 
         def done(f: Forward, completion: Completion, data: bytes) -> None:
@@ -245,7 +245,7 @@
 def _drops_answers(head: Head) -> None:
     now = sometimes(100)
 
-    def change(link: ShelfLink) -> None:
+    def change(link: BackendLink) -> None:
         honest = link._done
 
         def done(f: Forward, completion: Completion, data: bytes) -> None:
@@ -261,7 +261,7 @@
 
 @mutant("links: nothing is told of what was out as a link broke")
 def _silent_break(head: Head) -> None:
-    def change(link: ShelfLink) -> None:
+    def change(link: BackendLink) -> None:
         def broke(reason: str) -> None:
             link.association = None
             link.out = {}
--- a/gorsethread/faults/webmutants.py
+++ b/gorsethread/faults/webmutants.py
@@ -10,16 +10,16 @@
 from gorsethread.faults.planting import kept_in, told_as
 from gorsethread.http1 import asking, serving
 from gorsethread.model import Ending, Shelf
-from gorsethread.platform import shelves
+from gorsethread.platform import backends
 from gorsethread.platform.listing import ListAnswer
-from gorsethread.platform.program import LiveHead
+from gorsethread.platform.program import Gateway
 
-Change = Callable[[LiveHead], None]
+Change = Callable[[Gateway], None]
 WEB_MUTANTS: dict[str, Change] = {}
 mutant = kept_in(WEB_MUTANTS)
 
 
-def _on_links(head: LiveHead, change: Callable[[shelves.ShelfLink], None]) -> None:
+def _on_links(head: Gateway, change: Callable[[backends.BackendLink], None]) -> None:
     """Changes each link as it is made."""
     links = head.discovery.links
     honest = links._make
@@ -32,7 +32,7 @@
     links._make = make
 
 
-def _on_clients(head: LiveHead, change: Callable[[Any], None]) -> None:
+def _on_clients(head: Gateway, change: Callable[[Any], None]) -> None:
     """Changes each client's connection as its first request comes."""
     honest, changed = head.clients.requested, set[int]()
 
@@ -49,23 +49,23 @@
 
 
 @mutant("shelves: a connection that ended under a request counts as never reached")
-def _broken_as_unreached(head: LiveHead) -> None:
+def _broken_as_unreached(head: Gateway) -> None:
     told_as(head, {Ending.BROKEN: Ending.UNREACHED})
 
 
 @mutant("shelves: a spoilt answer counts as turned away")
-def _spoilt_as_turned_away(head: LiveHead) -> None:
+def _spoilt_as_turned_away(head: Gateway) -> None:
     told_as(head, {Ending.ERROR: Ending.TURNED_AWAY})
 
 
 @mutant("shelves: a time-out counts as never sent")
-def _timed_out_as_unsent(head: LiveHead) -> None:
+def _timed_out_as_unsent(head: Gateway) -> None:
     told_as(head, {Ending.TIMED_OUT: Ending.NOT_SENT})
 
 
 @mutant("shelves: a forward called off leaves its connection in use")
-def _keeps_called_off(head: LiveHead) -> None:
-    def change(link: shelves.ShelfLink) -> None:
+def _keeps_called_off(head: Gateway) -> None:
+    def change(link: backends.BackendLink) -> None:
         def call_off(f: Any) -> None:
             connection = link.pool.busy.pop(f.transaction, None)
             if connection is not None and connection.out is f:
@@ -81,8 +81,8 @@
 
 
 @mutant("shelves: a connection that brought more than its answer is used again")
-def _uses_noisy(head: LiveHead) -> None:
-    def change(link: shelves.ShelfLink) -> None:
+def _uses_noisy(head: Gateway) -> None:
+    def change(link: backends.BackendLink) -> None:
         honest = link._answered
 
         def answered(connection: Any, answer: asking.Answer) -> None:
@@ -111,8 +111,8 @@
 
 
 @mutant("shelves: what broke is sent once more by the link itself")
-def _sends_again(head: LiveHead) -> None:
-    def change(link: shelves.ShelfLink) -> None:
+def _sends_again(head: Gateway) -> None:
+    def change(link: backends.BackendLink) -> None:
         honest, again = link.end, set[int]()
 
         def end(f: Any, how: Ending, *told: Any) -> None:
@@ -128,14 +128,14 @@
 
 
 @mutant("shelves: what waits for a connection is sent though the shelf drains")
-def _sends_to_drained(head: LiveHead) -> None:
+def _sends_to_drained(head: Gateway) -> None:
     head.pool.withdraw = lambda unready: None  # type: ignore[method-assign]
     head.pool.most = 3
 
 
 @mutant("shelves: connections are not counted as they end")
-def _never_counts_down(head: LiveHead) -> None:
-    def change(link: shelves.ShelfLink) -> None:
+def _never_counts_down(head: Gateway) -> None:
+    def change(link: backends.BackendLink) -> None:
         honest = link.lose
 
         def lose(connection: Any) -> Any:
@@ -150,14 +150,14 @@
 
 
 @mutant("shelves: an answer of any length and form is believed")
-def _believes_all(head: LiveHead) -> None:
+def _believes_all(head: Gateway) -> None:
     class Trusting(asking.Asking):
         def feed(self, data: bytes) -> asking.Answer | None:
             head_, split, body = data.partition(b"\r\n\r\n")
             self.waiting = False
             return asking.Answer(200, [], body if split else head_, True)
 
-    def change(link: shelves.ShelfLink) -> None:
+    def change(link: backends.BackendLink) -> None:
         honest = link._submit
 
         def submit(connection: Any, f: Any) -> None:
@@ -173,12 +173,12 @@
 
 
 @mutant("clients: one that left is not noticed")
-def _deaf_to_leaving(head: LiveHead) -> None:
+def _deaf_to_leaving(head: Gateway) -> None:
     head.driver.client_left = lambda t: None  # type: ignore[method-assign]
 
 
 @mutant("clients: the cut-off counts from the head's start of work, half a second late")
-def _late_cut_off(head: LiveHead) -> None:
+def _late_cut_off(head: Gateway) -> None:
     honest = head.driver.take
     head.driver.take = (  # type: ignore[method-assign]
         lambda *a, cut_off, **n: honest(*a, cut_off=cut_off + 0.5, **n)
@@ -186,14 +186,14 @@
 
 
 @mutant("clients: what is given up is answered as pushed back")
-def _gives_up_as_pushed(head: LiveHead) -> None:
+def _gives_up_as_pushed(head: Gateway) -> None:
     head.driver.give_up = lambda transaction: head.driver.push_back(  # type: ignore[method-assign]
         transaction, 0.1
     )
 
 
 @mutant("clients: some are answered twice")
-def _answers_twice(head: LiveHead) -> None:
+def _answers_twice(head: Gateway) -> None:
     def change(connection: Any) -> None:
         honest = connection.__class__.answer
         if connection.__class__.__name__ == "Twice":
@@ -213,7 +213,7 @@
 
 
 @mutant("clients: one given up in four is never answered")
-def _forgets_some(head: LiveHead) -> None:
+def _forgets_some(head: Gateway) -> None:
     honest, count = head.driver.push_back, [0]
 
     def push_back(transaction: int, return_after: float) -> None:
@@ -229,7 +229,7 @@
 
 
 @mutant("clients: two ways to tell a length are not refused")
-def _two_lengths(head: LiveHead) -> None:
+def _two_lengths(head: Gateway) -> None:
     class Trusting(serving.Serving):
         def _begin(self, head: h11.Request) -> None:
             self._raw = b""
@@ -254,12 +254,12 @@
 
 
 @mutant("clients: half a request is waited for without end")
-def _waits_for_ever(head: LiveHead) -> None:
+def _waits_for_ever(head: Gateway) -> None:
     head.clients.sweep = lambda: None  # type: ignore[method-assign]
 
 
 @mutant("clients: a connection just answered on is closed")
-def _closes_early(head: LiveHead) -> None:
+def _closes_early(head: Gateway) -> None:
     honest = head.clients.sweep
 
     def sweep() -> None:
@@ -273,7 +273,7 @@
 
 
 @mutant("discovery: drains are not heard")
-def _deaf_to_drains(head: LiveHead) -> None:
+def _deaf_to_drains(head: Gateway) -> None:
     honest = head.driver.listed
 
     def listed(entries: list[Any], whole: bool, remembered: bool) -> None:
@@ -284,7 +284,7 @@
 
 
 @mutant("discovery: starts are not heard")
-def _deaf_to_starts(head: LiveHead) -> None:
+def _deaf_to_starts(head: Gateway) -> None:
     honest = head.driver.listed
 
     def listed(entries: list[Any], whole: bool, remembered: bool) -> None:
@@ -294,12 +294,12 @@
 
 
 @mutant("discovery: once refused it is never asked again")
-def _asks_once(head: LiveHead) -> None:
+def _asks_once(head: Gateway) -> None:
     head.driver.list_refused = lambda waited=0.0: None  # type: ignore[method-assign]
 
 
 @mutant("discovery: one change in three is passed over")
-def _skips_changes(head: LiveHead) -> None:
+def _skips_changes(head: Gateway) -> None:
     honest, count = head.discovery._pass_on, [0]
 
     def pass_on(instances: ListAnswer, whole: bool, remembered: bool) -> None:
@@ -311,7 +311,7 @@
 
 
 @mutant("signals: told to end, it ends at once")
-def _ends_at_once(head: LiveHead) -> None:
+def _ends_at_once(head: Gateway) -> None:
     async def end() -> None:
         if head._listener is not None:
             head._listener.close()
@@ -322,12 +322,12 @@
 
 
 @mutant("signals: told to end, what was open keeps its own deadline")
-def _keeps_deadlines_at_the_end(head: LiveHead) -> None:
+def _keeps_deadlines_at_the_end(head: Gateway) -> None:
     head.driver.ends_by = lambda when: None  # type: ignore[method-assign]
 
 
 @mutant("signals: told to end, it serves on for good")
-def _never_ends(head: LiveHead) -> None:
+def _never_ends(head: Gateway) -> None:
     async def end() -> None:
         await head.transport.sleep(1e6)
 
@@ -338,7 +338,7 @@
 
 
 @mutant("lending: a home lends from its first moment, as if no earlier life had")
-def _lends_at_once(head: LiveHead) -> None:
+def _lends_at_once(head: Gateway) -> None:
     policy = head.driver.policy
     honest = policy._lend
 
@@ -352,12 +352,12 @@
 
 
 @mutant("lending: what was lent counts for half of the span")
-def _lending_forgotten(head: LiveHead) -> None:
+def _lending_forgotten(head: Gateway) -> None:
     head.driver.policy.lent_kept *= 0.5
 
 
 @mutant("lending: a doubled answer lends twice")
-def _lends_twice(head: LiveHead) -> None:
+def _lends_twice(head: Gateway) -> None:
     policy = head.driver.policy
     honest = policy._borrow
 
@@ -370,23 +370,23 @@
 
 
 @mutant("shelves: what waited for its connection is sent whenever that comes up")
-def _sends_when_up(head: LiveHead) -> None:
+def _sends_when_up(head: Gateway) -> None:
     head.pool.may_begin = lambda transaction, shelf, decided, now: True
 
 
 @mutant("lending: every head is each shelf's home")
-def _all_homes(head: LiveHead) -> None:
-    head.driver.policy._home = lambda shard: head.order.facts.index  # type: ignore[method-assign]
+def _all_homes(head: Gateway) -> None:
+    head.driver.policy._home = lambda shard: head.configuration.facts.index  # type: ignore[method-assign]
 
 
 @mutant("lending: each head takes all that a cold shelf bears")
-def _takes_all(head: LiveHead) -> None:
+def _takes_all(head: Gateway) -> None:
     head.driver.policy.lends = False
     head.driver.policy.facts = replace(head.driver.policy.facts, heads=1)
 
 
 @mutant("clients: the room of connections that were refused or ended is not given back")
-def _room_kept(head: LiveHead) -> None:
+def _room_kept(head: Gateway) -> None:
     honest = head.clients.admits
 
     def admits() -> bool:
--- a/gorsethread/faults/webworld.py
+++ b/gorsethread/faults/webworld.py
@@ -7,9 +7,9 @@
 from gorsethread.faults.script import Act
 from gorsethread.faults.states import WEB_STATES
 from gorsethread.faults.world import Remembering, Silent, World
-from gorsethread.platform.config import read_order
-from gorsethread.platform.discovery import shelf_number
-from gorsethread.platform.program import CLIENTS_PART, KILL_AFTER, LONGEST_COUNTED, LiveHead
+from gorsethread.platform.config import read_configuration
+from gorsethread.platform.discovery import backend_number
+from gorsethread.platform.program import CLIENTS_PART, KILL_AFTER, LONGEST_COUNTED, Gateway
 from gorsethread.sitefile import site_pb2 as pb
 from gorsethread.sitefile.reading import split_address
 from gorsethread.standins.web.backend import WebShelf
@@ -56,10 +56,12 @@
         if event == "told":
             self.told.setdefault(facts["head"], {})[facts["shelf"]] = facts["state"]
             if facts["state"] == "ready" and facts["start"] == self._cold_starts.get(facts["shelf"]):
-                self.cold_part.head_told(facts["head"], shelf_number(f"s-{facts['shelf']}"), self.loop.time())
+                self.cold_part.head_told(
+                    facts["head"], backend_number(f"s-{facts['shelf']}"), self.loop.time()
+                )
         if event == "up" and not facts["warm"]:
             self._cold_starts[facts["shelf"]] = facts["start"]
-            self.cold_part.shelf_started(shelf_number(f"s-{facts['shelf']}"), self.loop.time())
+            self.cold_part.shelf_started(backend_number(f"s-{facts['shelf']}"), self.loop.time())
         super().saw(who, event, facts)
         if event in ("sent", "sent anew"):
             self._coming[self.network.wrote] = facts["label"], facts["attempt"]
@@ -118,7 +120,7 @@
         name = f"head {number}"
         process = self._start(name)
         path = self._configure(number)
-        head = LiveHead(process, read_order(process.load(path), path), path, Silent())
+        head = Gateway(process, read_configuration(process.load(path), path), path, Silent())
         self.heads[number] = head
         self.cold_part.watch(head.driver, number, self.loop.time)
         process.on_reload(head.reload)
@@ -194,7 +196,7 @@
         return head.discovery._stream is not None
 
     def _used(self, head: Any) -> set[int]:
-        names = {shelf_number(f"s-{s.number}"): s.number for s in self.site.shelf}
+        names = {backend_number(f"s-{s.number}"): s.number for s in self.site.shelf}
         return {names[s.id] for s in head.driver.policy.shelves.values() if s.ready}
 
     def _check_owners(self, number: int, head: Any) -> None:
--- a/gorsethread/head/links.py
+++ b/gorsethread/head/links.py
@@ -26,7 +26,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class ShelfLink:
+class BackendLink:
     transport: Transport
     shelf: int
     address: tuple[str, int]
--- a/gorsethread/head/program.py
+++ b/gorsethread/head/program.py
@@ -11,7 +11,7 @@
 from gorsethread.head.facts import start_facts
 from gorsethread.head.holding import Holding
 from gorsethread.head.landing import LandingSide
-from gorsethread.head.links import ShelfLink
+from gorsethread.head.links import BackendLink
 from gorsethread.head.linktable import LinkTable
 from gorsethread.head.listing import ListFollower
 from gorsethread.head.peers import PeerSide
@@ -57,7 +57,7 @@
         rank, heads = sum(h.number < number for h in site.head), len(site.head)
         opens = Opens(known.opens, rank, heads)
         links = LinkTable(
-            lambda shelf, address: ShelfLink(
+            lambda shelf, address: BackendLink(
                 transport,
                 shelf,
                 address,
@@ -148,14 +148,14 @@
             self.branch.start()
         self._listener = self.transport.listen(host, port, self.server.on_stream)
         self.port = self._listener.port
-        self.log.info("head serves", address=f"{host}:{self.port}")
+        self.log.info("gateway serves", address=f"{host}:{self.port}")
 
     async def end(self) -> None:
         """In order: no new connections or commands, open ones answered by their cut-offs, then the end."""
         self.clients.draining = True
         self.server.closing = True
         self._listener.close()
-        self.log.info("head ends", open=len(self.driver.open))
+        self.log.info("gateway ends", open=len(self.driver.open))
         while any(not t.answered for t in self.driver.open.values()):
             await self.transport.sleep(0.02)
         for connection in list(self.server.connections):
@@ -171,7 +171,9 @@
             self.promises.stop()
             self.holding.stop()
         self.peers.stop()
-        self.server.stop("the head ends")
+        self.server.stop("the gateway ends")
         for link in self.driver.links.values():
             link.close()
-        self.log.info("head ended", **{k.replace(" ", "_"): v for k, v in sorted(self.driver.counts.items())})
+        self.log.info(
+            "gateway ended", **{k.replace(" ", "_"): v for k, v in sorted(self.driver.counts.items())}
+        )
--- a/gorsethread/lab/peers.py
+++ b/gorsethread/lab/peers.py
@@ -6,7 +6,7 @@
 from hdrh.histogram import HdrHistogram
 
 from gorsethread.head.carrying import Forward, Told
-from gorsethread.head.links import Order, ShelfLink
+from gorsethread.head.links import BackendLink, Order
 from gorsethread.head.placement import SitePlacement
 from gorsethread.model import Ending
 from gorsethread.nvme.command import Completion, Opcode, Status, io_command
@@ -31,7 +31,7 @@
         names = Names(site.subsystem, f"nqn.2026-12.org.gorsethread:head:{number}")
         known = site.links
         self.links = {
-            s.shard: ShelfLink(
+            s.shard: BackendLink(
                 transport,
                 s.number,
                 split_address(s.address),
--- a/gorsethread/lab/sockets.py
+++ b/gorsethread/lab/sockets.py
@@ -10,6 +10,9 @@
 from typing import Any
 
 # The bench's outcomes of forwards, in the order its report lists them, by our words.
+# The lines of a log by their events; "head": logs written before 2026-12-02.
+STARTED = ("gateway serves", "head serves")
+TOLD_WITH_COUNTS = ("counts", "gateway ends", "gateway ended", "head ends", "head ended")
 OUTCOMES = ("honoured", "error", "turned away", "timed out", "unreached", "broken", "called off", "not sent")
 
 
@@ -25,10 +28,10 @@
             continue
         if not isinstance(told, dict):
             continue
-        if told.get("event") == "head serves":
+        if told.get("event") in STARTED:
             total.update(life)
             life = {}
-        elif told.get("event") in ("counts", "head ends", "head ended"):
+        elif told.get("event") in TOLD_WITH_COUNTS:
             life.update({name: n for name, n in told.items() if isinstance(n, int) and name in COUNTED})
     total.update(life)
     return total
--- a/gorsethread/platform/__main__.py
+++ b/gorsethread/platform/__main__.py
@@ -1,4 +1,4 @@
-"""python -m gorsethread.platform: one head in service, as the platform starts it.
+"""python -m gorsethread.platform: one gateway in service, as the platform starts it.
 
 Exit status 0: ended in order, 2: the configuration or the address can't be used, 1: a defect."""
 
@@ -6,8 +6,8 @@
 import sys
 
 from gorsethread.logs import log_for, start_logs
-from gorsethread.platform.config import Unusable, read_order
-from gorsethread.platform.program import CannotListen, LiveHead
+from gorsethread.platform.config import Unusable, read_configuration
+from gorsethread.platform.program import CannotListen, Gateway
 from gorsethread.transport.real import RealTransport, run
 
 
@@ -22,13 +22,13 @@
     async def serve(transport: RealTransport) -> None:
         nonlocal status
         try:
-            order = read_order(transport.load(path), path)
+            configuration = read_configuration(transport.load(path), path)
         except Unusable as error:
             print(f"gorsethread: {'; '.join(error.lines)}", file=sys.stderr)
             status = 2
             return
-        log = log_for(head=order.name)
-        head = LiveHead(transport, order, path, log)
+        log = log_for(head=configuration.name)
+        head = Gateway(transport, configuration, path, log)
         transport.on_reload(head.reload)
         transport.on_terminate(transport.finish)
         try:
@@ -40,7 +40,7 @@
             print(f"gorsethread: {path}: listen: {error}", file=sys.stderr)
             status = 2
         except Exception as error:
-            log.exception("the head must end: a defect", reason=repr(error))
+            log.exception("the gateway must end: a defect", reason=repr(error))
             status = 1
 
     run(serve)
--- a/gorsethread/platform/shelves.py
+++ b/gorsethread/platform/backends.py
@@ -1,32 +1,29 @@
-"""Connections to shelves: one request at a time on each, each forward's one ending told as it was.
+"""Connections to backends: one request at a time on each, each attempt's one ending told as it was.
 
-Nothing is sent again here. A forward for which no connection comes up, or whose connection ends before its
+Nothing is sent again here. A attempt for which no connection comes up, or whose connection ends before its
 last byte is written, ends as UNREACHED; after that as BROKEN, or as ERROR where what came can't be read.
 """
 
-from collections import Counter, deque
-from collections.abc import Callable
-from typing import Any, NamedTuple
+from collections import deque
+from typing import NamedTuple
 
 from gorsethread.head.carrying import NOTHING, Forward, Told
 from gorsethread.http1.asking import Answer, Asking
 from gorsethread.http1.bounds import Headers, Spoilt
 from gorsethread.model import Ending
-from gorsethread.transport.base import Stream, StreamClosed, StreamEnded, Timer, Transport, Unreachable
+from gorsethread.platform.pool import ConnectionPool
+from gorsethread.transport.base import Stream, StreamClosed, StreamEnded, Timer, Unreachable
 
 DECLINED = b"srv-declined"
 ELSEWHERE, USAGE = b"other-hosts", b"volume-load"
-IDLE_PART = 0.8  # of the time after which a shelf closes an idle connection: the head is first
 REST = 0.005  # seconds after an answer within which an end of the connection may still be on its way
-BREAKS_FREE, BREAKS_PART = 1.0, 0.04  # of kept connections used again: more, and none is kept for a while
-HALF_LIFE = 5.0  # seconds
 # Seconds without a byte, after which an answer that has no length and whose connection stays open has no end.
 END_WITHIN = 0.25
 MILLISECOND = 0.001
 
 
-class Parcel(NamedTuple):
-    """A forward's payload here: what the client sent, passed on unchanged, and until when it waits."""
+class OutgoingRequest(NamedTuple):
+    """A attempt's payload here: what the client sent, passed on unchanged, and until when it waits."""
 
     method: bytes
     target: bytes
@@ -44,12 +41,12 @@
     return read if 0.0 <= read < 1e12 else 0.0
 
 
-class Connection:
+class BackendConnection:
     """One connection and what is out on it. over: it has ended, or is not used any more."""
 
     __slots__ = ("link", "stream", "asking", "out", "idle_since", "uses", "over", "end_timer")
 
-    def __init__(self, link: "ShelfLink", stream: Stream) -> None:
+    def __init__(self, link: "BackendLink", stream: Stream) -> None:
         self.link, self.stream = link, stream
         self.over = False
         self.asking = Asking()
@@ -59,116 +56,17 @@
         self.end_timer: Timer | None = None  # while the end of an answer without a length is waited for
 
 
-class Trust:
-    """Whether connections that have answered once are worth keeping: how many used again broke, of late.
-
-    Guards against shelves, or something on the way, that end kept connections without a word: what is written
-    to such a one may have run, and what is irreversible is lost with it. Costs a new connection each.
-    """
-
-    def __init__(self) -> None:
-        self._again = self._broke = self._at = 0.0
-
-    def seen(self, broke: bool, now: float) -> None:
-        """One that was used again has ended its forward."""
-        self._fade(now)
-        self._again += 1.0
-        self._broke += broke
-
-    def holds(self, now: float) -> bool:
-        self._fade(now)
-        return self._broke <= BREAKS_FREE + BREAKS_PART * self._again
-
-    def _fade(self, now: float) -> None:
-        part = 0.5 ** ((now - self._at) / HALF_LIFE)
-        self._again, self._broke, self._at = self._again * part, self._broke * part, now
-
-
-class Pool:
-    """The connections of all shelves together. most: how many may be open or come up at once. links: the
-    driver's table of them."""
-
-    def __init__(
-        self,
-        transport: Transport,
-        links: "dict[int, ShelfLink]",
-        most: int,
-        dial_within: float,
-        idle: float,
-        log: Any,
-    ) -> None:
-        self.transport, self.links, self.most, self.log = transport, links, most, log
-        self.dial_within, self.idle = dial_within, idle * IDLE_PART
-        self.held = 0
-        self.opened = 0
-        self.trust = Trust()
-        self.spoilt: Counter[str] = Counter()  # emptied by each report
-        self.busy: dict[int, Connection] = {}  # by transaction; emptied as forwards end
-        self.waiting: deque[tuple[ShelfLink, Forward]] = deque()  # emptied as connections come free
-        # The decisions': whether a transaction's attempt at a shelf, decided at a time, may still begin now.
-        self.may_begin: Callable[[int, int, float, float], bool]
-
-    def room(self) -> bool:
-        """Whether one more may be opened; makes room by the connection that is idle for longest."""
-        if self.held >= self.most:
-            oldest = min(
-                (link.kept[0] for link in self.links.values() if link.kept),
-                key=lambda c: c.idle_since,
-                default=None,
-            )
-            if oldest is None:
-                return False
-            oldest.link.lose(oldest)
-        return True
-
-    def freed(self) -> None:
-        """A connection has come free or ended: what waits for one goes on."""
-        while self.waiting and (self.waiting[0][1].over or self.waiting[0][0].kept or self.room()):
-            link, f = self.waiting.popleft()
-            link.out -= 1
-            if f.over:
-                continue
-            if link.may_begin(f):
-                link.send(f)
-            else:
-                link.end(f, Ending.NOT_SENT)
-
-    def withdraw(self, unready: Callable[[int], bool]) -> None:
-        """Of shelves that drain or are gone nothing waits for a connection: it could come after the grace."""
-        for number, link in self.links.items():
-            link.unready = unready(number)
-        waiting, self.waiting = self.waiting, deque()
-        for link, f in waiting:
-            if link.unready or link.closed:
-                link.out -= 1
-                link.end(f, Ending.NOT_SENT)
-            else:
-                self.waiting.append((link, f))
-
-    def report(self) -> dict[str, int]:
-        """What answers were spoilt by since the last report, the commonest few."""
-        spoilt, self.spoilt = self.spoilt, Counter()
-        return dict(spoilt.most_common(8))
-
-    def sweep(self) -> None:
-        """Closes what was idle for so long that its shelf may be about to."""
-        before = self.transport.now() - self.idle
-        for link in list(self.links.values()):
-            while link.kept and link.kept[0].idle_since <= before:
-                link.lose(link.kept[0])
-
-
-class ShelfLink:
-    """All connections to one shelf at one address; the most recently used goes first."""
-
-    def __init__(self, pool: Pool, shelf: int, address: tuple[str, int]) -> None:
+class BackendLink:
+    """All connections to one backend at one address; the most recently used goes first."""
+
+    def __init__(self, pool: ConnectionPool, shelf: int, address: tuple[str, int]) -> None:
         self.pool, self.shelf, self.address = pool, shelf, address
         self.transport = pool.transport
         self.host = f"{address[0]}:{address[1]}".encode()
-        self.kept: deque[Connection] = deque()  # emptied by use, by sweep() and as connections end
-        self.out = 0  # forwards that are out, wait for a connection to come up or for room for one
+        self.kept: deque[BackendConnection] = deque()  # emptied by use, by sweep() and as connections end
+        self.out = 0  # attempts that are out, wait for a connection to come up or for room for one
         self.closed = False
-        self.unready = False  # the shelf drains or has left the list
+        self.unready = False  # the backend drains or has left the list
 
     @property
     def idle(self) -> bool:
@@ -197,17 +95,17 @@
             self.pool.waiting.append((self, f))
 
     def call_off(self, f: Forward) -> None:
-        """Closes its connection, by which the shelf learns that nobody waits, before more is sent."""
+        """Closes its connection, by which the backend learns that nobody waits, before more is sent."""
         connection = self.pool.busy.get(f.transaction)
         if connection is not None and connection.out is f:
             connection.link.lose(connection)
-        self.end(f, Ending.CALLED_OFF)  # also where it only waited: not the shelf, the client ended it
+        self.end(f, Ending.CALLED_OFF)  # also where it only waited: not the backend, the client ended it
 
     # ---- connections
 
-    def _rested(self) -> Connection | None:
-        """The connection to use next. Guards against shelves that end a connection right behind an answer, or
-        say more on it: one that answered just now is used only where no other may be opened."""
+    def _rested(self) -> BackendConnection | None:
+        """The connection to use next. Guards against backends that end a connection right behind an answer,
+        or say more on it: one that answered just now is used only where no other may be opened."""
         now = self.transport.now()
         before = now - REST if self.pool.trust.holds(now) else -1.0
         for connection in reversed(list(self.kept)):
@@ -230,7 +128,7 @@
             return
         self.out -= 1
         self.pool.opened += 1
-        connection = Connection(self, stream)
+        connection = BackendConnection(self, stream)
         if f.over:
             self._rest(connection)
         elif self.may_begin(f):
@@ -248,17 +146,19 @@
             return False
         return self.pool.may_begin(f.transaction, self.shelf, f.sent_at, now)
 
-    def _submit(self, connection: Connection, f: Forward) -> None:
-        parcel: Parcel = f.payload
-        left = max(1, round((parcel.cut_off - self.transport.now()) / MILLISECOND))
-        headers = [(b"host", self.host), *parcel.headers, (b"req-deadline-ms", b"%d" % left)]
+    def _submit(self, connection: BackendConnection, f: Forward) -> None:
+        outgoing: OutgoingRequest = f.payload
+        left = max(1, round((outgoing.cut_off - self.transport.now()) / MILLISECOND))
+        headers = [(b"host", self.host), *outgoing.headers, (b"req-deadline-ms", b"%d" % left)]
         connection.out = f
         connection.uses += 1
         self.out += 1
         self.pool.busy[f.transaction] = connection
-        connection.stream.write(connection.asking.request(parcel.method, parcel.target, headers, parcel.body))
+        connection.stream.write(
+            connection.asking.request(outgoing.method, outgoing.target, headers, outgoing.body)
+        )
 
-    async def _listen(self, connection: Connection) -> None:
+    async def _listen(self, connection: BackendConnection) -> None:
         try:
             while True:
                 answer = await self._read(connection)
@@ -277,7 +177,7 @@
             self._spoilt(connection, str(error))
         self.pool.freed()
 
-    async def _read(self, connection: Connection) -> Answer | None:
+    async def _read(self, connection: BackendConnection) -> Answer | None:
         """Reads once; the answer where that made it whole."""
         try:
             data = await connection.stream.read()
@@ -293,7 +193,7 @@
             self._await_end(connection)
         return answer
 
-    def _await_end(self, connection: Connection) -> None:
+    def _await_end(self, connection: BackendConnection) -> None:
         """An answer without a length ends right behind its last byte, by the end of its connection. Guards
         against a backend that leaves it open: the request would wait for its whole time."""
         if connection.end_timer is not None:
@@ -301,19 +201,19 @@
         by = self.transport.now() + END_WITHIN
         connection.end_timer = self.transport.at(by, lambda: self._never_ended(connection))
 
-    def _never_ended(self, connection: Connection) -> None:
+    def _never_ended(self, connection: BackendConnection) -> None:
         if not connection.over and connection.asking.ends_with_connection:
             self._spoilt(connection, "an answer with neither a length nor an end")
             self.pool.freed()
 
-    def _spoilt(self, connection: Connection, reason: str) -> None:
+    def _spoilt(self, connection: BackendConnection, reason: str) -> None:
         """What came is no answer, and the connection is of no more use; its request may have run."""
         f = self.lose(connection)
         if f is not None:
             self.pool.spoilt[reason[:40]] += 1
             self.end(f, Ending.ERROR)
 
-    def _answered(self, connection: Connection, answer: Answer) -> None:
+    def _answered(self, connection: BackendConnection, answer: Answer) -> None:
         f, connection.out = connection.out, None
         assert f is not None
         self.out -= 1
@@ -337,13 +237,13 @@
             self.end(f, Ending.ERROR)
         self.pool.freed()
 
-    def _rest(self, connection: Connection) -> None:
+    def _rest(self, connection: BackendConnection) -> None:
         connection.idle_since = self.transport.now()
         self.kept.append(connection)
         if self.closed:
             self.lose(connection)
 
-    def lose(self, connection: Connection) -> Forward | None:
+    def lose(self, connection: BackendConnection) -> Forward | None:
         """The connection is used no more; returns what was out on it."""
         f, connection.out = connection.out, None
         if f is not None:
--- a/gorsethread/platform/clients.py
+++ b/gorsethread/platform/clients.py
@@ -1,6 +1,6 @@
 """The client side: connections admitted and swept, each request checked and handed on.
 
-What can't be a transaction is answered with an error and goes no further. Bounds guard the usual clients
+What can't be a request is answered with an error and goes no further. Bounds guard the usual clients
 against those that say nothing, half a request, or the same again without end.
 """
 
@@ -10,17 +10,17 @@
 from gorsethread.head.driver import Driver
 from gorsethread.http1.bounds import Unreadable
 from gorsethread.http1.serving import Request, last_words
+from gorsethread.platform.backends import OutgoingRequest
 from gorsethread.platform.config import Naming
 from gorsethread.platform.connection import Connection
-from gorsethread.platform.requests import ONWARD, Wanted, read_request
-from gorsethread.platform.shelves import Parcel
+from gorsethread.platform.requests import ONWARD, RequestFields, read_request
 from gorsethread.transport.base import Stream, Transport
 
 READY = b"/healthz"
 WHOLE_WITHIN = 2.0  # seconds from connecting, or from its first byte, until a request must be here
-MAY_CLOSE = 2.0  # seconds without an open request after which the platform lets a head close a connection
+MAY_CLOSE = 2.0  # seconds without an open request after which the platform lets a gateway close a connection
 IDLE_MOST = 6.0  # seconds until it is closed anyway
-CROWDED = 0.25  # of the connections a head may hold: from here on idle ones end as early as they may
+CROWDED = 0.25  # of the connections a gateway may hold: from here on idle ones end as early as they may
 LINGER = 0.25  # seconds that a connection whose sending has ended here is read on for its client's end
 UNREAD_LINGER = 2.0  # seconds of it while the client has not read all of its answer
 LAST_LINGER = 0.05  # seconds of it after the time by which the program has ended
@@ -37,7 +37,7 @@
         self.wrong: Counter[str] = Counter()  # emptied by each report
         self._accepted = 0  # and not yet among the connections
         self.ending = False
-        self.end_by = float("inf")  # when the head itself ends: it waits for nothing longer
+        self.end_by = float("inf")  # when the gateway itself ends: it waits for nothing longer
 
     def admits(self) -> bool:
         """Whether one more connection can be held; makes room for it by the one that is of least use."""
@@ -102,8 +102,8 @@
             connection.answer(200, [], b"")
             return
         try:
-            wanted = read_request(request, self.naming)
-            if wanted.id in self.open:
+            fields = read_request(request, self.naming)
+            if fields.id in self.open:
                 raise Unreadable(409, "the id of an open request")
         except Unreadable as error:
             # Its bounds were kept, so the connection goes on; but what asks for nothing right asks slowly.
@@ -111,16 +111,16 @@
             connection.paused = True
             connection.answer(error.status, [], b"")
             return
-        self._take(connection, request, wanted)
+        self._take(connection, request, fields)
 
-    def _take(self, connection: Connection, request: Request, w: Wanted) -> None:
+    def _take(self, connection: Connection, request: Request, w: RequestFields) -> None:
         cut_off = min(connection.arrived + w.patience, self.end_by)
         headers = [(name, value) for name, value in request.headers if name in ONWARD]
         connection.id = w.id
         self.open[w.id] = connection
         connection.taken = self.driver.take(
             connection,
-            Parcel(request.method, request.target, headers, request.body, cut_off),
+            OutgoingRequest(request.method, request.target, headers, request.body, cut_off),
             profile=w.profile,
             plan=w.plan,
             key=w.key,
--- a/gorsethread/platform/config.py
+++ b/gorsethread/platform/config.py
@@ -1,4 +1,4 @@
-"""What a head is told at its start and anew at SIGHUP: the file that GW_CONFIG names."""
+"""What a gateway is told at its start and anew at SIGHUP: the file that GW_CONFIG names."""
 
 import json
 import math
@@ -34,11 +34,11 @@
 
 
 @dataclass(frozen=True)
-class Order:
-    """One head's orders. dial_within, idle: seconds, of connections to shelves; longest: how many seconds a
-    client waits at most. pushed: whether discovery's agent on this machine is sent the list, so that what it
-    has counts as told from the first moment of a new process. peers: every head's address by its number,
-    this one's too, where heads may send each other messages; else none."""
+class Configuration:
+    """One gateway's orders. dial_within, idle: seconds, of connections to backends; longest: how many seconds
+    a client waits at most. pushed: whether discovery's agent on this machine is sent the list, so that what
+    it has counts as told from the first moment of a new process. peers: every gateway's address by its
+    number, this one's too, where gateways may send each other messages; else none."""
 
     name: str
     listen: Address
@@ -75,14 +75,15 @@
 
 
 def _check_figures(part: Any) -> None:
-    """Guards against settings of the right shape with a word for a figure, which would end a serving head."""
+    """Guards against settings of the right shape with a word for a figure, which would end a serving
+    gateway."""
     for f in fields(part):
         value = getattr(part, f.name)
         if f.type in (int, float) and (type(value) not in (int, float) or not math.isfinite(value)):
             raise Unusable(f"settings: {type(part).__name__} {f.name}: {value!r} is no figure")
 
 
-def read_order(raw: bytes | None, path: str) -> Order:
+def read_configuration(raw: bytes | None, path: str) -> Configuration:
     """Unusable, with the file's path in front, for what is missing or wrong. Unknown fields are ignored."""
     if raw is None:
         raise Unusable(f"{path}: can't be read")
@@ -91,7 +92,7 @@
     except ValueError as error:
         raise Unusable(f"{path}: is not JSON: {error}") from None
     try:
-        return _order(given)
+        return _configuration(given)
     except Unusable as error:
         raise Unusable(f"{path}: {error}") from None
     except Malformed as error:
@@ -100,7 +101,7 @@
         raise Unusable(f"{path}: settings: something is of the wrong kind: {error}") from None
 
 
-def _order(given: Any) -> Order:
+def _configuration(given: Any) -> Configuration:
     settings = _field(given, "settings", dict)
     sockets = _field(given, "limits.sockets", int)
     if sockets < 32:
@@ -120,7 +121,7 @@
     for part in (facts, facts.cold, *facts.profiles, *facts.plans, *([facts.budget] if facts.budget else ())):
         _check_figures(part)
     peer_listen, peers = _peers(given, facts)
-    # Also where lists are pushed, it is to the machine's agent, which a head hears by a watch of its own.
+    # Also where lists are pushed, it is to the machine's agent, which a gateway hears by a watch of its own.
     pushed = not facts.list_on_request
     facts = replace(facts, may_tell=bool(peers), list_on_request=True)
     naming = Naming(
@@ -130,7 +131,7 @@
         facts.largest_units,
         settings["specifics"]["shards"],
     )
-    return Order(
+    return Configuration(
         str(_field(given, "name", str)),
         address_of(_field(given, "listen"), "listen"),
         address_of(_field(given, "discovery"), "discovery"),
@@ -149,8 +150,8 @@
 
 
 def _peers(given: Any, facts: StartFacts) -> tuple[Address | None, tuple[Address, ...]]:
-    """None where the settings allow no messages or no addresses are told. A number that means another head at
-    each of two heads would do harm, so a list that does not fit the settings is refused."""
+    """None where the settings allow no messages or no addresses are told. A number that means another gateway
+    at each of two gateways would do harm, so a list that does not fit the settings is refused."""
     if not facts.may_tell or "peers" not in given or "peer_listen" not in given:
         return None, ()
     peers = tuple(address_of(p, f"peers.{n}") for n, p in enumerate(_field(given, "peers", list)))
--- a/gorsethread/platform/connection.py
+++ b/gorsethread/platform/connection.py
@@ -157,7 +157,7 @@
             pass
 
     def _came(self, data: bytes) -> None:
-        if not self.codec.ahead:  # else a request held since earlier would get a later cut-off
+        if not self.codec.ahead:  # else a request held since earlier would get a later deadline
             self.arrived = self.side.transport.now()
         if not self.codec.begun and not self.codec.open:
             self.began = self.arrived if self.served else self.began
--- a/gorsethread/platform/discovery.py
+++ b/gorsethread/platform/discovery.py
@@ -13,13 +13,14 @@
 from gorsethread.http1.bounds import Spoilt
 from gorsethread.platform.config import Address, Naming, Unusable, address_of
 from gorsethread.platform.listing import Instance, ListAnswer
-from gorsethread.platform.shelves import Pool
+from gorsethread.platform.pool import ConnectionPool
 from gorsethread.transport.base import Stream, StreamClosed, StreamEnded, Transport, Unreachable
 
 CONNECT_WITHIN = 2.0  # seconds: a system that got no answer asks for a connection again after one
 SPACED = 0.1  # seconds between calls that bring nothing new; a watch goes on for twice as long
-SHORTEST_WAIT = 0.5  # of the longest that a call may wait: each is drawn, or the calls of all heads, which a
-# change of the list answers at once, stay in step, and where all fall silent all heads notice in one moment
+# Of the longest that a call may wait: each is drawn, or the calls of all gateways, which a change of the list
+# answers at once, stay in step, and where all fall silent all gateways notice in one moment.
+SHORTEST_WAIT = 0.5
 # Seconds from a call's beginning, its connection's coming up among them, to its answer. A crowded service
 # answers a second or two behind a call's wait; a silent one has to show early enough for the next call.
 CALL_WITHIN = 4.2
@@ -32,8 +33,8 @@
     action = "See what discovery answers at its address; the head keeps the list it has and asks again."
 
 
-def shelf_number(instance: str) -> int:
-    """The same at every head and after every restart, as the decisions rank shelves by it."""
+def backend_number(instance: str) -> int:
+    """The same at every gateway and after every restart, as the decisions rank backends by it."""
     return int.from_bytes(blake2b(instance.encode(), digest_size=7).digest())
 
 
@@ -59,10 +60,10 @@
         self.transport, self.address, self.naming, self.links = transport, address, naming, links
         self.wait, self.log, self.chance = wait, log, transport.chance("discovery")
         self.driver: Driver
-        self.pool: Pool
+        self.pool: ConnectionPool
         self.version = 0
-        self.known: dict[int, Instance] = {}  # emptied as shelves leave the list
-        # Between the Unix clock, which discovery tells starts by, and the head's: fixed, so that one start
+        self.known: dict[int, Instance] = {}  # emptied as backends leave the list
+        # Between the Unix clock, which discovery tells starts by, and the gateway's: fixed, so that one start
         # told twice is one start.
         self._clocks = transport.wall() - transport.now()
         self._stream: Stream | None = None
@@ -146,7 +147,7 @@
                 target += b"?since=%d&timeout_ms=%d" % (self.version, round(wait * 1000))
             host = f"{address[0]}:{address[1]}".encode()
             stream.write(asking.request(b"GET", target, [(b"host", host)], b""))
-            # Guards against a machine that vanished without a word: the head would be deaf to drains.
+            # Guards against a machine that vanished without a word: the gateway would be deaf to drains.
             timer = self.transport.at(self._call_began + CALL_WITHIN, stream.close)
             try:
                 answer = await read_answer(stream, asking)
@@ -202,16 +203,16 @@
             self.known = {}
         entries = []
         for s in instances:
-            number = shelf_number(s.instance_id)
+            number = backend_number(s.instance_id)
             if s.lifecycle == "gone":
                 self.known.pop(number, None)
             else:
                 self.known[number] = s
             self.links.listed(number, s.cell, address_of(s.host_port, s.instance_id), s.lifecycle)
             since = s.started_at_ms * 0.001 - self._clocks if s.started_at_ms > 0 else 0.0
-            zone = self.naming.zones.get(s.zone, shelf_number(s.zone))
+            zone = self.naming.zones.get(s.zone, backend_number(s.zone))
             entries.append((number, zone, s.cell, s.lifecycle == "ready", since))
-        # Also links that had forwards out when their shelf left the list go, once these are in.
+        # Also links that had attempts out when their backend left the list go, once these are in.
         self.links.only(set(self.known))
         self.pool.withdraw(lambda n: n not in self.known or self.known[n].lifecycle != "ready")
         self.driver.listed(entries, whole, remembered)
--- a/gorsethread/platform/listing.py
+++ b/gorsethread/platform/listing.py
@@ -8,7 +8,7 @@
 
 
 class Instance(msgspec.Struct, frozen=True, rename="camel"):
-    """One shelf; started_at_ms: Unix time, 0 for long ago."""
+    """One backend; started_at_ms: Unix time, 0 for long ago."""
 
     instance_id: str
     host_port: str
--- a/gorsethread/platform/program.py
+++ b/gorsethread/platform/program.py
@@ -1,4 +1,4 @@
-"""Assembles the head in service and runs it to its end."""
+"""Assembles the gateway in service and runs it to its end."""
 
 from dataclasses import replace
 from typing import Any
@@ -7,13 +7,14 @@
 from gorsethread.head.driver import Driver
 from gorsethread.head.linktable import LinkTable
 from gorsethread.head.messages import Messages
+from gorsethread.platform.backends import BackendLink
 from gorsethread.platform.clients import ClientSide
-from gorsethread.platform.config import Order, Unusable, read_order
+from gorsethread.platform.config import Configuration, Unusable, read_configuration
 from gorsethread.platform.discovery import Discovery
-from gorsethread.platform.shelves import Pool, ShelfLink
+from gorsethread.platform.pool import ConnectionPool
 from gorsethread.transport.base import Listener, Transport
 
-CLIENTS_PART, SHELVES_PART = 0.5, 0.4  # of the descriptors; the rest is for discovery and the program itself
+CLIENTS_PART, BACKENDS_PART = 0.5, 0.4  # of the descriptors; the rest is for discovery and the program itself
 SWEEP_EVERY = 0.25  # seconds
 REPORT_EVERY = 10.0  # seconds: logs are counts, not a line for each bad client
 STILL_COMING = 0.5  # seconds after SIGTERM that new connections may come
@@ -43,33 +44,39 @@
         raise AssertionError("nothing is placed here")
 
 
-class LiveHead:
+class Gateway:
     """path: of the configuration, read again at SIGHUP."""
 
-    def __init__(self, transport: Transport, order: Order, path: str, log: Any) -> None:
-        self.transport, self.order, self.path, self.log = transport, order, path, log
-        links = LinkTable(lambda shelf, address: ShelfLink(self.pool, shelf, address))
-        wait = min(LONGEST_WAIT, 0.5 * order.facts.ask_within or LONGEST_WAIT)
-        self.discovery = Discovery(transport, order.discovery, order.naming, links, wait, log)
-        self.driver = Driver(transport, order.facts, order.seed, NoPlacement(), self.discovery.follow, log)
+    def __init__(self, transport: Transport, configuration: Configuration, path: str, log: Any) -> None:
+        self.transport, self.configuration, self.path, self.log = transport, configuration, path, log
+        links = LinkTable(lambda shelf, address: BackendLink(self.pool, shelf, address))
+        wait = min(LONGEST_WAIT, 0.5 * configuration.facts.ask_within or LONGEST_WAIT)
+        self.discovery = Discovery(transport, configuration.discovery, configuration.naming, links, wait, log)
+        self.driver = Driver(
+            transport, configuration.facts, configuration.seed, NoPlacement(), self.discovery.follow, log
+        )
         self.discovery.driver = links.driver = self.driver
-        self.pool = Pool(
+        self.pool = ConnectionPool(
             transport,
             self.driver.links,
-            int(order.sockets * SHELVES_PART),
-            order.dial_within,
-            order.idle,
+            int(configuration.sockets * BACKENDS_PART),
+            configuration.dial_within,
+            configuration.idle,
             log,
         )
         self.discovery.pool = self.pool
         self.pool.may_begin = self.driver.policy.may_begin
         self.clients = ClientSide(
-            transport, self.driver, order.naming, int(order.sockets * CLIENTS_PART), log
+            transport, self.driver, configuration.naming, int(configuration.sockets * CLIENTS_PART), log
         )
         self.messages: Messages | None = None
-        if order.peer_listen is not None:
+        if configuration.peer_listen is not None:
             self.messages = Messages(
-                transport, order.peer_listen, order.peers, order.facts.index, self.driver.peer_told
+                transport,
+                configuration.peer_listen,
+                configuration.peers,
+                configuration.facts.index,
+                self.driver.peer_told,
             )
             self.driver.teller = self.messages.tell
         self._listener: Listener | None = None
@@ -82,12 +89,12 @@
                 self.messages.start()
             except OSError as error:
                 raise CannotListen(str(error)) from error
-        if self.order.pushed:
+        if self.configuration.pushed:
             # Guards against requests sent by an old list to backends that the agent knows as drained or gone.
             self.discovery.first_call_over = self._serve_late
             self.transport.at(self.transport.now() + FIRST_LIST_WITHIN, self._serve_late)
-        self.discovery.start(self.order.known)
-        if not self.order.pushed:
+        self.discovery.start(self.configuration.known)
+        if not self.configuration.pushed:
             self._serve()
         self._sweep()
         self._report()
@@ -99,34 +106,38 @@
     def _serve(self) -> None:
         clients = self.clients
         try:
-            self._listener = self.transport.listen(*self.order.listen, clients.on_stream, clients.admits)
+            self._listener = self.transport.listen(
+                *self.configuration.listen, clients.on_stream, clients.admits
+            )
         except OSError as error:
             raise CannotListen(str(error)) from error
         self.log.info(
-            "head serves",
-            address=f"{self.order.listen[0]}:{self.order.listen[1]}",
+            "gateway serves",
+            address=f"{self.configuration.listen[0]}:{self.configuration.listen[1]}",
             shelves=len(self.discovery.known),
         )
 
     def reload(self) -> None:
-        """Reads the configuration again; of it, what a running head can follow is where discovery is."""
+        """Reads the configuration again; of it, what a running gateway can follow is where discovery is."""
         try:
-            order = read_order(self.transport.load(self.path), self.path)
+            configuration = read_configuration(self.transport.load(self.path), self.path)
         except Unusable as error:
             self.log.error(
                 "the new configuration can't be used; the old one stands", reason=str(error), do=error.action
             )
             return
         # All else stays as this process was started with: requests in flight were taken under it.
-        self.order = replace(self.order, discovery=order.discovery)
-        self.log.info("configuration read again", discovery=f"{order.discovery[0]}:{order.discovery[1]}")
-        if order.discovery != self.discovery.address:
-            self.discovery.moved(order.discovery)
+        self.configuration = replace(self.configuration, discovery=configuration.discovery)
+        self.log.info(
+            "configuration read again", discovery=f"{configuration.discovery[0]}:{configuration.discovery[1]}"
+        )
+        if configuration.discovery != self.discovery.address:
+            self.discovery.moved(configuration.discovery)
 
     async def end(self) -> None:
         """In order: serves on while it may, as clients go on using the connections they have and find no
-        other head; then only what is open, each to its answer before the head is killed."""
-        self._count("head ends")
+        other gateway; then only what is open, each to its answer before the gateway is killed."""
+        self._count("gateway ends")
         self._told_to_end = True
         if self._listener is not None:
             await self._serve_to_the_end(self._listener)
@@ -136,11 +147,11 @@
             self.messages.stop()
         for link in list(self.pool.links.values()):
             link.close()
-        self._count("head ended")
+        self._count("gateway ended")
 
     async def _serve_to_the_end(self, listener: Listener) -> None:
         """Serves on for most of the time there is, then answers what is open."""
-        lasts = min(self.order.longest, LONGEST_COUNTED) + KILL_AFTER - SPARE
+        lasts = min(self.configuration.longest, LONGEST_COUNTED) + KILL_AFTER - SPARE
         self.clients.end_by = self.transport.now() + lasts
         self.driver.ends_by(self.clients.end_by)
         await self.transport.sleep(max(STILL_COMING, lasts - LAST_ANSWERS))
@@ -168,7 +179,7 @@
             what,
             open=len(self.driver.open),
             clients=len(self.clients.connections),
-            shelf_connections=self.pool.held,
+            backend_connections=self.pool.held,
             opened=self.pool.opened,
             waiting=len(self.pool.waiting),
             wrong=self.clients.report(),
--- a/gorsethread/platform/requests.py
+++ b/gorsethread/platform/requests.py
@@ -1,4 +1,4 @@
-"""What a request must say to be a transaction; whatever it does not say rightly is answered with an error."""
+"""What a request must say to be a request; whatever it does not say rightly is answered with an error."""
 
 import re
 from typing import NamedTuple
@@ -16,7 +16,7 @@
 ONWARD = (b"req-id", b"tier", b"io-info", b"req-retry", b"content-type")
 
 
-class Wanted(NamedTuple):
+class RequestFields(NamedTuple):
     """patience: seconds from when the client sent it."""
 
     id: bytes
@@ -45,7 +45,7 @@
     return int(value)
 
 
-def read_request(request: Request, naming: Naming) -> Wanted:
+def read_request(request: Request, naming: Naming) -> RequestFields:
     """Unreadable for anything missing, doubled, unknown or out of its bounds."""
     if request.method not in (b"GET", b"PUT"):
         raise Unreadable(405, "neither GET nor PUT")
@@ -76,7 +76,7 @@
     volume = info.get(b"volume", b"")
     if not ID.fullmatch(volume):
         raise Unreadable(400, "no volume")
-    return Wanted(
+    return RequestFields(
         id,
         profile,
         plan,
--- a/tests/crossing/rig.py
+++ b/tests/crossing/rig.py
@@ -262,7 +262,7 @@
             return {"generation": self.generation, "reset": False, "instances": told}
 
 
-class Gateway:
+class GatewayProcess:
     """The process and its log."""
 
     def __init__(
@@ -285,7 +285,7 @@
         self._reader = threading.Thread(target=self._read, daemon=True)
         self._reader.start()
         if serves:
-            self.logged("head serves")
+            self.logged("gateway serves")
 
     def configure(self, config: dict[str, Any]) -> None:
         self.path.write_text(json.dumps(config))
@@ -356,12 +356,14 @@
             "known": {"generation": 1, "reset": True, "instances": instances},
         }
 
-    def start(self, first: Server, second: Server | None = None, plant: str = "", **settings: Any) -> Gateway:
+    def start(
+        self, first: Server, second: Server | None = None, plant: str = "", **settings: Any
+    ) -> GatewayProcess:
         self.backends = [first, second or Server(self)]
         instances = [self.instance(n, backend) for n, backend in enumerate(self.backends)]
         self.discovery = Discovery(self, instances)
         self.configuration = self.config(self.discovery, instances, **settings)
-        self.gateway = Gateway(self, self.configuration, plant)
+        self.gateway = GatewayProcess(self, self.configuration, plant)
         self.gateway.logged("the list is watched")
         return self.gateway
 
--- a/tests/crossing/test_backends.py
+++ b/tests/crossing/test_backends.py
@@ -102,14 +102,14 @@
     SLACK = 0.05  # seconds by which the platform lengthens each time limit on sockets
     HELD_UP = """
 import time
-from gorsethread.platform import discovery, shelves
+from gorsethread.platform import backends, discovery
 def held_up(honest):
     def late(*arguments):
         time.sleep(0.15)
         return honest(*arguments)
     return late
 discovery.Discovery._take = held_up(discovery.Discovery._take)
-shelves.ShelfLink._submit = held_up(shelves.ShelfLink._submit)
+backends.BackendLink._submit = held_up(backends.BackendLink._submit)
 """
 
     def test_nothing_new_is_written_to_a_draining_backend_past_the_grace(self) -> None:
--- a/tests/crossing/test_clients.py
+++ b/tests/crossing/test_clients.py
@@ -9,14 +9,14 @@
 from pathlib import Path
 
 from gorsethread.logs import log_for, start_logs
-from gorsethread.platform.config import read_order
-from gorsethread.platform.program import LiveHead
+from gorsethread.platform.config import read_configuration
+from gorsethread.platform.program import Gateway
 from gorsethread.transport.real import RealTransport
 from tests.crossing.rig import (
     HOST,
     CrossingTest,
     Discovery,
-    Gateway,
+    GatewayProcess,
     Peer,
     Server,
     answer,
@@ -201,7 +201,7 @@
         peer = backend.accept()
         peer.message()
         self.gateway.signal(signal.SIGTERM)
-        self.gateway.logged("head ends")
+        self.gateway.logged("gateway ends")
         peer.send(answer(200, b"last"))
         self.assertEqual(b"last", asker.message().body)
         self.assertEqual(0, self.gateway.process.wait(5))
@@ -233,18 +233,18 @@
         for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
             self.gateway.signal(number)
         self.gateway.signal(signal.SIGCONT)
-        self.gateway.logged("head ends")
+        self.gateway.logged("gateway ends")
         peer.send(answer(200, b"last"))
         self.assertEqual(b"last", asker.message().body)
         self.assertEqual(0, self.gateway.process.wait(5))
-        self.assertEqual(1, len(self.gateway.lines("head ended")))
+        self.assertEqual(1, len(self.gateway.lines("gateway ended")))
 
     def test_before_any_list_is_there_it_answers_and_ends(self) -> None:
         silent = Server(self)  # takes connections and says nothing
         backend = Server(self)
         self.backends = [backend, Server(self)]
         self.configuration = self.config(silent, [], **SHORT_LIVED)
-        self.gateway = Gateway(self, self.configuration)
+        self.gateway = GatewayProcess(self, self.configuration)
         asker = self.ask(wish("e3", patience=600))
         self.gateway.signal(signal.SIGTERM)
         self.assertIn(asker.message().status, (503, 504))
@@ -255,7 +255,7 @@
         asker = self.client()
         told = time.monotonic()
         self.gateway.signal(signal.SIGTERM)
-        self.gateway.logged("head ends")
+        self.gateway.logged("gateway ends")
         asker.send(wish("e4", "post", body=b"hello")[:-3])
         self.assertIn(asker.message().status, (408, 503))
         self.assertTrue(asker.ends())
@@ -269,7 +269,7 @@
         peer = backend.accept()
         peer.message()
         self.gateway.signal(signal.SIGTERM)
-        self.gateway.logged("head ends")
+        self.gateway.logged("gateway ends")
         # From here on the listener is closed, and each answer may be the last of its connection.
         until(self._refused, "a listener that is closed")
         asker.send(2 * b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n")
@@ -324,8 +324,8 @@
 
         async def work() -> None:
             transport = RealTransport()
-            order = read_order(path.read_bytes(), str(path))
-            gateway = LiveHead(transport, order, str(path), log_for())
+            order = read_configuration(path.read_bytes(), str(path))
+            gateway = Gateway(transport, order, str(path), log_for())
             gateway.start()
             closes = gateway._listener.close
 
--- a/tests/crossing/test_discovery.py
+++ b/tests/crossing/test_discovery.py
@@ -12,11 +12,11 @@
 
 from gorsethread.logs import log_for, start_logs
 from gorsethread.model import ColdRule, StartFacts
-from gorsethread.platform.config import read_order
-from gorsethread.platform.program import LiveHead
+from gorsethread.platform.config import read_configuration
+from gorsethread.platform.program import Gateway
 from gorsethread.policy import Policy
 from gorsethread.transport.real import RealTransport
-from tests.crossing.rig import HOST, PATIENCE, CrossingTest, Discovery, Gateway, Peer, Server, answer
+from tests.crossing.rig import HOST, PATIENCE, CrossingTest, Discovery, GatewayProcess, Peer, Server, answer
 from tests.harness import FACTS, PrintingHost
 from tests.live import SETTINGS, LiveRig, NewsList, wish
 
@@ -32,7 +32,7 @@
         self.backends = [Server(self), Server(self)]
         self.known = [self.instance(n, backend) for n, backend in enumerate(self.backends)]
         self.configuration = self.config(self.service, self.known)
-        self.gateway = Gateway(self, self.configuration, plant)
+        self.gateway = GatewayProcess(self, self.configuration, plant)
         self.watch = self.service.accept()
         self.target = self.watch.message().target
         return self.watch
@@ -88,7 +88,7 @@
         self.backends = [Server(self), Server(self)]
         config = self.config(service, [])
         del config["known"]
-        self.gateway = Gateway(self, config)
+        self.gateway = GatewayProcess(self, config)
         target = service.accept().message().target
         self.assertNotIn("since", target, "changes would build on a list that is none")
 
@@ -155,7 +155,7 @@
         del contract["askWithin"]
         configuration = self.config(self.service, self.known, membershipMode="push")
         configuration["settings"]["contract"] = contract
-        self.gateway = Gateway(self, configuration, plant, serves=False)
+        self.gateway = GatewayProcess(self, configuration, plant, serves=False)
         self.watch = self.service.accept()
         self.target = self.watch.message().target
         return self.watch
@@ -165,7 +165,7 @@
         with self.assertRaises(ConnectionRefusedError):
             socket.create_connection((HOST, self.gateway.port), 1.0)
         self.watch.send(self.said(2, False, self.instance(0, self.backends[0], "draining")))
-        self.gateway.logged("head serves")
+        self.gateway.logged("gateway serves")
         asker = self.ask(wish("a1", patience=600))
         with self.assertRaises(TimeoutError, msg="sent to a backend whose drain counted as told"):
             self.backends[0].next_request(within=0.8)
@@ -175,13 +175,13 @@
     def test_an_agent_that_refuses_is_not_waited_for(self) -> None:
         self.begin()
         self.watch.send(answer(503))
-        self.gateway.logged("head serves")
+        self.gateway.logged("gateway serves")
         self.is_served(0)
 
     def test_an_agent_that_hangs_is_waited_for_a_moment_only(self) -> None:
         self.begin()
         began = time.monotonic()
-        self.gateway.logged("head serves")
+        self.gateway.logged("gateway serves")
         self.assertLess(time.monotonic() - began, READY_WITHIN)
         self.is_served(0)
 
@@ -258,8 +258,8 @@
 
         async def work() -> None:
             transport = RealTransport()
-            order = read_order(path.read_bytes(), str(path))
-            head = LiveHead(transport, order, str(path), log_for())
+            order = read_configuration(path.read_bytes(), str(path))
+            head = Gateway(transport, order, str(path), log_for())
             head.discovery.start(order.known)
             await transport.sleep(0.1)
             watch = old.accept()
--- a/tests/crossing/test_settings.py
+++ b/tests/crossing/test_settings.py
@@ -70,7 +70,7 @@
         self.start(backend)
         self.reload(services=[{**s, "giveUp": 0.1} for s in SETTINGS["services"]])
         self.gateway.signal(signal.SIGTERM)
-        self.gateway.logged("head ends")
+        self.gateway.logged("gateway ends")
         asker = self.ask(wish("c1", patience=1800))
         peer, request = backend.next_request()
         self.assertGreater(int(request.headers["req-deadline-ms"]), 1200)
--- a/tests/live.py
+++ b/tests/live.py
@@ -7,8 +7,8 @@
 
 from gorsethread.http1.serving import Request, Serving
 from gorsethread.logs import log_for, start_logs
-from gorsethread.platform.config import read_order
-from gorsethread.platform.program import LiveHead
+from gorsethread.platform.config import read_configuration
+from gorsethread.platform.program import Gateway
 from gorsethread.transport.base import Stream, StreamClosed
 from gorsethread.transport.virtual import Disk, Network, VirtualLoop, VirtualTransport, Weather
 
@@ -232,10 +232,12 @@
         self.processes.append(VirtualTransport(self.network, self.disk, name))
         return self.processes[-1]
 
-    def start(self, **changed: Any) -> LiveHead:
+    def start(self, **changed: Any) -> Gateway:
         self.configure(**changed)
         self.transport = self.process("head")
-        self.head = LiveHead(self.transport, read_order(self.transport.load(PATH), PATH), PATH, log_for())
+        self.head = Gateway(
+            self.transport, read_configuration(self.transport.load(PATH), PATH), PATH, log_for()
+        )
         self.transport.on_reload(self.head.reload)
         self.transport.on_terminate(self.transport.finish)
         self.head.start()
--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -9,8 +9,8 @@
 from typing import Any
 
 from gorsethread.head.carrying import Forward, Told
+from gorsethread.head.links import BackendLink
 from gorsethread.head.links import Order as Sent
-from gorsethread.head.links import ShelfLink
 from gorsethread.model import Ending
 from gorsethread.nvme.command import Command, Completion, Opcode, Status, connect, connect_data, io_command
 from gorsethread.nvme.pdu import Encoder, PduType, initialize
@@ -372,7 +372,7 @@
             def spawn(self, work: Coroutine[Any, Any, None]) -> None:
                 work.close()  # the connection is not up yet, and stays so
 
-        link = ShelfLink(Spawns(), 1, ("shelf", 1), None, 1.0, 8, False, None)  # type: ignore[arg-type]
+        link = BackendLink(Spawns(), 1, ("shelf", 1), None, 1.0, 8, False, None)  # type: ignore[arg-type]
         ends: list[Ending] = []
         f = Forward(1, 0, 1, 0.0, Sent(io_command(Opcode.READ, 1)), lambda f, how, told: ends.append(how))
         link.send(f)
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -25,7 +25,7 @@
 from gorsethread.logs import log_for, start_logs
 from gorsethread.membership.words import Kind, Message, write
 from gorsethread.model import ColdRule, Effect, Group, Profile, Shelf, StartFacts, Transaction, Volume
-from gorsethread.platform.config import Order, Unusable, read_order
+from gorsethread.platform.config import Configuration, Unusable, read_configuration
 from gorsethread.policy import Policy
 from gorsethread.sitefile.reading import read_site
 from gorsethread.transport.real import RealTransport
@@ -494,7 +494,7 @@
         other = Messages(
             self.process("other"),
             ("head0" if home else "head1", 7946),
-            head.order.peers,
+            head.configuration.peers,
             0 if home else 1,
             lambda origin, words: told.append((origin, words)),
         )
@@ -510,13 +510,13 @@
 
 
 class Configured(unittest.TestCase):
-    def read(self, permitted: bool = True, index: Any = 0, **changed: Any) -> Order:
+    def read(self, permitted: bool = True, index: Any = 0, **changed: Any) -> Configuration:
         settings = {
             **SETTINGS,
             "index": index,
             "permissions": {**SETTINGS["permissions"], "peerMessages": permitted},
         }
-        return read_order(json.dumps(order(settings=settings, **changed)).encode(), "the/place")
+        return read_configuration(json.dumps(order(settings=settings, **changed)).encode(), "the/place")
 
     def test_messages_need_the_settings_leave_and_addresses(self) -> None:
         addresses = {"peer_listen": "127.0.0.1:7946", "peers": ["127.0.0.1:7946"]}
--- a/tests/test_platform_program.py
+++ b/tests/test_platform_program.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import Any
 
-from gorsethread.platform.config import Unusable, read_order
+from gorsethread.platform.config import Unusable, read_configuration
 from gorsethread.transport.real import free_ports
 from tests.live import SETTINGS, order
 
@@ -36,10 +36,10 @@
             ({"settings": {**SETTINGS, "grades": [{"name": "plain", "neverOver": [9]}]}}, "limit"),
         ):
             with self.subTest(changed=changed), self.assertRaises(Unusable) as caught:
-                read_order(json.dumps(order(**changed)).encode(), "the/place")
+                read_configuration(json.dumps(order(**changed)).encode(), "the/place")
             self.assertIn("the/place", str(caught.exception))
             self.assertIn(said, str(caught.exception))
-        self.assertEqual(("head", 1), read_order(json.dumps(order(unknown=1)).encode(), "p").listen)
+        self.assertEqual(("head", 1), read_configuration(json.dumps(order(unknown=1)).encode(), "p").listen)
 
     def test_the_program_says_so_in_one_line_and_ends_with_2(self) -> None:
         for env in ({}, {"GW_CONFIG": "/nowhere/config.json"}):
@@ -110,7 +110,7 @@
         port = free_ports(1)[0]
         program = self.program(f"127.0.0.1:{port}")
         assert program.stderr is not None
-        first = next(line for line in program.stderr if "head serves" in line)
+        first = next(line for line in program.stderr if "gateway serves" in line)
         self.assertIn(str(port), first)
         with socket.create_connection(("127.0.0.1", port), 5) as client:
             client.sendall(b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n")
@@ -122,7 +122,7 @@
         program.send_signal(signal.SIGTERM)
         program.send_signal(signal.SIGTERM)
         said = program.stderr.read()
-        self.assertIn("head ended", said)
+        self.assertIn("gateway ended", said)
         self.assertNotIn("REFUSED", said)
         self.assertEqual(0, program.wait(10))
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -15,15 +15,15 @@
         logs = [
             [
                 line("counts"),
-                line("head serves"),
+                line("gateway serves"),
                 line("counts", taken=5),
                 "Traceback",
                 "[2.00] {broken",
                 line("counts", taken=9, forwards_honoured=4),
                 line("counts"),
-                line("head serves"),
-                line("head ends", taken=1),
-                line("head ended", taken=1, pushed_back=1),
+                line("head serves"),  # as logs of before have it
+                line("gateway ends", taken=1),
+                line("gateway ended", taken=1, pushed_back=1),
             ],
             [line("counts", taken=2, forwards_broken=1)],
         ]
