--- a/gorsethread/benchlink/__main__.py
+++ b/gorsethread/benchlink/__main__.py
@@ -32,17 +32,17 @@
     def clock(self) -> float:
         return self.link.wall
 
-    def forward(self, transaction: int, shelf: int, wait: float) -> None:
-        self.said.append({"verb": "forward", "corr": transaction, "tryFor": wait, "shelf": shelf})
+    def send_attempt(self, request: int, backend: int, wait: float) -> None:
+        self.said.append({"verb": "forward", "corr": request, "tryFor": wait, "shelf": backend})
 
-    def recall(self, transaction: int, forward: int) -> None:
-        self.said.append({"verb": "recall", "corr": transaction, "shot": forward})
+    def cancel_attempt(self, request: int, number: int) -> None:
+        self.said.append({"verb": "recall", "corr": request, "shot": number})
 
-    def push_back(self, transaction: int, return_after: float) -> None:
-        self.said.append({"verb": "deny", "corr": transaction, "coolDown": return_after})
+    def reject(self, request: int, return_after: float) -> None:
+        self.said.append({"verb": "deny", "corr": request, "coolDown": return_after})
 
-    def give_up(self, transaction: int) -> None:
-        self.said.append({"verb": "dropRequest", "corr": transaction})
+    def fail(self, request: int) -> None:
+        self.said.append({"verb": "dropRequest", "corr": request})
 
     def wake(self, delay: float, name: str) -> None:
         self.said.append({"verb": "arm", "delay": delay, "keyBack": name})
@@ -151,7 +151,7 @@
                 raise Malformed(f"page {e['page']} was never sent")
             policy.list_begins(e["form"] != "changes", e["form"] == "remembered")
             for s in entries:
-                policy.shelf_listed(
+                policy.backend_listed(
                     s["shelf"],
                     s["rackZone"],
                     s.get("pod", -1),
--- a/gorsethread/cli/lab.py
+++ b/gorsethread/cli/lab.py
@@ -190,14 +190,14 @@
             got = [s for n, scene, s in found if n == name and scene["heads"] == h]
             mean = {
                 f: sum(getattr(s, f) for s in got) / len(got)
-                for f in ("served", "worst_plan", "pushed_back", "late", "forwards", "demand", "messages")
+                for f in ("served", "worst_plan", "rejected", "late", "forwards", "demand", "messages")
             }
             table.add_row(
                 name,
                 str(h),
                 f"{mean['served']:.3f}",
                 f"{min(s.served for s in got):.3f}, {max(s.served for s in got):.3f}",
-                *(f"{mean[f]:.3f}" for f in ("worst_plan", "pushed_back", "late")),
+                *(f"{mean[f]:.3f}" for f in ("worst_plan", "rejected", "late")),
                 f"{mean['forwards']:.0f}",
                 f"{mean['demand']:.2f}",
                 f"{mean['messages']:.2f}",
--- a/gorsethread/faults/coldpart.py
+++ b/gorsethread/faults/coldpart.py
@@ -71,13 +71,13 @@
         self.told_of = {pair: at for pair, at in self.told_of.items() if pair[0] != head}
 
         def record(event: tuple[Any, ...]) -> None:
-            if event[1] == "forward":
+            if event[1] == "send_attempt":
                 self._forward(driver.policy, head, event[2], event[3], now())
 
         driver.recorder = record
 
-    def _forward(self, policy: Any, head: int, transaction: int, shelf: int, now: float) -> None:
-        t, s = policy.transactions.get(transaction), policy.shelves.get(shelf)
+    def _forward(self, policy: Any, head: int, request: int, shelf: int, now: float) -> None:
+        t, s = policy.requests.get(request), policy.backends.get(shelf)
         if t is None or s is None:
             return
         told, truly = self.told_of.get((head, shelf), now), now - self.started.get(shelf, now)
--- a/gorsethread/faults/mutants.py
+++ b/gorsethread/faults/mutants.py
@@ -7,7 +7,7 @@
 
 from gorsethread.faults.planted import plant
 from gorsethread.faults.planting import kept_in, sometimes, told_as
-from gorsethread.head.carrying import Forward
+from gorsethread.head.carrying import Attempt
 from gorsethread.head.driver import Open
 from gorsethread.head.links import BackendLink
 from gorsethread.head.program import Head
@@ -80,15 +80,15 @@
 
 @mutant("driver: a transaction given up stays open")
 def _stays_open(head: Head) -> None:
-    honest = head.driver.give_up
+    honest = head.driver.fail
 
-    def give_up(transaction: int) -> None:
-        t = head.driver.open.get(transaction)
-        honest(transaction)
+    def fail(request: int) -> None:
+        t = head.driver.open.get(request)
+        honest(request)
         if t is not None:
-            head.driver.open[transaction] = t
+            head.driver.open[request] = t
 
-    head.driver.give_up = give_up  # type: ignore[method-assign]
+    head.driver.fail = fail  # type: ignore[method-assign]
 
 
 @mutant("driver: what was honoured is not told as finished")
@@ -105,8 +105,8 @@
 
 @mutant("driver: gives up by pushing back")
 def _pushes_back_all(head: Head) -> None:
-    head.driver.give_up = lambda transaction: head.driver.push_back(  # type: ignore[method-assign]
-        transaction, 0.1
+    head.driver.fail = lambda request: head.driver.reject(  # type: ignore[method-assign]
+        request, 0.1
     )
 
 
@@ -125,17 +125,17 @@
 
 @mutant("driver: a push-back is not answered, one in five")
 def _loses_push_backs(head: Head) -> None:
-    honest, now = head.driver.push_back, sometimes(5)
+    honest, now = head.driver.reject, sometimes(5)
 
-    def push_back(transaction: int, return_after: float) -> None:
-        t = head.driver.open.get(transaction)
+    def reject(request: int, return_after: float) -> None:
+        t = head.driver.open.get(request)
         if t is not None and now():
             t.answered = True
             head.driver._close(t)
         else:
-            honest(transaction, return_after)
+            honest(request, return_after)
 
-    head.driver.push_back = push_back  # type: ignore[method-assign]
+    head.driver.reject = reject  # type: ignore[method-assign]
 
 
 @mutant("driver: takes are counted twice, one in a hundred")
@@ -154,7 +154,7 @@
 def _parts_extents(head: Head) -> None:
     honest = head.driver._holds
 
-    def holds(t: Open, f: Forward) -> bool:
+    def holds(t: Open, f: Attempt) -> bool:
         honest(t, f)
         return True
 
@@ -200,7 +200,7 @@
             out = list(link.out.values())
             honest(reason)
             for f in out:
-                link.send(Forward(f.transaction, -1, f.shelf, f.sent_at, f.payload, lambda *_: None))
+                link.send(Attempt(f.request, -1, f.backend, f.sent_at, f.payload, lambda *_: None))
 
         _override(link, "_broke", broke)
 
@@ -214,7 +214,7 @@
     def change(link: BackendLink) -> None:
         honest = link._done
 
-        def done(f: Forward, completion: Completion, data: bytes) -> None:
+        def done(f: Attempt, completion: Completion, data: bytes) -> None:
             mine = data
             if len(kept[0]) == len(data) and now():
                 mine = kept[0]
@@ -231,7 +231,7 @@
     def change(link: BackendLink) -> None:
         honest = link._done
 
-        def done(f: Forward, completion: Completion, data: bytes) -> None:
+        def done(f: Attempt, completion: Completion, data: bytes) -> None:
             if completion.status == Status.INTERNAL_ERROR:
                 completion = completion._replace(status=Status.SUCCESS, final=False)
             honest(f, completion, data)
@@ -248,7 +248,7 @@
     def change(link: BackendLink) -> None:
         honest = link._done
 
-        def done(f: Forward, completion: Completion, data: bytes) -> None:
+        def done(f: Attempt, completion: Completion, data: bytes) -> None:
             if now():
                 link.out.pop(f.cid, None)
             else:
@@ -397,9 +397,9 @@
     honest = policy._may_go_again
 
     def may_go_again(t: Any) -> bool:
-        t.forwards, kept = 1 if t.forwards < MOST_FORWARDS else t.forwards, t.forwards
+        t.attempts, kept = 1 if t.attempts < MOST_FORWARDS else t.attempts, t.attempts
         may = honest(t)
-        t.forwards = kept
+        t.attempts = kept
         return may
 
     policy._may_go_again = may_go_again  # type: ignore[method-assign]
--- a/gorsethread/faults/planted.py
+++ b/gorsethread/faults/planted.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from gorsethread.head.carrying import Forward
+from gorsethread.head.carrying import Attempt
 from gorsethread.head.driver import Driver, Open
 from gorsethread.head.program import Head
 from gorsethread.model import Effect, Ending
@@ -21,8 +21,8 @@
     driver = head.driver
     honest = driver._ended
 
-    def ended(f: Forward, how: Ending, told: Any) -> None:
-        t = driver.open.get(f.transaction)
+    def ended(f: Attempt, how: Ending, told: Any) -> None:
+        t = driver.open.get(f.request)
         if t is not None and t.id % 10 == 0:
             t.answered = True
         honest(f, how, told)
@@ -30,30 +30,30 @@
     driver._ended = ended  # type: ignore[method-assign]
 
 
-def _again(driver: Driver, f: Forward, times: int = 1) -> None:
+def _again(driver: Driver, f: Attempt, times: int = 1) -> None:
     """Sends a forward again behind the policy's back; what comes of it is dropped."""
-    if link := driver.links.get(f.shelf):
+    if link := driver.links.get(f.backend):
         for _ in range(times):
-            copy = Forward(f.transaction, -1, f.shelf, f.sent_at, f.payload, lambda *_: None)
+            copy = Attempt(f.request, -1, f.backend, f.sent_at, f.payload, lambda *_: None)
             link.send(copy)
 
 
 def _after_forward(driver: Driver, act: Any) -> None:
-    honest = driver.forward
+    honest = driver.send_attempt
 
-    def forward(transaction: int, shelf: int, wait: float) -> None:
-        honest(transaction, shelf, wait)
-        t = driver.open.get(transaction)
-        if t is not None and t.forwards and (f := t.out.get(t.forwards - 1)):
+    def send_attempt(request: int, backend: int, wait: float) -> None:
+        honest(request, backend, wait)
+        t = driver.open.get(request)
+        if t is not None and t.attempts and (f := t.out.get(t.attempts - 1)):
             act(t, f)
 
-    driver.forward = forward  # type: ignore[method-assign]
+    driver.send_attempt = send_attempt  # type: ignore[method-assign]
 
 
 def _twice(head: Head) -> None:
     profiles = head.driver.policy.facts.profiles
 
-    def act(t: Open, f: Forward) -> None:
+    def act(t: Open, f: Attempt) -> None:
         if profiles[t.client.profile].effect is Effect.IRREVERSIBLE:  # type: ignore[attr-defined]
             _again(head.driver, f)
 
@@ -77,8 +77,8 @@
         cold.update(e[0] for e in entries if e[4])
         honest([(*e[:4], 0.0) for e in entries], whole, remembered)
 
-    def act(t: Open, f: Forward) -> None:
-        if f.shelf in cold:
+    def act(t: Open, f: Attempt) -> None:
+        if f.backend in cold:
             _again(head.driver, f, MANY)
 
     head.driver.listed = listed  # type: ignore[method-assign]
@@ -95,7 +95,7 @@
 
 
 def _no_budget(head: Head) -> None:
-    def act(t: Open, f: Forward) -> None:
+    def act(t: Open, f: Attempt) -> None:
         if not f.payload.command.to_controller:
             _again(head.driver, f)
 
--- a/gorsethread/faults/webmutants.py
+++ b/gorsethread/faults/webmutants.py
@@ -9,7 +9,7 @@
 
 from gorsethread.faults.planting import kept_in, told_as
 from gorsethread.http1 import asking, serving
-from gorsethread.model import Ending, Shelf
+from gorsethread.model import Backend, Ending
 from gorsethread.platform import backends
 from gorsethread.platform.listing import ListAnswer
 from gorsethread.platform.program import Gateway
@@ -66,8 +66,8 @@
 @mutant("shelves: a forward called off leaves its connection in use")
 def _keeps_called_off(head: Gateway) -> None:
     def change(link: backends.BackendLink) -> None:
-        def call_off(f: Any) -> None:
-            connection = link.pool.busy.pop(f.transaction, None)
+        def cancel(f: Any) -> None:
+            connection = link.pool.busy.pop(f.request, None)
             if connection is not None and connection.out is f:
                 connection.out = None
                 link.out -= 1
@@ -75,7 +75,7 @@
                 link._rest(connection)
             link.end(f, Ending.CALLED_OFF)
 
-        link.call_off = call_off  # type: ignore[method-assign]
+        link.cancel = cancel  # type: ignore[method-assign]
 
     _on_links(head, change)
 
@@ -116,8 +116,8 @@
         honest, again = link.end, set[int]()
 
         def end(f: Any, how: Ending, *told: Any) -> None:
-            if how is Ending.BROKEN and f.transaction not in again and not f.over:
-                again.add(f.transaction)
+            if how is Ending.BROKEN and f.request not in again and not f.over:
+                again.add(f.request)
                 link.send(f)
             else:
                 honest(f, how, *told)
@@ -187,8 +187,8 @@
 
 @mutant("clients: what is given up is answered as pushed back")
 def _gives_up_as_pushed(head: Gateway) -> None:
-    head.driver.give_up = lambda transaction: head.driver.push_back(  # type: ignore[method-assign]
-        transaction, 0.1
+    head.driver.fail = lambda request: head.driver.reject(  # type: ignore[method-assign]
+        request, 0.1
     )
 
 
@@ -214,18 +214,18 @@
 
 @mutant("clients: one given up in four is never answered")
 def _forgets_some(head: Gateway) -> None:
-    honest, count = head.driver.push_back, [0]
+    honest, count = head.driver.reject, [0]
 
-    def push_back(transaction: int, return_after: float) -> None:
+    def reject(request: int, return_after: float) -> None:
         count[0] += 1
-        t = head.driver.open.get(transaction)
+        t = head.driver.open.get(request)
         if t is not None and count[0] % 4 == 0:
             t.answered = True
-            head.driver.open.pop(transaction)
+            head.driver.open.pop(request)
         else:
-            honest(transaction, return_after)
+            honest(request, return_after)
 
-    head.driver.push_back = push_back  # type: ignore[method-assign]
+    head.driver.reject = reject  # type: ignore[method-assign]
 
 
 @mutant("clients: two ways to tell a length are not refused")
@@ -361,7 +361,7 @@
     policy = head.driver.policy
     honest = policy._borrow
 
-    def borrow(s: Shelf) -> None:
+    def borrow(s: Backend) -> None:
         asked = s.asked
         honest(s)
         s.asked = asked
@@ -371,7 +371,7 @@
 
 @mutant("shelves: what waited for its connection is sent whenever that comes up")
 def _sends_when_up(head: Gateway) -> None:
-    head.pool.may_begin = lambda transaction, shelf, decided, now: True
+    head.pool.may_begin = lambda request, shelf, decided, now: True
 
 
 @mutant("lending: every head is each shelf's home")
--- a/gorsethread/faults/webworld.py
+++ b/gorsethread/faults/webworld.py
@@ -197,7 +197,7 @@
 
     def _used(self, head: Any) -> set[int]:
         names = {backend_number(f"s-{s.number}"): s.number for s in self.site.shelf}
-        return {names[s.id] for s in head.driver.policy.shelves.values() if s.ready}
+        return {names[s.id] for s in head.driver.policy.backends.values() if s.ready}
 
     def _check_owners(self, number: int, head: Any) -> None:
         """Each connection counted is one that is kept, carries a forward or comes up, and none carries a
@@ -211,7 +211,7 @@
             )
         for connection in pool.busy.values():
             f = connection.out
-            t = driver.open.get(f.transaction) if f is not None else None
+            t = driver.open.get(f.request) if f is not None else None
             if f is not None and not f.over and (t is None or t.out.get(f.number) is not f):
                 self._defect(f"forward without an owner: head {number}, shelf {connection.link.host}")
 
--- a/gorsethread/faults/world.py
+++ b/gorsethread/faults/world.py
@@ -60,9 +60,9 @@
         "Driver",
         {
             "take": "take",
-            "forward": "forward",
-            "push_back": "push_back",
-            "give_up": "give_up",
+            "forward": "send_attempt",
+            "push_back": "reject",
+            "give_up": "fail",
             "ended": "_ended",
             "listed": "listed",
             "work": "_work",
@@ -583,28 +583,28 @@
 
     def _used(self, head: Any) -> set[int]:
         """Shelves that its decisions take as ready, by the list's numbers."""
-        return {s.id for s in head.driver.policy.shelves.values() if s.ready}
+        return {s.id for s in head.driver.policy.backends.values() if s.ready}
 
     def _check_owners(self, number: int, head: Any) -> None:
         """No forward out without a transaction that owns it, and none awaited that no link holds."""
         driver = head.driver
         for owner in driver.open.values():
             for f in owner.out.values():
-                held = driver.links.get(f.shelf)
+                held = driver.links.get(f.backend)
                 if f in driver.unkept:
                     continue  # waits for the disk, or for copies
                 if not f.over and (held is None or held.out.get(f.cid) is not f and f not in held.waiting):
                     self._defect(
-                        f"forward that no link holds: head {number}, shelf {f.shelf}, transaction "
+                        f"forward that no link holds: head {number}, shelf {f.backend}, transaction "
                         f"{owner.id}"
                     )
         for link in driver.links.values():
             for f in (*link.out.values(), *link.waiting):
-                t = driver.open.get(f.transaction)
+                t = driver.open.get(f.request)
                 if not f.over and f.number >= 0 and (t is None or t.out.get(f.number) is not f):
                     self._defect(
                         f"forward without an owner: head {number}, shelf {link.shelf}, transaction "
-                        f"{f.transaction}"
+                        f"{f.request}"
                     )
 
     def _check_counts(self, number: int) -> None:
@@ -651,10 +651,10 @@
             driver, policy = head.driver, head.driver.policy
             left: dict[str, Sized] = {
                 "open transactions": driver.open,
-                "transactions of the policy": policy.transactions,
+                "transactions of the policy": policy.requests,
                 "busy volumes": policy.busy,
                 "lines of keys": policy.lines,
-                "forwards at the policy's shelves": [o for s in policy.shelves.values() for o in s.out],
+                "forwards at the policy's shelves": [o for s in policy.backends.values() for o in s.out],
             }
             for what, things in left.items():
                 if things:
--- a/gorsethread/head/branching.py
+++ b/gorsethread/head/branching.py
@@ -387,7 +387,7 @@
 
     def _back(self, waiting: Any, after: float) -> None:
         self.counts["pushed back"] += 1
-        waiting.pushed_back(min(after, max(self.site.rules.longest_return, desk.RETURN_SOON)))
+        waiting.rejected(min(after, max(self.site.rules.longest_return, desk.RETURN_SOON)))
 
     def _hold(self, io: Any, waiting: Any, key: str, data: bytes, before: set[Number]) -> None:
         c, p = io.command, self.site.profile[waiting.profile]
@@ -482,7 +482,7 @@
             if t.timer is not None:
                 t.timer.cancel()
             if t.waiting is not None:
-                t.waiting.given_up()
+                t.waiting.failed()
 
     def _time_is_up(self, number: Number) -> None:
         """Guards rule 1 where disk or holder are slower than the client waits."""
--- a/gorsethread/head/carrying.py
+++ b/gorsethread/head/carrying.py
@@ -1,6 +1,6 @@
 """What the driver asks of what is round it, whatever wire that speaks: clients, links, placement, accounts.
 
-A transaction's payload is theirs alone: the client side makes it, a link sends it, the driver hands it on.
+A request's payload is theirs alone: the client side makes it, a link sends it, the driver hands it on.
 """
 
 from collections.abc import Callable
@@ -15,15 +15,16 @@
 
 
 class Client(Protocol):
-    """Whoever is owed the answer; each transaction sees exactly one of these calls, or none once it left."""
+    """Whoever is owed the answer; each request sees exactly one of these calls, or none once it left."""
 
     def honoured(self, shard: int, data: bytes) -> None: ...
-    def pushed_back(self, return_after: float) -> None: ...
-    def given_up(self) -> None: ...
+    def rejected(self, return_after: float) -> None: ...
+    def failed(self) -> None: ...
 
 
 class Told(NamedTuple):
-    """What a shelf's answer brought: data of a read, units served elsewhere, usage, its own service time."""
+    """What a backend's answer brought: data of a read, units served elsewhere, usage, its own service
+    time."""
 
     data: bytes = b""
     elsewhere: float = 0
@@ -35,32 +36,32 @@
 
 
 @dataclass(slots=True, eq=False)
-class Forward:
-    """One sending of a transaction to a shelf. over: its ending has been told; later answers are dropped."""
+class Attempt:
+    """One sending of a request to a backend. over: its ending has been told; later answers are dropped."""
 
-    transaction: int
+    request: int
     number: int
-    shelf: int
+    backend: int
     sent_at: float
     payload: Any
-    ended: "Callable[[Forward, Ending, Told], None]"
+    ended: "Callable[[Attempt, Ending, Told], None]"
     cid: int = -1
     over: bool = False
     first_write: bool = False  # of an extent that nobody has placed yet
 
 
 class Link(Protocol):
-    """The way to one shelf. Each forward ends by one call of its ended(), unless it was over before."""
+    """The way to one backend. Each attempt ends by one call of its ended(), unless it was over before."""
 
-    def send(self, f: Forward) -> None: ...
+    def send(self, f: Attempt) -> None: ...
 
-    def call_off(self, f: Forward) -> None:
+    def cancel(self, f: Attempt) -> None:
         """Nobody waits for it any more. It ends, at once or later, unless it is over already."""
         ...
 
 
 class Placement(Protocol):
-    """Where an extent lives, as one head knows it."""
+    """Where an extent lives, as one gateway knows it."""
 
     def shard_of(self, volume: int, extent: int) -> int:
         """The shard that holds it, or UNPLACED for an extent nobody has written."""
@@ -92,12 +93,12 @@
 
 
 class Accounts(Protocol):
-    """Who hears how each transaction's time went by (gorsethread/accounts/lives.py)."""
+    """Who hears how each request's time went by (gorsethread/accounts/lives.py)."""
 
     def begun(self, id: int, taken: Taken) -> None: ...
     def unsent(self) -> list[int]: ...
-    def held(self, id: int, why: Held, shelf: int, now: float) -> None: ...
-    def sent(self, id: int, forward: int, shelf: int, when: float, taken: Taken | None = None) -> None: ...
+    def held(self, id: int, why: Held, backend: int, now: float) -> None: ...
+    def sent(self, id: int, forward: int, backend: int, when: float, taken: Taken | None = None) -> None: ...
     def ended(
         self, id: int, forward: int, how: Ending, service: float, when: float, outcome: Outcome | None = None
     ) -> None: ...
--- a/gorsethread/head/clients.py
+++ b/gorsethread/head/clients.py
@@ -55,7 +55,7 @@
         """By a branch that is cut off: it is kept, and will be in effect. No shelf is named."""
         self.io.answer(Completion(0))
 
-    def pushed_back(self, return_after: float) -> None:
+    def rejected(self, return_after: float) -> None:
         """The return time rounded up to the controller's delays, and exactly in the free field."""
         self.taken = None
         delays = self.side.subsystem.retry_delays
@@ -65,7 +65,7 @@
         self.side.log.debug("pushed back", volume=self.io.command.nsid, return_after=round(return_after, 3))
         self.io.answer(Completion(0, Status.COMMAND_INTERRUPTED, retry=retry, dw1=round(return_after * 1000)))
 
-    def given_up(self) -> None:
+    def failed(self) -> None:
         self.taken = None
         self.side.log.debug("given up", volume=self.io.command.nsid)
         self.io.answer(Completion(0, Status.INTERNAL_ERROR, final=True))
@@ -149,7 +149,7 @@
                 self.keeper.placed((volume.number, extent), shard, lambda kept: None)
         if shard == UNPLACED and self.keeper is not None and (after := self.keeper.refuses()) > 0.0:
             # Where it belongs is not known now, or can't be kept: nothing of it has run.
-            waiting.pushed_back(after)
+            waiting.rejected(after)
             return
         if shard == UNPLACED and command.opcode == Opcode.READ:
             io.answer(Completion(0, Status.UNWRITTEN_BLOCK))
--- a/gorsethread/head/driver.py
+++ b/gorsethread/head/driver.py
@@ -1,7 +1,7 @@
 """Hands what happens to the policy, a batch a turn of the loop, and carries out its acts.
 
-One final answer a command is kept here mechanically: a transaction that was answered, or whose client left,
-takes no further act. A time-out at the cut-off is the wire's; what follows from it is the policy's.
+One final answer a command is kept here mechanically: a request that was answered, or whose client left,
+takes no further act. A time-out at the deadline is the wire's; what follows from it is the policy's.
 """
 
 import heapq
@@ -14,8 +14,8 @@
     NOTHING,
     UNPLACED,
     Accounts,
+    Attempt,
     Client,
-    Forward,
     Keeper,
     Place,
     Placement,
@@ -28,12 +28,12 @@
 from gorsethread.transport.base import Timer, Transport
 
 NEVER = float("inf")
-PASSED_OVER = 0.1  # seconds ahead that answered transactions are cleared from the cut-offs in one go
+PASSED_OVER = 0.1  # seconds ahead that answered requests are cleared from the deadlines in one go
 
 
 @dataclass(slots=True, eq=False)
 class Open:
-    """A transaction from its taking until it is answered and its forwards are in. place: what a first write
+    """A request from its taking until it is answered and its attempts are in. place: what a first write
     of it may part; None where the wire names the shard of all that has one."""
 
     id: int
@@ -42,8 +42,8 @@
     place: Place | None
     shard: int
     cut_off: float
-    forwards: int = 0
-    out: dict[int, Forward] = field(default_factory=dict)
+    attempts: int = 0
+    out: dict[int, Attempt] = field(default_factory=dict)
     answered: bool = False
     untold: Taken | None = None  # what the accounts have not heard of it yet
 
@@ -65,27 +65,27 @@
         self._now = transport.now()
         self._batch: list[tuple[str, tuple[Any, ...]]] = []
         self._due = False
-        self.open: dict[int, Open] = {}  # emptied as transactions end
-        # A Link each, of the kind that the front's own wire has; emptied as shelves leave the list and their
-        # forwards are in.
+        self.open: dict[int, Open] = {}  # emptied as requests end
+        # A Link each, of the kind that the front's own wire has; emptied as backends leave the list and their
+        # attempts are in.
         self.links: dict[int, Any] = {}
-        self.shards: dict[int, int] = {}  # of every shelf in links
+        self.shards: dict[int, int] = {}  # of every backend in links
         # First writes out of extents being placed: how many, and if one may have run; emptied as they end.
         self._placing: dict[Place, tuple[int, bool]] = {}
         self.counts: Counter[str] = Counter()
         self._last_id = 0
-        # One timer for the soonest cut-off, as one each costs several times as much. Each entry goes as its
-        # time passes, so there are no more than were taken within the longest cut-off.
+        # One timer for the soonest deadline, as one each costs several times as much. Each entry goes as its
+        # time passes, so there are no more than were taken within the longest deadline.
         self._cut_offs: list[tuple[float, int]] = []
         self._cut_off_timer: Timer | None = None
         self._cut_off_at = NEVER
         self.policy = Policy(self, facts, seed)
-        # Carries messages to other heads, where a front has a way to them.
+        # Carries messages to other gateways, where a front has a way to them.
         self.teller: Callable[[int, str], None] | None = None
         self.recorder: Callable[[tuple[Any, ...]], None] | None = None  # sees events and acts, for replays
         self.accounts: Accounts | None = None
         self.keeper: Keeper | None = None  # where what is placed is to last
-        self.unkept: dict[Forward, None] = {}  # first writes that wait for that; emptied as it is told
+        self.unkept: dict[Attempt, None] = {}  # first writes that wait for that; emptied as it is told
         self._fresh: list[Open] = []  # taken since the last batch, which empties it
         # The first batch is empty: the policy asks for the list in it.
         self._due = True
@@ -144,8 +144,8 @@
         self._account(t, Outcome.LEFT)
         self.counts["left"] += 1
         for f in list(t.out.values()):
-            if link := self.links.get(f.shelf):
-                link.call_off(f)
+            if link := self.links.get(f.backend):
+                link.cancel(f)
         self.happened("client_left", t.id)
         self._close(t)
 
@@ -160,10 +160,10 @@
         self.happened("ends_by", when)
 
     def listed(self, entries: list[tuple[int, int, int, bool, float]], whole: bool, remembered: bool) -> None:
-        """(shelf, zone, shard, ready, since) of each entry; since in this head's time, 0: long ago."""
+        """(backend, zone, shard, ready, since) of each entry; since in this gateway's time, 0: long ago."""
         self.happened("list_begins", whole, remembered)
         for entry in entries:
-            self.happened("shelf_listed", *entry)
+            self.happened("backend_listed", *entry)
         self.happened("list_ended")
 
     def list_refused(self, waited: float = 0.0) -> None:
@@ -206,7 +206,7 @@
         while due:
             when, id = due[0]
             t = self.open.get(id)
-            # An id may have come to another transaction since.
+            # An id may have come to another request since.
             if t is not None and t.cut_off == when:
                 if when > now:
                     self._await_cut_off(when)
@@ -232,12 +232,12 @@
         """Of what the last search left unsent, the policy says why; what it has not seen it does not hold."""
         now = self.transport.now()
         for id in unsent:
-            why, shelf = why_held(self.policy, id)
+            why, backend = why_held(self.policy, id)
             if why is not Held.NOT:
-                accounts.held(id, why, shelf, now)
+                accounts.held(id, why, backend, now)
 
-    def _ended(self, f: Forward, how: Ending, told: Told) -> None:
-        t = self.open.get(f.transaction)
+    def _ended(self, f: Attempt, how: Ending, told: Told) -> None:
+        t = self.open.get(f.request)
         if t is None:
             return
         now = self.transport.now()
@@ -254,9 +254,9 @@
             # Not held back until the batch: the answer goes to the client at once.
             t.answered = True
             self.counts["honoured"] += 1
-            t.client.honoured(self.shards.get(f.shelf, UNPLACED), told.data)
+            t.client.honoured(self.shards.get(f.backend, UNPLACED), told.data)
         end = AttemptEnded(
-            t.id, f.number, how, f.shelf, now - f.sent_at, t.answered, told.elsewhere, told.usage
+            t.id, f.number, how, f.backend, now - f.sent_at, t.answered, told.elsewhere, told.usage
         )
         self.happened("attempt_ended", end)
         self._close(t)
@@ -270,21 +270,21 @@
     def clock(self) -> float:
         return self._now
 
-    def forward(self, transaction: int, shelf: int, wait: float) -> None:
+    def send_attempt(self, request: int, backend: int, wait: float) -> None:
         if self.recorder:
-            self.recorder(("act", "forward", transaction, shelf, wait))
-        t = self.open.get(transaction)
+            self.recorder(("act", "send_attempt", request, backend, wait))
+        t = self.open.get(request)
         if t is None:
             return
-        f = Forward(t.id, t.forwards, shelf, self._now, t.payload, self._ended)
-        t.forwards += 1
+        f = Attempt(t.id, t.attempts, backend, self._now, t.payload, self._ended)
+        t.attempts += 1
         t.out[f.number] = f
-        link = self.links.get(shelf)
+        link = self.links.get(backend)
         if (
             t.answered
             or self._now >= t.cut_off
             or link is None
-            or not (t.shard == self.shards[shelf] if t.shard != UNPLACED else self._holds(t, f))
+            or not (t.shard == self.shards[backend] if t.shard != UNPLACED else self._holds(t, f))
         ):
             f.over = True
             self._ended(f, Ending.NOT_SENT, NOTHING)
@@ -293,32 +293,32 @@
         if wait > 0 and self._now + wait < t.cut_off:
             self.transport.at(self._now + wait, lambda: self._time_out(f))
         if self.accounts is not None:
-            self.accounts.sent(t.id, f.number, shelf, self.transport.now(), t.untold)
+            self.accounts.sent(t.id, f.number, backend, self.transport.now(), t.untold)
             t.untold = None
         if f.first_write and self.keeper is not None and t.place is not None:
             self.unkept[f] = None
-            self.keeper.placed(t.place, self.shards[shelf], lambda kept: self._kept(f, kept))
+            self.keeper.placed(t.place, self.shards[backend], lambda kept: self._kept(f, kept))
         else:
             link.send(f)
 
-    def _kept(self, f: Forward, kept: bool) -> None:
-        """Where this extent belongs lasts, or can't be made to: then nothing has gone to a shelf."""
+    def _kept(self, f: Attempt, kept: bool) -> None:
+        """Where this extent belongs lasts, or can't be made to: then nothing has gone to a backend."""
         self.unkept.pop(f, None)
         if f.over:
             return
-        t, link, s = self.open.get(f.transaction), self.links.get(f.shelf), self.policy.shelves.get(f.shelf)
-        # While it waited its client may have left, or the shelf begun to drain.
+        t, link, s = self.open.get(f.request), self.links.get(f.backend), self.policy.backends.get(f.backend)
+        # While it waited its client may have left, or the backend begun to drain.
         if kept and link is not None and t is not None and not t.answered and s is not None and s.ready:
             link.send(f)
         else:
             f.over = True
             self._ended(f, Ending.NOT_SENT, NOTHING)
 
-    def _holds(self, t: Open, f: Forward) -> bool:
+    def _holds(self, t: Open, f: Attempt) -> bool:
         """Two first writes of one extent must not part it: the second goes where the first went."""
         if t.place is None:
             return True
-        shard = self.shards[f.shelf]
+        shard = self.shards[f.backend]
         owner = self.placement.shard_of(*t.place)
         if owner == UNPLACED:
             self.placement.placed(*t.place, shard)
@@ -344,43 +344,43 @@
             if self.keeper is not None:
                 self.keeper.freed(t.place)
 
-    def _time_out(self, f: Forward) -> None:
+    def _time_out(self, f: Attempt) -> None:
         if not f.over:
             f.over = True
-            if link := self.links.get(f.shelf):
-                link.call_off(f)
+            if link := self.links.get(f.backend):
+                link.cancel(f)
             self._ended(f, Ending.TIMED_OUT, NOTHING)
 
-    def recall(self, transaction: int, forward: int) -> None:
+    def cancel_attempt(self, request: int, number: int) -> None:
         if self.recorder:
-            self.recorder(("act", "recall", transaction, forward))
-        t = self.open.get(transaction)
-        if t and (f := t.out.get(forward)) and not f.over:
+            self.recorder(("act", "cancel_attempt", request, number))
+        t = self.open.get(request)
+        if t and (f := t.out.get(number)) and not f.over:
             f.over = True
-            if link := self.links.get(f.shelf):
-                link.call_off(f)
+            if link := self.links.get(f.backend):
+                link.cancel(f)
             self._ended(f, Ending.CALLED_OFF, NOTHING)
 
-    def push_back(self, transaction: int, return_after: float) -> None:
+    def reject(self, request: int, return_after: float) -> None:
         if self.recorder:
-            self.recorder(("act", "push_back", transaction, return_after))
-        t = self.open.get(transaction)
+            self.recorder(("act", "reject", request, return_after))
+        t = self.open.get(request)
         if t and not t.answered:
             t.answered = True
             self._account(t, Outcome.PUSHED_BACK)
             self.counts["pushed back"] += 1
-            t.client.pushed_back(return_after)
+            t.client.rejected(return_after)
             self._close(t)
 
-    def give_up(self, transaction: int) -> None:
+    def fail(self, request: int) -> None:
         if self.recorder:
-            self.recorder(("act", "give_up", transaction))
-        t = self.open.get(transaction)
+            self.recorder(("act", "fail", request))
+        t = self.open.get(request)
         if t and not t.answered:
             t.answered = True
             self._account(t, Outcome.GIVEN_UP)
             self.counts["given up"] += 1
-            t.client.given_up()
+            t.client.failed()
             self._close(t)
 
     def wake(self, delay: float, name: str) -> None:
--- a/gorsethread/head/landing.py
+++ b/gorsethread/head/landing.py
@@ -36,16 +36,16 @@
     def honoured(self, shard: int, data: bytes) -> None:
         self.ended(self, Answer.IN_EFFECT, data, 0.0)
 
-    def pushed_back(self, return_after: float) -> None:
+    def rejected(self, return_after: float) -> None:
         self.ended(self, self._came_to(), b"", return_after)
 
-    def given_up(self) -> None:
+    def failed(self) -> None:
         self.ended(self, self._came_to(), b"", AGAIN)
 
     def _came_to(self) -> Answer:
         """AGAIN where none of its forwards may have run, or that does no harm."""
         assert self.taken is not None
-        t = self.driver.policy.transactions.get(self.taken.id)
+        t = self.driver.policy.requests.get(self.taken.id)
         ran = t is None or t.ran_at is not None
         return Answer.UNKNOWN if ran and not self.redoable else Answer.AGAIN
 
--- a/gorsethread/head/links.py
+++ b/gorsethread/head/links.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
-from gorsethread.head.carrying import NOTHING, Forward, Told
+from gorsethread.head.carrying import NOTHING, Attempt, Told
 from gorsethread.model import Ending
 from gorsethread.nvme.command import Command, Completion, Status, told_service
 from gorsethread.queues.dial import Association, Names, dial
@@ -37,14 +37,14 @@
     log: Any
     association: Association | None = None
     connecting: bool = False
-    out: dict[int, Forward] = field(default_factory=dict)  # by command id; emptied by answers
-    waiting: list[Forward] = field(default_factory=list)  # for the connection; emptied as it stands or fails
+    out: dict[int, Attempt] = field(default_factory=dict)  # by command id; emptied by answers
+    waiting: list[Attempt] = field(default_factory=list)  # for the connection; emptied as it stands or fails
     closed: bool = False
     opens: Callable[[], float] = lambda: 0.0  # seconds until this head may open one more connection
     unready: bool = False  # the shelf drains or has left the list
     signs: Any = None  # of a branch's head: told of what goes out and what is answered
 
-    def send(self, f: Forward) -> None:
+    def send(self, f: Attempt) -> None:
         if self.association is not None:
             self._submit(f)
             return
@@ -61,7 +61,7 @@
             for f in waiting:
                 self._end(f, Ending.NOT_SENT)
 
-    def call_off(self, f: Forward) -> None:
+    def cancel(self, f: Attempt) -> None:
         """Asks the shelf to drop it; it still holds its command id until the shelf has answered. What waits
         for its connection is not sent at all."""
         if f in self.waiting:
@@ -122,7 +122,7 @@
             if not f.over:
                 self._submit(f)
 
-    def _submit(self, f: Forward) -> None:
+    def _submit(self, f: Attempt) -> None:
         association = self.association
         assert association is not None
         queue = association.io.queue
@@ -143,7 +143,7 @@
         )
         self.out[f.cid] = f
 
-    def _done(self, f: Forward, completion: Completion, data: bytes) -> None:
+    def _done(self, f: Attempt, completion: Completion, data: bytes) -> None:
         self.out.pop(f.cid, None)
         if self.signs is not None:
             self.signs.heard()
@@ -164,7 +164,7 @@
         for f in out.values():
             self._end(f, Ending.BROKEN)
 
-    def _end(self, f: Forward, how: Ending, told: Told = NOTHING) -> None:
+    def _end(self, f: Attempt, how: Ending, told: Told = NOTHING) -> None:
         if not f.over:
             f.over = True
             f.ended(f, how, told)
--- a/gorsethread/head/linktable.py
+++ b/gorsethread/head/linktable.py
@@ -1,4 +1,4 @@
-"""A link for each shelf in the list, in the driver's tables; the same for both fronts."""
+"""A link for each backend in the list, in the driver's tables; the same for both fronts."""
 
 from collections.abc import Callable
 from typing import Any
@@ -7,34 +7,35 @@
 
 
 class LinkTable:
-    """make: a link of the front's own kind for a shelf at an address. driver is set before the first list."""
+    """make: a link of the front's own kind for a backend at an address. driver is set before the first
+    list."""
 
     def __init__(self, make: Callable[[int, tuple[str, int]], Any]) -> None:
         self._make = make
         self.driver: Driver
 
-    def listed(self, shelf: int, shard: int, address: tuple[str, int], state: str) -> None:
+    def listed(self, backend: int, shard: int, address: tuple[str, int], state: str) -> None:
         links = self.driver.links
-        link = links.get(shelf)
+        link = links.get(backend)
         if state == "gone":
-            self._forget(shelf)
+            self._forget(backend)
             return
         if link is not None and link.address != address:
             # What is out at the old address ends there; nothing new goes to it.
             link.close()
             link = None
         if link is None:
-            links[shelf] = self._make(shelf, address)
-        self.driver.shards[shelf] = shard
+            links[backend] = self._make(backend, address)
+        self.driver.shards[backend] = shard
 
     def only(self, shelves: set[int]) -> None:
-        for shelf in [s for s in self.driver.links if s not in shelves]:
-            self._forget(shelf)
+        for backend in [s for s in self.driver.links if s not in shelves]:
+            self._forget(backend)
 
-    def _forget(self, shelf: int) -> None:
-        """A link with forwards out stays until they are in; the list may name the shelf again by then."""
-        link = self.driver.links.get(shelf)
+    def _forget(self, backend: int) -> None:
+        """A link with attempts out stays until they are in; the list may name the backend again by then."""
+        link = self.driver.links.get(backend)
         if link is not None and link.idle:
             link.close()
-            del self.driver.links[shelf]
-            self.driver.shards.pop(shelf, None)
+            del self.driver.links[backend]
+            self.driver.shards.pop(backend, None)
--- a/gorsethread/head/messages.py
+++ b/gorsethread/head/messages.py
@@ -1,4 +1,4 @@
-"""Carries what the decisions of one head tell another's: datagrams both ways, with a bound on how many.
+"""Carries what the decisions of one gateway tell another's: datagrams both ways, with a bound on how many.
 Decides nothing; what is not of this fleet or from no peer is counted and changes nothing."""
 
 from collections import Counter
@@ -27,8 +27,8 @@
 
 
 class Messages:
-    """me: this head's place among the addresses, which are all heads' as the others' datagrams come from and
-    go to them. told: what hears them."""
+    """me: this gateway's place among the addresses, which are all gateways' as the others' datagrams come
+    from and go to them. told: what hears them."""
 
     def __init__(
         self,
@@ -40,7 +40,7 @@
     ) -> None:
         self.transport, self.listen, self.addresses = transport, listen, addresses
         self.me, self.told = me, told
-        self.fleet = crc32(repr(addresses).encode())  # of another list, numbers may mean other heads
+        self.fleet = crc32(repr(addresses).encode())  # of another list, numbers may mean other gateways
         self.numbers = {address: n for n, address in enumerate(addresses)}
         self.counts: Counter[str] = Counter()  # by reason; as many as there are reasons
         self.allowance = Allowance()
--- a/gorsethread/held_reasons.py
+++ b/gorsethread/held_reasons.py
@@ -3,7 +3,7 @@
 Decides nothing.
 """
 
-from gorsethread.model import Held, Shelf, Transaction
+from gorsethread.model import Backend, Held, Request
 from gorsethread.policy import FREE_RATE, NEW, Policy
 
 NO_BACKEND = -1
@@ -11,7 +11,7 @@
 
 def why_held(policy: Policy, request: int) -> tuple[Held, int]:
     """What kept it back, and the backend it is meant for, or NO_BACKEND."""
-    t = policy.transactions.get(request)
+    t = policy.requests.get(request)
     if t is None or t.over or t.out:
         return Held.NOT, NO_BACKEND
     backend = next(iter(t.volume.ranking), None) if t.shard == NEW else policy.held_by.get(t.shard)
@@ -22,8 +22,8 @@
     return (_held_at(policy, t, backend) if backend else Held.NO_SHELF), number
 
 
-def _held_at(policy: Policy, t: Transaction, backend: Shelf) -> Held:
-    if t.volume.plan.limit and not t.forwards and t.volume.limit_store < t.units:
+def _held_at(policy: Policy, t: Request, backend: Backend) -> Held:
+    if t.volume.plan.limit and not t.attempts and t.volume.limit_store < t.units:
         return Held.LIMIT
     if policy.now < backend.rest_until:
         return Held.REST
@@ -33,6 +33,6 @@
         return Held.SILENT
     if len(backend.out) >= max(1, int(backend.bound)):
         return Held.SLOTS
-    if t.forwards:
+    if t.attempts:
         return Held.UNKNOWN if policy._within_budget() else Held.BUDGET
     return Held.RATE if backend.rate < FREE_RATE else Held.UNKNOWN
--- a/gorsethread/lab/allseeing.py
+++ b/gorsethread/lab/allseeing.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from gorsethread.lab.crowd import UNIT_WORK, USABLE, Scene, Score, World, draw
-from gorsethread.model import Ending, Shelf, Transaction
+from gorsethread.model import Backend, Ending, Request
 from gorsethread.policy import FREE_RATE, LOWEST_RATE, WAIT_PART, Policy
 
 ASKED_OF_LATE = 1.5  # seconds of demand that is told
@@ -22,7 +22,7 @@
 class ByTold(Policy):
     """Rates come from what is told; answers move the rest of a shelf's health as ever."""
 
-    def _judge(self, s: Shelf, how: Ending, elapsed: float, t: Transaction, sent: float) -> None:
+    def _judge(self, s: Backend, how: Ending, elapsed: float, t: Request, sent: float) -> None:
         rate, grown_at, cut_at = s.rate, s.grown_at, s.cut_at
         super()._judge(s, how, elapsed, t, sent)
         s.rate, s.grown_at, s.cut_at = rate, grown_at, cut_at
@@ -41,7 +41,7 @@
     for head in world.heads:
         p = head.policy
         p.now = world.now
-        for s in p.shelves.values():
+        for s in p.backends.values():
             wait = world.machines[s.id].behind
             part = WAIT_PART * p.quickest / max(wait, 0.001)
             if part >= 1.0:
@@ -70,7 +70,7 @@
     for head in world.heads:
         p = head.policy
         p.now = now
-        for s in p.shelves.values():
+        for s in p.backends.values():
             s.rate = rates[s.id]
         p.changed = True
         p.batch_ended()
--- a/gorsethread/lab/crowd.py
+++ b/gorsethread/lab/crowd.py
@@ -287,7 +287,7 @@
     def _listed(self, entries: list[tuple[int, int, int, bool, float]], whole: bool) -> None:
         self.policy.list_begins(whole, whole)
         for entry in entries:
-            self.policy.shelf_listed(*entry)
+            self.policy.backend_listed(*entry)
         self.policy.list_ended()
         self.policy.batch_ended()
 
@@ -357,7 +357,7 @@
     def clock(self) -> float:
         return self.world.now
 
-    def forward(self, transaction: int, shelf: int, wait: float) -> None:
+    def send_attempt(self, transaction: int, shelf: int, wait: float) -> None:
         t = self.open[transaction]
         f = t.out = _Sent(self, transaction, t.forwards, t.ask, shelf, self.world.now)
         t.forwards += 1
@@ -365,15 +365,15 @@
         self.world.forwarded(shelf, t.ask.units)
         self.world.at(self.world.now + WAY, lambda: self.world.machines[shelf].take(f))
 
-    def recall(self, transaction: int, forward: int) -> None:
+    def cancel_attempt(self, transaction: int, number: int) -> None:
         t = self.open[transaction]
-        if t.out is not None and t.out.number == forward:
+        if t.out is not None and t.out.number == number:
             self.ended(t.out, Ending.CALLED_OFF)
 
-    def push_back(self, transaction: int, return_after: float) -> None:
+    def reject(self, transaction: int, return_after: float) -> None:
         self._answer(transaction, "pushed back")
 
-    def give_up(self, transaction: int) -> None:
+    def fail(self, transaction: int) -> None:
         self._answer(transaction, "given up")
 
     def _answer(self, id: int, how: str) -> None:
@@ -491,7 +491,7 @@
     served: float = 0.0
     worst_plan: float = 0.0
     taken: int = 0
-    pushed_back: float = 0.0
+    rejected: float = 0.0
     late: float = 0.0
     forwards: int = 0
     demand: float = 0.0  # units asked over what the shelves can do
--- a/gorsethread/lab/peers.py
+++ b/gorsethread/lab/peers.py
@@ -5,7 +5,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from gorsethread.head.carrying import Forward, Told
+from gorsethread.head.carrying import Attempt, Told
 from gorsethread.head.links import BackendLink, Order
 from gorsethread.head.placement import SitePlacement
 from gorsethread.model import Ending
@@ -65,12 +65,12 @@
         extent = c.first_block // self.volumes[c.nsid].extent_blocks
         link = self.links[self.placement.shard_of(c.nsid, extent)]
 
-        def ended(f: Forward, how: Ending, told: Told) -> None:
+        def ended(f: Attempt, how: Ending, told: Told) -> None:
             honoured = how is Ending.HONOURED
             io.answer(Completion(0, Status.SUCCESS if honoured else Status.INTERNAL_ERROR), told.data)
 
         read = 0 if data else c.blocks * BLOCK
-        link.send(Forward(0, 0, link.shelf, self.transport.now(), Order(c, data, read), ended))
+        link.send(Attempt(0, 0, link.shelf, self.transport.now(), Order(c, data, read), ended))
 
     def left(self, io: IoCommand) -> None: ...
 
--- a/gorsethread/model.py
+++ b/gorsethread/model.py
@@ -1,4 +1,4 @@
-"""Plain types: the facts a head is given at its start, and what it keeps as it works."""
+"""Plain types: the facts a gateway is given at its start, and what it keeps as it works."""
 
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
@@ -12,13 +12,13 @@
 
 
 class Group(Enum):
-    """Which shelves drop the repeats of a labelled transaction."""
+    """Which backends drop the repeats of a keyed request."""
 
     ALL = "all"
     ZONE = "zone"
     SHARD = "shard"
 
-    def spans(self, one: "Shelf", other: "Shelf") -> bool:
+    def spans(self, one: "Backend", other: "Backend") -> bool:
         """Whether each of the two drops repeats of what the other ran."""
         if self is Group.ALL:
             return True
@@ -26,7 +26,7 @@
 
 
 class Ending(Enum):
-    """How a forward ended."""
+    """How an attempt ended."""
 
     HONOURED = "honoured"
     ERROR = "error"
@@ -53,7 +53,7 @@
 
 
 class Outcome(IntEnum):
-    """How a transaction ended. The numbers stand in snapshots of accounts: added to, never changed."""
+    """How a request ended. The numbers stand in snapshots of accounts: added to, never changed."""
 
     HONOURED = 0
     PUSHED_BACK = 1
@@ -62,7 +62,7 @@
 
 
 class Held(Enum):
-    """What kept a transaction back at the head in the last search."""
+    """What kept a request back at the gateway in the last search."""
 
     NOT = "not held"
     SLOTS = "slots taken"
@@ -88,17 +88,17 @@
 
     @property
     def idempotent(self) -> bool:
-        """It may run again at any time, on any shelf."""
+        """It may run again at any time, on any backend."""
         return self.effect is Effect.REDOABLE
 
     @property
     def keyed(self) -> bool:
-        """Its repeats are dropped, by the shelves of its group and for as long as they remember it."""
+        """Its repeats are dropped, by the backends of its group and for as long as they remember it."""
         return self.effect is Effect.LABELLED
 
     @property
     def everywhere(self) -> bool:
-        """No shelf would run a repeat that another drops."""
+        """No backend would run a repeat that another drops."""
         return not self.keyed or self.group is Group.ALL
 
 
@@ -119,7 +119,7 @@
     first_part: float
 
     def borne(self, age: float) -> float:
-        """Units within the span that all heads together may send to a shelf of that age."""
+        """Units within the span that all gateways together may send to a backend of that age."""
         return self.units * (1.0 + (1.0 / self.first_part - 1.0) * max(0.0, age) / self.warm_after)
 
 
@@ -146,13 +146,13 @@
     largest_units: float
     share_worth: float
     repeats_marked: bool
-    index: int = 0  # of this head among all
-    may_tell: bool = False  # whether heads may send each other messages
+    index: int = 0  # of this gateway among all
+    may_tell: bool = False  # whether gateways may send each other messages
 
 
 class RequestTaken(NamedTuple):
     """A client's request has come. profile, plan: places in the settings; cut_off: on the process's clock, in
-    seconds; heads: how many processes the volume's requests come through; repeat: a client's retry."""
+    seconds; gateways: how many processes the volume's requests come through; repeat: a client's retry."""
 
     id: int
     profile: int
@@ -173,7 +173,7 @@
     request: int
     number: int
     how: Ending
-    shelf: int
+    backend: int
     elapsed: float
     finished: bool
     elsewhere: float
@@ -189,13 +189,13 @@
     limit_store: float
     filled: float
     out: int = 0
-    lanes: dict[int, list["Transaction"]] = field(default_factory=dict)  # waiting, by shard
+    lanes: dict[int, list["Request"]] = field(default_factory=dict)  # waiting, by shard
     paces: dict[int, tuple[float, float]] = field(default_factory=dict)
-    ranking: list["Shelf"] = field(default_factory=list)
+    ranking: list["Backend"] = field(default_factory=list)
 
 
 @dataclass(slots=True, eq=False)
-class Shelf:
+class Backend:
     id: int
     zone: int
     shard: int
@@ -216,15 +216,15 @@
     asked: str = ""  # which asking for a lent part is out
     asked_units: float = 0.0
     asked_at: float = -float("inf")
-    lent: float = 0.0  # units lent to this head and not sent yet
+    lent: float = 0.0  # units lent to this gateway and not sent yet
     lent_until: float = 0.0
     last_send: float = 0.0  # after it was told to drain
     answered_at: float = 0.0  # when it answered last
-    answered_of: float = 0.0  # when the latest of the forwards it has answered had been sent
+    answered_of: float = 0.0  # when the latest of the attempts it has answered had been sent
 
 
 @dataclass(slots=True, eq=False)
-class Transaction:
+class Request:
     id: int
     order: int
     profile: Profile
@@ -234,10 +234,10 @@
     promised_by: float
     units: float
     shard: int
-    forwards: int = 0
+    attempts: int = 0
     out: int = 0
     ran_at: float | None = None
-    ran_on: Shelf | None = None
+    ran_on: Backend | None = None
     waiting: bool = False
     late: bool = False
     chosen: bool = False
--- a/gorsethread/platform/backends.py
+++ b/gorsethread/platform/backends.py
@@ -7,7 +7,7 @@
 from collections import deque
 from typing import NamedTuple
 
-from gorsethread.head.carrying import NOTHING, Forward, Told
+from gorsethread.head.carrying import NOTHING, Attempt, Told
 from gorsethread.http1.asking import Answer, Asking
 from gorsethread.http1.bounds import Headers, Spoilt
 from gorsethread.model import Ending
@@ -50,7 +50,7 @@
         self.link, self.stream = link, stream
         self.over = False
         self.asking = Asking()
-        self.out: Forward | None = None
+        self.out: Attempt | None = None
         self.idle_since = 0.0
         self.uses = 0
         self.end_timer: Timer | None = None  # while the end of an answer without a length is waited for
@@ -59,8 +59,8 @@
 class BackendLink:
     """All connections to one backend at one address; the most recently used goes first."""
 
-    def __init__(self, pool: ConnectionPool, shelf: int, address: tuple[str, int]) -> None:
-        self.pool, self.shelf, self.address = pool, shelf, address
+    def __init__(self, pool: ConnectionPool, backend: int, address: tuple[str, int]) -> None:
+        self.pool, self.backend, self.address = pool, backend, address
         self.transport = pool.transport
         self.host = f"{address[0]}:{address[1]}".encode()
         self.kept: deque[BackendConnection] = deque()  # emptied by use, by sweep() and as connections end
@@ -80,7 +80,7 @@
 
     # ---- from the driver
 
-    def send(self, f: Forward) -> None:
+    def send(self, f: Attempt) -> None:
         connection = self._rested()
         if connection is not None:
             self._submit(connection, f)
@@ -94,9 +94,9 @@
             self.out += 1
             self.pool.waiting.append((self, f))
 
-    def call_off(self, f: Forward) -> None:
+    def cancel(self, f: Attempt) -> None:
         """Closes its connection, by which the backend learns that nobody waits, before more is sent."""
-        connection = self.pool.busy.get(f.transaction)
+        connection = self.pool.busy.get(f.request)
         if connection is not None and connection.out is f:
             connection.link.lose(connection)
         self.end(f, Ending.CALLED_OFF)  # also where it only waited: not the backend, the client ended it
@@ -116,13 +116,13 @@
                 return connection
         return None
 
-    async def _dial(self, f: Forward) -> None:
+    async def _dial(self, f: Attempt) -> None:
         try:
             stream = await self.transport.connect(*self.address, self.pool.dial_within)
         except Unreachable as error:
             self.out -= 1
             self.pool.held -= 1
-            self.pool.log.debug("shelf not reached", shelf=self.host.decode(), reason=str(error))
+            self.pool.log.debug("shelf not reached", backend=self.host.decode(), reason=str(error))
             self.end(f, Ending.UNREACHED)
             self.pool.freed()
             return
@@ -138,22 +138,22 @@
             self.end(f, Ending.NOT_SENT)
         await self._listen(connection)
 
-    def may_begin(self, f: Forward) -> bool:
+    def may_begin(self, f: Attempt) -> bool:
         """Whether an attempt that waited for its connection may still begin. Meanwhile its time may have
         passed, the backend may have moved or been told to drain, or have forgotten the request's key."""
         now = self.transport.now()
         if self.closed or now >= f.payload.cut_off:
             return False
-        return self.pool.may_begin(f.transaction, self.shelf, f.sent_at, now)
+        return self.pool.may_begin(f.request, self.backend, f.sent_at, now)
 
-    def _submit(self, connection: BackendConnection, f: Forward) -> None:
+    def _submit(self, connection: BackendConnection, f: Attempt) -> None:
         outgoing: OutgoingRequest = f.payload
         left = max(1, round((outgoing.cut_off - self.transport.now()) / MILLISECOND))
         headers = [(b"host", self.host), *outgoing.headers, (b"req-deadline-ms", b"%d" % left)]
         connection.out = f
         connection.uses += 1
         self.out += 1
-        self.pool.busy[f.transaction] = connection
+        self.pool.busy[f.request] = connection
         connection.stream.write(
             connection.asking.request(outgoing.method, outgoing.target, headers, outgoing.body)
         )
@@ -217,7 +217,7 @@
         f, connection.out = connection.out, None
         assert f is not None
         self.out -= 1
-        self.pool.busy.pop(f.transaction, None)
+        self.pool.busy.pop(f.request, None)
         now = self.transport.now()
         if connection.uses > 1:
             self.pool.trust.seen(False, now)
@@ -243,12 +243,12 @@
         if self.closed:
             self.lose(connection)
 
-    def lose(self, connection: BackendConnection) -> Forward | None:
+    def lose(self, connection: BackendConnection) -> Attempt | None:
         """The connection is used no more; returns what was out on it."""
         f, connection.out = connection.out, None
         if f is not None:
             self.out -= 1
-            self.pool.busy.pop(f.transaction, None)
+            self.pool.busy.pop(f.request, None)
         elif connection in self.kept:
             self.kept.remove(connection)
         if connection.end_timer is not None:
@@ -259,7 +259,7 @@
             connection.stream.close()
         return f
 
-    def end(self, f: Forward, how: Ending, told: Told = NOTHING) -> None:
+    def end(self, f: Attempt, how: Ending, told: Told = NOTHING) -> None:
         if not f.over:
             f.over = True
             f.ended(f, how, told)
--- a/gorsethread/platform/connection.py
+++ b/gorsethread/platform/connection.py
@@ -60,12 +60,12 @@
         self.taken = None
         self.answer(200, [], data)
 
-    def pushed_back(self, return_after: float) -> None:
+    def rejected(self, return_after: float) -> None:
         self.taken = None
         headers = [(b"retry-after", b"%.3f" % return_after)] if return_after > 0 else []
         self.answer(503, headers, b"")
 
-    def given_up(self) -> None:
+    def failed(self) -> None:
         self.taken = None
         self.answer(504, [], b"")
 
--- a/gorsethread/platform/pool.py
+++ b/gorsethread/platform/pool.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
-from gorsethread.head.carrying import Forward
+from gorsethread.head.carrying import Attempt
 from gorsethread.model import Ending
 from gorsethread.transport.base import Transport
 
@@ -62,7 +62,7 @@
         self.trust = ReuseTrust()
         self.spoilt: Counter[str] = Counter()  # emptied by each report
         self.busy: dict[int, BackendConnection] = {}  # by request; emptied as attempts end
-        self.waiting: deque[tuple[BackendLink, Forward]] = deque()  # emptied as connections come free
+        self.waiting: deque[tuple[BackendLink, Attempt]] = deque()  # emptied as connections come free
         # The decisions': whether a request's attempt at a backend, decided at a time, may still begin now.
         self.may_begin: Callable[[int, int, float, float], bool]
 
--- a/gorsethread/platform/program.py
+++ b/gorsethread/platform/program.py
@@ -49,7 +49,7 @@
 
     def __init__(self, transport: Transport, configuration: Configuration, path: str, log: Any) -> None:
         self.transport, self.configuration, self.path, self.log = transport, configuration, path, log
-        links = LinkTable(lambda shelf, address: BackendLink(self.pool, shelf, address))
+        links = LinkTable(lambda backend, address: BackendLink(self.pool, backend, address))
         wait = min(LONGEST_WAIT, 0.5 * configuration.facts.ask_within or LONGEST_WAIT)
         self.discovery = Discovery(transport, configuration.discovery, configuration.naming, links, wait, log)
         self.driver = Driver(
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -1,9 +1,9 @@
-"""All decisions of a head. The program round it calls one method for each thing that happens, then
+"""All decisions of a gateway. The program round it calls one method for each thing that happens, then
 batch_ended(); the policy answers by calls on the host interface in gorsethread/host.py.
 
 Ordinary path: LexAS, DUaL variant (docs/design.md), in _share_out. Beside it stand six mechanisms:
-(1) a shelf's bound and health, (2) the cold ramp, (3) the limit store, (4) shedding,
-(5) further forwards, (6) key turns.
+(1) a backend's bound and health, (2) the cold ramp, (3) the limit store, (4) shedding,
+(5) retries, (6) key turns.
 """
 
 import heapq
@@ -15,33 +15,33 @@
 
 from gorsethread.draws import Draws
 from gorsethread.host import Host
-from gorsethread.model import AttemptEnded, Ending, RequestTaken, Shelf, StartFacts, Transaction, Volume
+from gorsethread.model import AttemptEnded, Backend, Ending, Request, RequestTaken, StartFacts, Volume
 
 FIRST_BOUND = 4.0  # the design's start and ceiling
 HIGHEST_BOUND = 32.0
-FORWARDS_MOST = 3
-NEW = -1  # the shard of a new object, which any shelf may take
-FREE_RATE = 8.0  # times the usual rate of a unit of weight; from here on a shelf holds nothing back
-LOWEST_RATE = 0.1  # from lower, a shelf overloaded for a moment rests for ten seconds for want of answers
-WAIT_PART = 0.3  # of the shortest promise: the longest wait at a shelf that is not crowded
-LINE_PART = 0.1  # of the shortest promise: a wait that shows a line at the shelf
-SILENT_PAUSE = 12.0  # usual times of a shelf that fell silent, until it gets one more forward
-BREAKS_MOST = 3  # connections broken in turn from which a shelf needs no rest
+ATTEMPTS_MOST = 3
+NEW = -1  # the shard of a new object, which any backend may take
+FREE_RATE = 8.0  # times the usual rate of a unit of weight; from here on a backend holds nothing back
+LOWEST_RATE = 0.1  # from lower, a backend overloaded for a moment rests for ten seconds for want of answers
+WAIT_PART = 0.3  # of the shortest promise: the longest wait at a backend that is not crowded
+LINE_PART = 0.1  # of the shortest promise: a wait that shows a line at the backend
+SILENT_PAUSE = 12.0  # usual times of a backend that fell silent, until it gets one more attempt
+BREAKS_MOST = 3  # connections broken in turn from which a backend needs no rest
 DRAIN_PART = 0.75  # of the grace: a send may still have to wait for a connection
 HELD_UP = 0.25  # seconds of the grace for a process held up before it hears of a drain, or as it sends
-LENT_PART = 0.4  # of the shortest promise: how long a lent part of a cold shelf holds, from the asking
-ASK_PART, FIRST_ASK_PART = 0.05, 0.2  # of the time a list may stand, over which heads that ask at once spread
+LENT_PART = 0.4  # of the shortest promise: how long a lent part of a cold backend holds, from the asking
+ASK_PART, FIRST_ASK_PART = 0.05, 0.2  # of the time a list may stand, over which those that ask at once spread
 ASK_SPREAD_MOST = 10.0  # seconds of that time
 ASK_PAUSE_MOST, LEAST_PAUSE_MOST = 4.0, 0.8  # seconds: a change counts as told after 6, whatever call failed
 LOOK_AGAIN, KNOWN = 0.02, 5.0  # seconds until what held something back is looked at; that a rate tells of now
 
 
-def _turn(t: Transaction) -> tuple[bool, float, float, int]:
-    """Order inside a volume: what can keep its promised time, then by value, the nearest promise first."""
+def _turn(t: Request) -> tuple[bool, float, float, int]:
+    """Order inside a volume: what can keep its latency target, then by value, the nearest promise first."""
     return (t.late, -t.profile.value / max(t.units, 1.0), t.promised_by, t.order)
 
 
-def _place(v: Volume, s: Shelf) -> bytes:
+def _place(v: Volume, s: Backend) -> bytes:
     return blake2b(f"{v.id.partition('/')[2]}/{s.id}".encode(), digest_size=8).digest()
 
 
@@ -52,10 +52,10 @@
         self.born = self.now = self.aged = host.clock()
         self.dearest = max(p.value for p in facts.profiles) or 1.0
         self.quickest = min(p.promised for p in facts.profiles)
-        # Holding units beyond the reserve costs less the less they earn, so a shelf's rate starts lower.
+        # Holding units beyond the reserve costs less the less they earn, so a backend's rate starts lower.
         self.first_rate = max(1.0, FREE_RATE * facts.share_worth**2)
-        self.kept_slots = max(1.0, FIRST_BOUND / facts.heads)  # at a shelf with a line
-        # An even part too small for a transaction rests at heads that have nothing for the shelf.
+        self.kept_slots = max(1.0, FIRST_BOUND / facts.heads)  # at a backend with a line
+        # An even part too small for a request rests at gateways that have nothing for the backend.
         self.lends = facts.may_tell and facts.cold.units < facts.heads * facts.largest_units
         self.lent_for = LENT_PART * self.quickest
         self.lent_kept = facts.cold.span + self.lent_for
@@ -63,23 +63,23 @@
         self.usual = sum(p.usual / p.weight for p in facts.plans) / len(facts.plans)
         self.order = self.list_waits = 0
         self.spans = [0.0] * len(facts.profiles)  # the longest first try seen of each profile
-        self.transactions: dict[int, Transaction] = {}  # emptied as each is over with its forwards in
+        self.requests: dict[int, Request] = {}  # emptied as each is over with its attempts in
         self.volumes: dict[str, Volume] = {}  # emptied of idle volumes by _age
         self.busy: dict[str, Volume] = {}  # volumes with something waiting or out; emptied with them
         self.stirred: dict[str, Volume] = {}  # got something to send since the last search, which empties it
         self.floor = self.overload_until = 0.0
-        self.shelves: dict[int, Shelf] = {}  # emptied as shelves leave the list with nothing out
-        self.held_by: dict[int, Shelf] = {}  # shard to the shelf that now holds it, made anew by each list
+        self.backends: dict[int, Backend] = {}  # emptied as backends leave the list with nothing out
+        self.held_by: dict[int, Backend] = {}  # by shard, who now holds it; made anew at each list
         self.wanted: dict[int, int] = {}  # how many wait, by shard; no more entries than shards
         self.list_whole, self.changed = False, True
         self.named: set[int] = set()
-        # Guards against the calls of all heads that came back at once filling the list service for long.
+        # Guards against the calls of all gateways that came back at once filling the list service for long.
         self.ask_spread = min(facts.ask_within, ASK_SPREAD_MOST) * (1.0 - 1.0 / facts.heads)
         first = self.born + FIRST_ASK_PART * self.ask_spread * self.draws.next()
         self.list_ask_at = first if facts.list_on_request else float("inf")
-        self.lines: dict[str, deque[Transaction]] = {}  # emptied as keys fall idle and their rest ends
+        self.lines: dict[str, deque[Request]] = {}  # emptied as keys fall idle and their rest ends
         self.key_rests: dict[str, float] = {}
-        self.agenda: list[tuple[float, int, Transaction | str]] = []  # emptied as its times pass
+        self.agenda: list[tuple[float, int, Request | str]] = []  # emptied as its times pass
         self.alarm = self.look_at = self.drained_at = float("inf")
         self.taken: deque[float] = deque()  # both emptied as the budget's span passes
         self.further: deque[float] = deque()
@@ -98,12 +98,12 @@
         longest = self.spans[new.profile] = max(self.spans[new.profile], left)
         age = longest - left if new.repeat or not self.facts.repeats_marked else 0.0
         p = self.facts.profiles[new.profile]
-        # Guards rule 1 where a client leaves before its promised time: no look is set past the cut-off.
+        # Guards rule 1 where a client leaves before its latency target: no look is set past the deadline.
         promised_by = min(new.cut_off, now - age + p.promised)
         self.order += 1
         key = new.key if p.in_order else None
-        t = Transaction(new.id, self.order, p, v, key, new.cut_off, promised_by, new.units, new.shard)
-        self.transactions[new.id] = t
+        t = Request(new.id, self.order, p, v, key, new.cut_off, promised_by, new.units, new.shard)
+        self.requests[new.id] = t
         if self.facts.budget:
             self.taken.append(now)
         self._note(max(now, t.promised_by - self._expected(t)), t)
@@ -116,14 +116,14 @@
 
     def attempt_ended(self, end: AttemptEnded) -> None:
         now = self.now = self.host.clock()
-        s, t = self.shelves.get(end.shelf), self.transactions.get(end.request)
+        s, t = self.backends.get(end.backend), self.requests.get(end.request)
         if s is None or t is None or (sent := s.out.pop((end.request, end.number), None)) is None:
             return
         self.changed = True
         self._judge(s, end.how, end.elapsed, t, sent)
         v = t.volume
         t.out, v.out = t.out - 1, v.out - 1
-        v.total += end.elsewhere  # what others' heads sent for the volume counts as if sent here
+        v.total += end.elsewhere  # what others' gateways sent for the volume counts as if sent here
         if not v.out and not v.lanes:
             self.busy.pop(v.id, None)
         if not end.how.never_ran and t.ran_at is None:
@@ -142,15 +142,15 @@
 
     def client_left(self, id: int) -> None:
         self.now = self.host.clock()
-        if t := self.transactions.get(id):
+        if t := self.requests.get(id):
             self._unhold(t)
             t.over = True
             self._close(t)
 
     def ends_by(self, when: float) -> None:
-        """This head itself ends then: what its clients would wait longer for is answered before."""
+        """This gateway itself ends then: what its clients would wait longer for is answered before."""
         self.now = self.host.clock()
-        for t in self.transactions.values():
+        for t in self.requests.values():
             if t.cut_off > when:
                 t.cut_off, t.promised_by = when, min(t.promised_by, when)
                 self._note(max(self.now, when - self._expected(t)), t)
@@ -160,7 +160,7 @@
             self.alarm = float("inf")
 
     def peer_told(self, origin: int, words: str) -> None:
-        """Of a cold shelf's part: "ask" or "lent", shard, which asking, units, age. Else passed over."""
+        """Of a cold backend's part: "ask" or "lent", shard, which asking, units, age. Else passed over."""
         self.now = self.host.clock()
         try:
             kind, named, number, units, age = words.split()
@@ -173,9 +173,9 @@
         elif kind == "lent" and home == origin and s and s.asked == number:
             self._borrow(s)
 
-    def may_begin(self, id: int, shelf: int, decided: float, now: float) -> bool:
-        """Whether a forward that waited for its connection since it was decided may still go out."""
-        t, s = self.transactions.get(id), self.shelves.get(shelf)
+    def may_begin(self, id: int, backend: int, decided: float, now: float) -> bool:
+        """Whether an attempt that waited for its connection since it was decided may still go out."""
+        t, s = self.requests.get(id), self.backends.get(backend)
         if t is None or s is None or not s.ready and now > s.last_send or not self._is_repeatable(t, now):
             return False
         return not 0.0 < now - s.since < self.facts.cold.warm_after or now <= decided + self.lent_for
@@ -194,32 +194,33 @@
         if not remembered:
             self.list_waits = 0
 
-    def shelf_listed(self, id: int, zone: int, shard: int, ready: bool, since: float) -> None:
+    def backend_listed(self, id: int, zone: int, shard: int, ready: bool, since: float) -> None:
         self.named.add(id)
-        new = Shelf(id, zone, shard, 0.0, ready, self.now, FIRST_BOUND, self.first_rate)
-        s = self.shelves.setdefault(id, new)
+        new = Backend(id, zone, shard, 0.0, ready, self.now, FIRST_BOUND, self.first_rate)
+        s = self.backends.setdefault(id, new)
         if since > max(s.since, self.born):
-            # Guards against all heads rushing to a shelf that just came back; costs half of what it lacks.
+            # Guards against all gateways rushing to a backend that just came back; costs half of what it
+            # lacks.
             cold = self.facts.cold
             missing = min(cold.span, cold.warm_after) * (1.0 - cold.first_part)
             s.first_send = 0.0 if self.lends else self.now + 0.5 * missing * self.draws.next()
             s.rate = max(1.0, FREE_RATE * cold.first_part)
             s.bound, s.rest_until, s.misses, s.errors, s.lent, s.asked = FIRST_BOUND, 0.0, 0, 0.0, 0.0, ""
         if not ready:
-            # Guards against a shard without a shelf until another holds it. Told again, it has gone.
+            # Guards against a shard without a backend until another holds it. Told again, it has gone.
             usable = min(DRAIN_PART * self.facts.drain_grace, max(0.0, self.facts.drain_grace - HELD_UP))
             s.last_send = self.now + usable if s.ready else 0.0
         s.zone, s.shard, s.ready, s.since = zone, shard, ready, max(since, s.since)
 
     def list_ended(self) -> None:
-        for id, s in self.shelves.items():
+        for id, s in self.backends.items():
             if self.list_whole and id not in self.named:
                 s.ready, s.last_send = False, 0.0
         self._find_holders()
 
     def _find_holders(self) -> None:
         before, self.held_by, self.drained_at = self.held_by, {}, float("inf")
-        for id, s in list(self.shelves.items()):
+        for id, s in list(self.backends.items()):
             if s.ready or s.last_send > self.now:
                 other = self.held_by.get(s.shard)
                 if other is None or (other.ready, other.since, other.id) < (s.ready, s.since, id):
@@ -227,11 +228,11 @@
                 if not s.ready:
                     self.drained_at = min(self.drained_at, s.last_send)
             elif not s.out:
-                del self.shelves[id]
+                del self.backends[id]
         left = [s for shard, s in before.items() if self.held_by.get(shard) is not s]
         joined = [s for shard, s in self.held_by.items() if before.get(shard) is not s]
         for v in self.volumes.values():
-            # Guards against ranking thousands of shelves again at each change of one of them.
+            # Guards against ranking thousands of backends again at each change of one of them.
             for s in left if v.ranking else ():
                 v.ranking.remove(s)
             for s in joined if v.ranking else ():
@@ -242,7 +243,7 @@
         now = self.now = self.host.clock()
         while self.agenda and self.agenda[0][0] <= now:
             _, _, item = heapq.heappop(self.agenda)
-            if isinstance(item, Transaction):
+            if isinstance(item, Request):
                 self._look_at(item)
             else:
                 self._next_in_line(item)
@@ -256,7 +257,7 @@
         if now - self.aged >= 0.5:
             self._age()
         if self.changed or self.stirred:
-            # A new transaction changes nothing for other volumes, which found no path just before.
+            # A new request changes nothing for other volumes, which found no path just before.
             self._share_out(list((self.busy if self.changed else self.stirred).values()))
             self.changed = False
             self.stirred.clear()
@@ -270,35 +271,35 @@
 
     def _share_out(self, asking: list[Volume]) -> None:
         """LexAS: the unsaturated volume with the least (B + cost) / w gets a slot by an augmenting path."""
-        free: dict[int, int] = {}  # worked out for shelves that are asked for, and no others
-        given: dict[int, list[Transaction]] = {}
+        free: dict[int, int] = {}  # worked out for backends that are asked for, and no others
+        given: dict[int, list[Request]] = {}
         spent: dict[str, float] = {}  # units chosen so far of each volume
         moves: dict[str, int] = {}  # how often its choices changed: an edge seen before holds if they did not
 
-        def room(s: Shelf) -> bool:
+        def room(s: Backend) -> bool:
             if s.id not in free:
                 free[s.id], given[s.id] = self._free_slots(s), []
             return free[s.id] > 0
 
-        def mark(t: Transaction, sign: int) -> None:
+        def mark(t: Request, sign: int) -> None:
             t.chosen = sign > 0
             spent[t.volume.id] = spent.get(t.volume.id, 0.0) + sign * t.units
             moves[t.volume.id] = moves.get(t.volume.id, 0) + 1
 
-        def edges(v: Volume) -> Iterator[tuple[int, Transaction]]:
+        def edges(v: Volume) -> Iterator[tuple[int, Request]]:
             used = spent.get(v.id, 0.0)
             left = self._limit_left(v) - used
             for shard, lane in v.lanes.items():
                 t = next((t for t in lane if not t.chosen), None) if lane[0].chosen else lane[0]
-                if t is None or not t.forwards and t.units > left:
+                if t is None or not t.attempts and t.units > left:
                     continue
                 held_by = self.held_by.get(shard)
                 for s in self._ranking(v) if shard == NEW else (held_by,) if held_by else ():
                     if not room(s) or not self._may_go_to(t, s):
                         continue
-                    if shard == NEW and not t.forwards and self._has_enough(s, len(given[s.id])):
+                    if shard == NEW and not t.attempts and self._has_enough(s, len(given[s.id])):
                         continue
-                    if (t.forwards or s.rate >= FREE_RATE or self._in_pace(t, s, used)) and self._bears(t, s):
+                    if (t.attempts or s.rate >= FREE_RATE or self._in_pace(t, s, used)) and self._bears(t, s):
                         yield s.id, t
                     break
 
@@ -320,7 +321,7 @@
                 mark(t, -1)
             return False
 
-        def scaled(entry: tuple[Volume, tuple[int, Transaction], int]) -> float:
+        def scaled(entry: tuple[Volume, tuple[int, Request], int]) -> float:
             v, (_, t), _ = entry
             return (v.total + spent.get(v.id, 0.0) + t.units) / v.plan.weight
 
@@ -341,21 +342,21 @@
         for id, chosen in given.items():
             for t in chosen:
                 t.chosen = False
-                self._send(t, self.shelves[id])
-        # It holds itself; each search would wait for the collector, which then stops a head noticeably.
+                self._send(t, self.backends[id])
+        # It holds itself; each search would wait for the collector, which then stops a gateway noticeably.
         del path
 
-    def _send(self, t: Transaction, s: Shelf) -> None:
+    def _send(self, t: Request, s: Backend) -> None:
         v = t.volume
         cold = self._cold_left(s)
-        if t.units > cold or t.forwards and not self._within_budget():
+        if t.units > cold or t.attempts and not self._within_budget():
             self.look_at = min(self.look_at, self.now + LOOK_AGAIN)
             return
         if cold < float("inf"):
             s.lent -= t.units
             if not self.lends:
                 self.lent.setdefault(s.shard, []).append((self.now, t.units))
-        if t.forwards == 0:
+        if t.attempts == 0:
             if v.plan.limit:
                 v.limit_store -= t.units
             if t.shard in v.paces:
@@ -365,11 +366,11 @@
             self.further.append(self.now)
         t.out, v.out = t.out + 1, v.out + 1
         self._unhold(t)
-        s.out[(t.id, t.forwards)] = self.now
-        t.forwards += 1
-        self.host.forward(t.id, s.id, 0.0)
+        s.out[(t.id, t.attempts)] = self.now
+        t.attempts += 1
+        self.host.send_attempt(t.id, s.id, 0.0)
 
-    def _hold(self, t: Transaction) -> None:
+    def _hold(self, t: Request) -> None:
         v = t.volume
         if v.id not in self.busy:
             # DUaL: a waking volume starts at the busy minimum.
@@ -382,7 +383,7 @@
         insort(v.lanes.setdefault(t.shard, []), t, key=_turn)
         self.wanted[t.shard] = self.wanted.get(t.shard, 0) + 1
 
-    def _unhold(self, t: Transaction) -> None:
+    def _unhold(self, t: Request) -> None:
         if not t.waiting:
             return
         t.waiting, v, lane = False, t.volume, t.volume.lanes[t.shard]
@@ -393,14 +394,14 @@
         if not v.lanes and not v.out:
             self.busy.pop(v.id, None)
 
-    def _ranking(self, v: Volume) -> list[Shelf]:
-        """Rendezvous hashing on raw ids, so every head ranks the same way."""
+    def _ranking(self, v: Volume) -> list[Backend]:
+        """Rendezvous hashing on raw ids, so every gateway ranks the same way."""
         if not v.ranking:
             v.ranking = sorted(self.held_by.values(), key=partial(_place, v))
         return v.ranking
 
-    def _has_enough(self, s: Shelf, chosen: int) -> bool:
-        """A new object passes over a shelf whose slots its pinned transactions want, or that fails."""
+    def _has_enough(self, s: Backend, chosen: int) -> bool:
+        """A new object passes over a backend whose slots its pinned requests want, or that fails."""
         return len(s.out) + max(self.wanted.get(s.shard, 0), chosen) >= max(1, int(s.bound)) or s.errors > 0.2
 
     def _age(self) -> None:
@@ -417,16 +418,16 @@
         self.aged = self.now
         self.lent = {n: log for n, log in self.lent.items() if log[-1][0] > self.now - self.lent_kept}
 
-    # ---- (1) a shelf's bound and health
+    # ---- (1) a backend's bound and health
 
-    def _free_slots(self, s: Shelf) -> int:
+    def _free_slots(self, s: Backend) -> int:
         waits = not self.lends and self._cold_left(s) < 1.0
         rests = max(s.first_send, s.rest_until, self.now + LOOK_AGAIN if waits else 0.0)
         if self.now < rests:
             self.look_at = min(self.look_at, rests)
             return 0
         if self._silent(s) or s.misses:
-            # One lost answer would keep a shelf of little traffic idle; each one more waits twice as long.
+            # One lost answer would keep a backend of little traffic idle; each one more waits twice as long.
             last = next(reversed(s.out.values()), -float("inf"))
             pause = max(self.quickest, SILENT_PAUSE * s.time)
             due = last + pause * 2.0 ** min(len(s.out) + s.misses - 1, 6)
@@ -437,9 +438,9 @@
             return int(self.kept_slots) - len(s.out)
         return max(1, int(s.bound)) - len(s.out)
 
-    def _comes_in_time(self, s: Shelf) -> bool:
-        """Guards against slots at a shelf of which no answer has told yet, or told of long ago, that it has a
-        line: the first forward that is out there waits in it already, and a further one would behind it."""
+    def _comes_in_time(self, s: Backend) -> bool:
+        """Guards against slots at a backend of which no answer has told yet, or told of long ago, that it has
+        a line: the first attempt that is out there waits in it already, and a further one would behind it."""
         first = self._oldest(s)
         by = first + WAIT_PART * self.quickest + (2.0 * s.unit_time if s.unit_time < float("inf") else 0.0)
         if self.now > by:
@@ -447,39 +448,39 @@
             self.look_at = min(self.look_at, max(first, s.answered_at) + self.quickest + LOOK_AGAIN)
         return self.now <= by
 
-    def _silent(self, s: Shelf) -> bool:
-        """Guards against a hung shelf holding slots: one forward at a time until it answers. One that goes
-        on answering is not silent; a forward passed over by the answer to a later one is late by itself."""
+    def _silent(self, s: Backend) -> bool:
+        """Guards against a hung backend holding slots: one attempt at a time until it answers. One that goes
+        on answering is not silent; an attempt passed over by the answer to a later one is late by itself."""
         if (overdue := self._is_overdue(s)) and self._oldest(s) >= s.cut_at:
             self._cut(s, self.first_rate, 0.5)
         return overdue
 
-    def _oldest(self, s: Shelf) -> float:
+    def _oldest(self, s: Backend) -> float:
         return next((at for at in s.out.values() if at >= s.answered_of), self.now)
 
-    def _is_overdue(self, s: Shelf) -> bool:
+    def _is_overdue(self, s: Backend) -> bool:
         return self.now - max(self._oldest(s), s.answered_at) > self.quickest
 
-    def _judge(self, s: Shelf, how: Ending, elapsed: float, t: Transaction, sent: float) -> None:
+    def _judge(self, s: Backend, how: Ending, elapsed: float, t: Request, sent: float) -> None:
         if not s.ready and how.never_ran:
             s.last_send = self.drained_at = 0.0  # takes nothing new already, or is gone; no sign of overload
         if how in (Ending.CALLED_OFF, Ending.NOT_SENT) or not s.ready and how.never_ran:
-            return  # says nothing of the shelf's health
+            return  # says nothing of the backend's health
         if how in (Ending.HONOURED, Ending.ERROR, Ending.TURNED_AWAY):
             s.answered_at, s.answered_of = self.now, max(s.answered_of, sent)
         elif how in (Ending.TIMED_OUT, Ending.BROKEN) and s.answered_of > sent:
-            # Guards against taking one lost answer or broken connection for the shelf's own state: it has
-            # answered what was sent later. Hurts where a shelf hangs while some of its answers still come.
+            # Guards against taking one lost answer or broken connection for the backend's own state: it has
+            # answered what was sent later. Hurts where a backend hangs while some of its answers still come.
             return
         s.errors += 0.1 * ((how is Ending.ERROR) - s.errors)
         if how in (Ending.UNREACHED, Ending.BROKEN):
             s.misses += 1
-            # A connection may break alone, several in turn; a dead shelf takes no new one.
+            # A connection may break alone, several in turn; a dead backend takes no new one.
             if s.misses > (1 if how is Ending.UNREACHED else BREAKS_MOST):
                 s.rest_until = self.now + min(2.0, 0.1 * 2.0 ** min(s.misses, 9))
             return
         s.misses = s.misses + 1 if how is Ending.TIMED_OUT else 0
-        wait, part = 0.0, 1.0  # part: of what was sent, how much the shelf could take in good time
+        wait, part = 0.0, 1.0  # part: of what was sent, how much the backend could take in good time
         if how is Ending.TURNED_AWAY:
             part = 0.5
             self.overload_until = self.now + 1.0
@@ -493,8 +494,8 @@
             part = WAIT_PART * self.quickest / max(wait, 0.001)
         in_line = how is Ending.HONOURED and wait > LINE_PART * self.quickest
         if in_line:
-            # Guards against many heads' slots adding up: more of this head's would only wait in the line,
-            # where no head can put what is dearer first. Hurts where work of one size differs much.
+            # Guards against many gateways' slots adding up: more of this gateway's would only wait in the
+            # line, where no gateway can put what is dearer first. Hurts where work of one size differs much.
             s.bound = min(s.bound, self.kept_slots)
         if part < 1.0:
             # Answers to what was sent before the last cut say nothing of the cut.
@@ -507,15 +508,15 @@
                 s.bound = min(HIGHEST_BOUND, s.bound + 0.5 / s.bound)
         s.grown_at = self.now
 
-    def _cut(self, s: Shelf, most: float, part: float) -> None:
+    def _cut(self, s: Backend, most: float, part: float) -> None:
         s.cut_at = s.grown_at = self.now
         s.rate = max(LOWEST_RATE, min(s.rate, most) * part)
         s.bound = max(1.0, s.bound * part)
 
-    def _in_pace(self, t: Transaction, s: Shelf, chosen: float) -> bool:
-        """Many heads crowd a shelf though none has more than one forward there: below one slot a head the
-        bound is a rate, the same for a unit of weight at every head, so volumes are held alike whichever and
-        however many heads they come through, and what all heads send adds up."""
+    def _in_pace(self, t: Request, s: Backend, chosen: float) -> bool:
+        """Many gateways crowd a backend though none has more than one attempt there: below one slot a gateway
+        the bound is a rate, the same for a unit of weight at every gateway, so volumes are held alike
+        whichever and however many gateways they come through, and what all gateways send adds up."""
         v = t.volume
         fill = (v.plan.reserve * min(1.0, s.rate) + v.plan.weight * self.usual * s.rate) / v.heads
         if fill <= 0.0:
@@ -533,28 +534,30 @@
 
     # ---- (2) the cold ramp
 
-    def _cold_left(self, s: Shelf) -> float:
-        """Of what a cold shelf always bears: the units lent to this head, or the rest of its even part."""
+    def _cold_left(self, s: Backend) -> float:
+        """Of what a cold backend always bears: the units lent to this gateway, or the rest of its even
+        part."""
         rule, age = self.facts.cold, self.now - s.since
         if s.since <= 0 or age >= rule.warm_after:
             return float("inf")
         if self.lends:
             return s.lent if self.now < s.lent_until else 0.0
         if s.since <= self.born and self.now - self.born < rule.span:
-            return 0.0  # an earlier life of this head may have spent the part
-        # By shard: a list that began anew may leave out a shelf for a moment, which is as cold as before.
+            return 0.0  # an earlier life of this gateway may have spent the part
+        # By shard: a list that began anew may leave out a backend for a moment, which is as cold as before.
         spent = sum(units for at, units in self.lent.get(s.shard, ()) if at > self.now - rule.span)
         return rule.borne(age) / self.facts.heads - spent
 
     def _home(self, shard: int) -> int:
-        """The head that lends what the shard's shelf bears while it is cold, the same one at every head."""
+        """The gateway that lends what the shard's backend bears while it is cold, the same one at every
+        gateway."""
         return int.from_bytes(blake2b(f"{shard}".encode(), digest_size=8).digest()) % self.facts.heads
 
     def _lend(self, shard: int, units: float, age: float) -> bool:
         """A lent part may be sent until lent_for after its asking, which was before now, then counts for the
         span. Guards rule 4 through a restart too: an earlier life may just have lent it all."""
         log = [entry for entry in self.lent.get(shard, ()) if entry[0] > self.now - self.lent_kept]
-        # No word of another makes a shelf older than this head's own list has it.
+        # No word of another makes a backend older than this gateway's own list has it.
         own = self.now - s.since if (s := self.held_by.get(shard)) and s.since > 0.0 else 0.0
         borne = self.facts.cold.borne(min(age, own) if own < self.facts.cold.warm_after else 0.0)
         lends = (
@@ -567,11 +570,11 @@
             self.lent[shard] = [*log, (self.now, units)]
         return lends
 
-    def _borrow(self, s: Shelf) -> None:
+    def _borrow(self, s: Backend) -> None:
         s.lent, s.lent_until, s.asked, self.changed = s.asked_units, s.asked_at + self.lent_for, "", True
 
-    def _bears(self, t: Transaction, s: Shelf) -> bool:
-        """Whether the cold ramp lets it go; if not, asks the shelf's home, once at a time."""
+    def _bears(self, t: Request, s: Backend) -> bool:
+        """Whether the cold ramp lets it go; if not, asks the backend's home, once at a time."""
         if not self.lends or t.units <= self._cold_left(s):
             return True
         if not s.asked or self.now >= s.asked_at + self.lent_for:
@@ -603,16 +606,16 @@
 
     # ---- (4) shedding
 
-    def _look_at(self, t: Transaction) -> None:
-        """A waiting transaction past its promised time gives way where others still can keep theirs."""
-        if t.over or t.out or self.transactions.get(t.id) is not t:
+    def _look_at(self, t: Request) -> None:
+        """A waiting request past its latency target gives way where others still can keep theirs."""
+        if t.over or t.out or self.requests.get(t.id) is not t:
             return
         last = t.cut_off - (expected := self._expected(t))
         if self.now < min(last, t.promised_by - expected):
             self._note(min(last, t.promised_by - expected), t)
             return
         s = self.held_by.get(t.shard)
-        # Guards against a cut of long ago: what comes alone would show that the shelf is well again.
+        # Guards against a cut of long ago: what comes alone would show that the backend is well again.
         old = s is not None and self.now < t.promised_by and self.now > s.grown_at + KNOWN
         crowded = self.wanted.get(t.shard, 0) > 1 or (s is not None and s.rate < 2.0 and not old)
         if self.now >= last or (t.waiting and crowded):
@@ -625,30 +628,30 @@
             self._hold(t)
         self._note(min(last, self.now + 0.5 * self.quickest), t)
 
-    def _expected(self, t: Transaction) -> float:
-        """How long the shelf would take over it, as seen of late."""
+    def _expected(self, t: Request) -> float:
+        """How long the backend would take over it, as seen of late."""
         s = self._ranking(t.volume)[0] if t.shard == NEW and self.held_by else self.held_by.get(t.shard)
         return 0.5 * s.times.get(t.profile, s.time) if s else 0.0
 
-    def _end(self, t: Transaction) -> None:
+    def _end(self, t: Request) -> None:
         t.over = True
         harmless = t.ran_at is None or t.profile.everywhere and self._is_repeatable(t, self.now)
         if harmless and t.out == 0 and self.now < t.cut_off:
             s = self.held_by.get(t.shard)
-            self.host.push_back(t.id, min(self.facts.longest_return, s.time if s else self.quickest))
+            self.host.reject(t.id, min(self.facts.longest_return, s.time if s else self.quickest))
         else:
-            self.host.give_up(t.id)
+            self.host.fail(t.id)
 
-    # ---- (5) further forwards
+    # ---- (5) retries
 
-    def _may_go_again(self, t: Transaction) -> bool:
-        if t.out or t.forwards >= min(self.facts.most_forwards, FORWARDS_MOST) or self.now >= t.cut_off:
+    def _may_go_again(self, t: Request) -> bool:
+        if t.out or t.attempts >= min(self.facts.most_forwards, ATTEMPTS_MOST) or self.now >= t.cut_off:
             return False
         if self.now < self.overload_until or not self._within_budget():
             return False
         return t.ran_at is None or self._is_repeatable(t, self.now)
 
-    def _is_repeatable(self, t: Transaction, now: float) -> bool:
+    def _is_repeatable(self, t: Request, now: float) -> bool:
         """Whether one more run of what may have run changes nothing, as far as its profile goes."""
         if t.profile.idempotent or t.ran_at is None:
             return True
@@ -662,18 +665,18 @@
                 log.popleft()
         return len(self.further) + 1 <= budget.free + budget.part * len(self.taken)
 
-    def _may_go_to(self, t: Transaction, s: Shelf) -> bool:
-        """A labelled transaction that may have run stays where its repeat would be known."""
+    def _may_go_to(self, t: Request, s: Backend) -> bool:
+        """A keyed request that may have run stays where its repeat would be known."""
         if t.ran_on is None or t.profile.idempotent:
             return True
         return self._is_repeatable(t, self.now) and t.profile.group.spans(s, t.ran_on)
 
     # ---- (6) key turns
 
-    def _close(self, t: Transaction) -> None:
+    def _close(self, t: Request) -> None:
         if not t.over or t.out:
             return
-        self.transactions.pop(t.id, None)
+        self.requests.pop(t.id, None)
         if t.key is not None and t.key in self.lines:
             if t in self.lines[t.key]:
                 self.lines[t.key].remove(t)
@@ -692,6 +695,6 @@
 
     # ---- small helpers
 
-    def _note(self, at: float, item: "Transaction | str") -> None:
+    def _note(self, at: float, item: "Request | str") -> None:
         self.order += 1
         heapq.heappush(self.agenda, (at, self.order, item))
--- a/gorsethread/transport/base.py
+++ b/gorsethread/transport/base.py
@@ -18,6 +18,8 @@
 class StreamEnded(StreamClosed):
     """The peer has ended its sending in order: all that it sent before has been read."""
 
+    action = "Nothing: the other side is done with this connection; a new one is made when it is needed."
+
 
 class Unreachable(Trouble):
     """No connection was established in time; nothing was sent."""
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -49,18 +49,18 @@
     def say(self, text: str) -> None:
         self.trace.append(f"{self.now - 100:7.3f}  {text}")
 
-    def forward(self, transaction: int, shelf: int, wait: float) -> None:
+    def send_attempt(self, transaction: int, shelf: int, wait: float) -> None:
         number = sum(1 for t, _ in self.sent if t == transaction)
         self.sent[(transaction, number)] = (shelf, self.now)
         self.say(f"forward {transaction} to shelf {shelf}")
 
-    def recall(self, transaction: int, forward: int) -> None:
-        self.say(f"recall {transaction}/{forward}")
+    def cancel_attempt(self, transaction: int, number: int) -> None:
+        self.say(f"recall {transaction}/{number}")
 
-    def push_back(self, transaction: int, return_after: float) -> None:
+    def reject(self, transaction: int, return_after: float) -> None:
         self.say(f"push back {transaction}")
 
-    def give_up(self, transaction: int) -> None:
+    def fail(self, transaction: int) -> None:
         self.say(f"give up {transaction}")
 
     def wake(self, delay: float, name: str) -> None:
@@ -84,7 +84,7 @@
     ) -> None:
         self.policy.list_begins(whole, remembered)
         for n, at in since.items():
-            self.policy.shelf_listed(n, n % 2, n, ready, at and 100.0 + at)
+            self.policy.backend_listed(n, n % 2, n, ready, at and 100.0 + at)
         self.policy.list_ended()
 
     def take(
@@ -119,7 +119,7 @@
         )
 
     def health(self, shelf: int = 1) -> None:
-        s = self.policy.shelves[shelf]
+        s = self.policy.backends[shelf]
         self.host.say(
             f"    shelf {shelf}: rate {s.rate:.2f}, usual time {s.time:.2f}, {s.misses} misses, "
             f"rests {max(0.0, s.rest_until - self.host.now):.2f}"
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -21,9 +21,9 @@
 
     def test_a_quiet_shelf_serves_all_and_an_overfull_one_what_it_can(self) -> None:
         quiet = World(self.day([Wish(0.1 * n, 0, n % 2, 0, 1, 0, 0.14) for n in range(10)])).play()
-        self.assertEqual((1.0, 0.0, 0.0), (round(quiet.served, 6), quiet.pushed_back, quiet.late))
+        self.assertEqual((1.0, 0.0, 0.0), (round(quiet.served, 6), quiet.rejected, quiet.late))
         full = World(self.day([Wish(0.001 * n, 0, n % 2, 0, 8, 0, 1.1) for n in range(100)])).play()
-        self.assertGreater(full.pushed_back, 0.5)
+        self.assertGreater(full.rejected, 0.5)
         self.assertLess(full.served, 1.0)
 
     def test_one_seed_one_history(self) -> None:
--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from gorsethread.head.carrying import Forward, Told
+from gorsethread.head.carrying import Attempt, Told
 from gorsethread.head.links import BackendLink
 from gorsethread.head.links import Order as Sent
 from gorsethread.model import Ending
@@ -259,8 +259,8 @@
                 self.assertEqual("honoured" if first == "answer" else "given up", how)
                 await self.until(lambda d=driver: not d.open)
 
-    def _answer(self, f: Forward) -> None:
-        self.heads[0].driver.links[f.shelf]._end(f, Ending.HONOURED, Told())
+    def _answer(self, f: Attempt) -> None:
+        self.heads[0].driver.links[f.backend]._end(f, Ending.HONOURED, Told())
 
     async def test_the_list_is_gone_at_start(self) -> None:
         """The head serves by the list it remembers; without one it pushes back in time."""
@@ -374,7 +374,7 @@
 
         link = BackendLink(Spawns(), 1, ("shelf", 1), None, 1.0, 8, False, None)  # type: ignore[arg-type]
         ends: list[Ending] = []
-        f = Forward(1, 0, 1, 0.0, Sent(io_command(Opcode.READ, 1)), lambda f, how, told: ends.append(how))
+        f = Attempt(1, 0, 1, 0.0, Sent(io_command(Opcode.READ, 1)), lambda f, how, told: ends.append(how))
         link.send(f)
-        link.call_off(f)
+        link.cancel(f)
         self.assertEqual(([Ending.NOT_SENT], []), (ends, link.waiting))
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -24,7 +24,7 @@
 from gorsethread.lab.lending import LENT_UNITS, Result, Trial, script_of
 from gorsethread.logs import log_for, start_logs
 from gorsethread.membership.words import Kind, Message, write
-from gorsethread.model import ColdRule, Effect, Group, Profile, Shelf, StartFacts, Transaction, Volume
+from gorsethread.model import Backend, ColdRule, Effect, Group, Profile, Request, StartFacts, Volume
 from gorsethread.platform.config import Configuration, Unusable, read_configuration
 from gorsethread.policy import Policy
 from gorsethread.sitefile.reading import read_site
@@ -67,7 +67,7 @@
 class Twice(Policy):
     """Planted: a doubled answer lends twice."""
 
-    def _borrow(self, s: Shelf) -> None:
+    def _borrow(self, s: Backend) -> None:
         asked = s.asked
         super()._borrow(s)
         s.asked = asked
@@ -207,21 +207,21 @@
         policies = {n: Policy(host, replace(facts, index=n), 1) for n in range(3)}
         for p in policies.values():
             p.list_begins(True, False)
-            p.shelf_listed(1, 0, 1, True, 1.0)
+            p.backend_listed(1, 0, 1, True, 1.0)
             p.list_ended()
             plant(p)
         volume = Volume("v", facts.plans[0], 0.0, 1, 0.0, 0.0)
-        t = Transaction(1, 1, profile, volume, None, 1e9, 1e9, 1.0, 1)
+        t = Request(1, 1, profile, volume, None, 1e9, 1e9, 1.0, 1)
 
         def asker(now: int, n: int, held: tuple[Any, ...]) -> Policy:
-            p, s = policies[n], policies[n].shelves[1]
+            p, s = policies[n], policies[n].backends[1]
             host.now = p.now = float(now)
             _, p.order, s.asked, s.asked_at, s.asked_units, s.lent, s.lent_until = held
             told.clear()
             return p
 
         def kept(n: int, life: int) -> tuple[Any, ...]:
-            s = policies[n].shelves[1]
+            s = policies[n].backends[1]
             return life, policies[n].order, s.asked, s.asked_at, s.asked_units, s.lent, s.lent_until
 
         def transitions(state: tuple[Any, ...]) -> list[tuple[str, tuple[Any, ...]]]:
@@ -243,10 +243,10 @@
                 found.append(("home restarts", (now, now, (), held, messages, sends)))
             for k, n in enumerate(askers):
                 p = asker(now, n, held[k])
-                if p._cold_left(p.shelves[1]) >= 1.0:
-                    p.shelves[1].lent -= 1.0
+                if p._cold_left(p.backends[1]) >= 1.0:
+                    p.backends[1].lent -= 1.0
                     put("sends", n, kept(n, held[k][0]), messages, (*sends, now))
-                elif not p._bears(t, p.shelves[1]) and told:
+                elif not p._bears(t, p.backends[1]) and told:
                     put("asks", n, kept(n, held[k][0]), messages | {(n, told[0])}, sends)
                 if held[k][0] < 1 and -1.0 < held[k][3] < now:  # a start takes a while
                     put("restarts", n, (held[k][0] + 1, *FRESH[1:]), messages, sends)
@@ -300,13 +300,13 @@
             p.lent_kept = p.facts.cold.span
 
         def from_coming(p: Policy) -> None:
-            def borrow(s: Shelf) -> None:
+            def borrow(s: Backend) -> None:
                 s.lent, s.lent_until, s.asked = s.asked_units, p.now + p.lent_for, ""
 
             p._borrow = borrow  # type: ignore[method-assign]
 
         def twice(p: Policy) -> None:
-            def borrow(s: Shelf) -> None:
+            def borrow(s: Backend) -> None:
                 s.lent, s.lent_until = s.asked_units, s.asked_at + p.lent_for
 
             p._borrow = borrow  # type: ignore[method-assign]
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -7,7 +7,7 @@
 class OrdinaryPath(Scene):
     def begin(self, shelves: int, slots: int, *weights: float, reserve: float = 0.0) -> None:
         self.start(shelves, plans=tuple(Plan(reserve * i, w, 0.0, 0.0, 4.0) for i, w in enumerate(weights)))
-        for shelf in self.policy.shelves.values():
+        for shelf in self.policy.backends.values():
             shelf.bound = float(slots)
 
     def test_papers_example(self) -> None:
@@ -60,7 +60,7 @@
     def test_reserve(self) -> None:
         """At a crowded shelf a volume with a reserve is paced above a plain one of the same weight."""
         self.start(profiles=(SLOW,), plans=(Plan(0.0, 1.0, 0.0, 0.0, 4.0), Plan(12.0, 1.0, 0.0, 0.0, 4.0)))
-        self.policy.shelves[1].bound, self.policy.shelves[1].rate = 32.0, 0.25
+        self.policy.backends[1].bound, self.policy.backends[1].rate = 32.0, 0.25
         for id in range(14):
             self.take(id, "plain" if id < 7 else "reserved", plan=id // 7, units=4, within=20.0)
         self.end()
@@ -87,7 +87,7 @@
                 self.end()
             self.until(answered)
             self.answer(id, how, finished=True)
-            self.host.say(f"    paced at {self.policy.shelves[1].rate:.1f} usual rates")
+            self.host.say(f"    paced at {self.policy.backends[1].rate:.1f} usual rates")
             self.end()
         self.kept("crowded_shelf")
 
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -65,7 +65,7 @@
             await self.wait(0.05)
             self.assertEqual((1, {}, {}), (head.driver.counts["left"], head.driver.open, head.clients.open))
             self.assertEqual(1, self.shelves[0].ends)
-            self.assertFalse(any(s.out for s in head.driver.policy.shelves.values()), "a slot stays taken")
+            self.assertFalse(any(s.out for s in head.driver.policy.backends.values()), "a slot stays taken")
 
         self.play(work)
 
--- a/tests/test_ranking.py
+++ b/tests/test_ranking.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from gorsethread import policy as decisions
-from gorsethread.model import Shelf, StartFacts, Volume
+from gorsethread.model import Backend, StartFacts, Volume
 from gorsethread.policy import Policy
 from tests.harness import FACTS, OPEN_PLAN, PrintingHost
 
@@ -34,7 +34,7 @@
 def tell(told: Policy, entries: list[tuple[int, int, bool]], whole: bool) -> None:
     told.list_begins(whole, False)
     for id, shard, ready in entries:
-        told.shelf_listed(id, 0, shard, ready, 0.0)
+        told.backend_listed(id, 0, shard, ready, 0.0)
     told.list_ended()
     told.batch_ended()
 
@@ -64,7 +64,7 @@
     hashed: list[int] = []
     honest = decisions._place
 
-    def place(one: Volume, backend: Shelf) -> bytes:
+    def place(one: Volume, backend: Backend) -> bytes:
         hashed.append(backend.id)
         return honest(one, backend)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -39,7 +39,7 @@
         self.answer(4, Ending.UNREACHED)
         for id in (1, 2, 3):
             self.answer(id, Ending.ERROR)
-        self.policy.shelves[3].first_send = 100.9
+        self.policy.backends[3].first_send = 100.9
         self.end()
         self.until(1.0)
         self.answer(3, Ending.ERROR, 1)
@@ -75,7 +75,7 @@
         self.end()
         late = 100.0 + self.policy.lent_for + 0.01
         self.assertTrue(self.policy.may_begin(1, 1, 100.0, late), "a warm backend")
-        self.policy.shelves[1].since = 99.0
+        self.policy.backends[1].since = 99.0
         self.assertTrue(self.policy.may_begin(1, 1, 100.0, late - 0.02))
         self.assertFalse(self.policy.may_begin(1, 1, 100.0, late))
 
@@ -90,7 +90,7 @@
         self.take(4, shard=1)  # past its part of the grace: waits for another shelf
         self.end()
         self.policy.list_begins(True, False)
-        self.policy.shelf_listed(7, 0, 1, True, 0.0)
+        self.policy.backend_listed(7, 0, 1, True, 0.0)
         self.policy.list_ended()
         self.take(3, shard=2)
         self.end()
@@ -149,7 +149,7 @@
         self.until(0.1)
         self.shelves({7: 0.0}, whole=False)
         self.policy.list_begins(False, False)
-        self.policy.shelf_listed(7, 0, 1, True, 0.0)
+        self.policy.backend_listed(7, 0, 1, True, 0.0)
         self.policy.list_ended()
         self.end()
         self.kept("gone_without_a_drain")
--- a/tests/test_same_decisions.py
+++ b/tests/test_same_decisions.py
@@ -8,7 +8,7 @@
 
 from gorsethread.accounts.lives import Accounts
 from gorsethread.benchlink.__main__ import ENDINGS, Link
-from gorsethread.head.carrying import NOTHING, Forward, Told
+from gorsethread.head.carrying import NOTHING, Attempt, Told
 from gorsethread.head.driver import Driver
 from gorsethread.head.facts import start_facts
 from gorsethread.head.links import Order
@@ -27,12 +27,12 @@
 class Link_:
     """Holds forwards until the script ends them."""
 
-    held: list[Forward] = field(default_factory=list)
+    held: list[Attempt] = field(default_factory=list)
 
-    def send(self, f: Forward) -> None:
+    def send(self, f: Attempt) -> None:
         self.held.append(f)
 
-    def call_off(self, f: Forward) -> None:
+    def cancel(self, f: Attempt) -> None:
         pass
 
 
@@ -40,8 +40,8 @@
     profile = 0
 
     def honoured(self, shard: int, data: bytes) -> None: ...
-    def pushed_back(self, return_after: float) -> None: ...
-    def given_up(self) -> None: ...
+    def rejected(self, return_after: float) -> None: ...
+    def failed(self) -> None: ...
 
 
 def _word(table: dict[str, Any], value: Any) -> str:
@@ -124,7 +124,7 @@
         return [{"verb": "sync", "form": "refused"}]
     if method == "list_begins":
         page[:] = ["remembered" if facts[1] else "all" if facts[0] else "changes"]
-    elif method == "shelf_listed":
+    elif method == "backend_listed":
         id, zone, shard, ready, since = facts
         page.append(
             {
@@ -146,11 +146,11 @@
 def bench_act(act: dict[str, Any]) -> tuple[Any, ...]:
     verb = act["verb"]
     if verb == "forward":
-        return "forward", act["corr"], act["shelf"], act["tryFor"]
+        return "send_attempt", act["corr"], act["shelf"], act["tryFor"]
     if verb == "deny":
-        return "push_back", act["corr"], act["coolDown"]
+        return "reject", act["corr"], act["coolDown"]
     if verb == "dropRequest":
-        return "give_up", act["corr"]
+        return "fail", act["corr"]
     if verb == "arm":
         return "wake", act["delay"], act["keyBack"]
     return ("follow_list",)
@@ -161,9 +161,9 @@
         for seed in range(5):
             with self.subTest(seed=seed):
                 told, decided = self.play(seed)
-                self.assertGreater(sum(a[0] == "forward" for a in decided), 100)
+                self.assertGreater(sum(a[0] == "send_attempt" for a in decided), 100)
                 self.assertEqual(
-                    {"forward", "push_back", "give_up", "wake", "follow_list"}, {a[0] for a in decided}
+                    {"send_attempt", "reject", "fail", "wake", "follow_list"}, {a[0] for a in decided}
                 )
                 self.assertEqual(decided, self.through_bench(told, seed))
 
