--- a/gorsethread/head/linktable.py
+++ b/gorsethread/head/linktable.py
@@ -13,6 +13,7 @@
     def __init__(self, make: Callable[[int, tuple[str, int]], Any]) -> None:
         self._make = make
         self.driver: Driver
+        self._leaving: set[int] = set()  # gone, with attempts out; emptied as these are in, or it is back
 
     def listed(self, backend: int, shard: int, address: tuple[str, int], state: str) -> None:
         links = self.driver.links
@@ -26,16 +27,27 @@
             link = None
         if link is None:
             links[backend] = self._make(backend, address)
+        self._leaving.discard(backend)
         self.driver.shards[backend] = shard
 
-    def only(self, shelves: set[int]) -> None:
-        for backend in [s for s in self.driver.links if s not in shelves]:
+    def only(self, backends: set[int]) -> None:
+        """The whole list: every other one is gone."""
+        for backend in [known for known in self.driver.links if known not in backends]:
+            self._forget(backend)
+
+    def forget_idle(self) -> None:
+        """Lets go of links that had attempts out when their backend left the list, once these are in."""
+        for backend in list(self._leaving):
             self._forget(backend)
 
     def _forget(self, backend: int) -> None:
         """A link with attempts out stays until they are in; the list may name the backend again by then."""
         link = self.driver.links.get(backend)
-        if link is not None and link.idle:
+        if link is not None and not link.idle:
+            self._leaving.add(backend)
+            return
+        self._leaving.discard(backend)
+        if link is not None:
             link.close()
             del self.driver.links[backend]
             self.driver.shards.pop(backend, None)
--- a/gorsethread/held_reasons.py
+++ b/gorsethread/held_reasons.py
@@ -14,7 +14,7 @@
     t = policy.requests.get(request)
     if t is None or t.over or t.out:
         return Held.NOT, NO_BACKEND
-    backend = next(iter(t.volume.ranking), None) if t.shard == NEW else policy.held_by.get(t.shard)
+    backend = next(iter(policy._ranking(t.volume)), None) if t.shard == NEW else policy.held_by.get(t.shard)
     number = backend.id if backend else NO_BACKEND
     if not t.waiting:
         first = t.key is not None and policy.lines[t.key][0] is t
--- a/gorsethread/platform/discovery.py
+++ b/gorsethread/platform/discovery.py
@@ -201,7 +201,7 @@
     def _pass_on(self, instances: list[Instance], whole: bool, remembered: bool) -> None:
         if whole:
             self.known = {}
-        entries = []
+        entries, unready = [], {}
         for s in instances:
             number = backend_number(s.instance_id)
             if s.lifecycle == "gone":
@@ -211,8 +211,12 @@
             self.links.listed(number, s.cell, address_of(s.host_port, s.instance_id), s.lifecycle)
             since = s.started_at_ms * 0.001 - self._clocks if s.started_at_ms > 0 else 0.0
             zone = self.naming.zones.get(s.zone, backend_number(s.zone))
+            unready[number] = s.lifecycle != "ready"
             entries.append((number, zone, s.cell, s.lifecycle == "ready", since))
-        # Also links that had attempts out when their backend left the list go, once these are in.
-        self.links.only(set(self.known))
-        self.pool.withdraw(lambda n: n not in self.known or self.known[n].lifecycle != "ready")
+        if whole:
+            self.links.only(set(self.known))
+            unready = {number: unready.get(number, True) for number in self.pool.links}
+        else:
+            self.links.forget_idle()
+        self.pool.withdraw(unready)
         self.driver.listed(entries, whole, remembered)
--- a/gorsethread/platform/pool.py
+++ b/gorsethread/platform/pool.py
@@ -91,11 +91,11 @@
             else:
                 link.end(f, Ending.NOT_SENT)
 
-    def withdraw(self, unready: Callable[[int], bool]) -> None:
+    def withdraw(self, unready: dict[int, bool]) -> None:
         """Of backends that drain or are gone nothing waits for a connection: it could come after the
-        grace."""
-        for number, link in self.links.items():
-            link.unready = unready(number)
+        grace. unready: of those that the list told of, whether they are such."""
+        for number in unready.keys() & self.links.keys():
+            self.links[number].unready = unready[number]
         waiting, self.waiting = self.waiting, deque()
         for link, f in waiting:
             if link.unready or link.closed:
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -199,8 +199,7 @@
         new = Backend(id, zone, shard, 0.0, ready, self.now, FIRST_BOUND, self.first_rate)
         s = self.backends.setdefault(id, new)
         if since > max(s.since, self.born):
-            # Guards against all gateways rushing to a backend that just came back; costs half of what it
-            # lacks.
+            # Guards against all gateways rushing to one that just came back; costs half of what it lacks.
             cold = self.facts.cold
             missing = min(cold.span, cold.warm_after) * (1.0 - cold.first_part)
             s.first_send = 0.0 if self.lends else self.now + 0.5 * missing * self.draws.next()
@@ -213,13 +212,12 @@
         s.zone, s.shard, s.ready, s.since = zone, shard, ready, max(since, s.since)
 
     def list_ended(self) -> None:
-        for id, s in self.backends.items():
-            if self.list_whole and id not in self.named:
-                s.ready, s.last_send = False, 0.0
+        for id in self.backends.keys() - self.named if self.list_whole else ():
+            self.backends[id].ready, self.backends[id].last_send = False, 0.0
         self._find_holders()
 
     def _find_holders(self) -> None:
-        before, self.held_by, self.drained_at = self.held_by, {}, float("inf")
+        self.held_by, self.drained_at = {}, float("inf")
         for id, s in list(self.backends.items()):
             if s.ready or s.last_send > self.now:
                 other = self.held_by.get(s.shard)
@@ -229,14 +227,6 @@
                     self.drained_at = min(self.drained_at, s.last_send)
             elif not s.out:
                 del self.backends[id]
-        left = [s for shard, s in before.items() if self.held_by.get(shard) is not s]
-        joined = [s for shard, s in self.held_by.items() if before.get(shard) is not s]
-        for v in self.volumes.values():
-            # Guards against ranking thousands of backends again at each change of one of them.
-            for s in left if v.ranking else ():
-                v.ranking.remove(s)
-            for s in joined if v.ranking else ():
-                insort(v.ranking, s, key=partial(_place, v))
         self.changed = True
 
     def batch_ended(self) -> None:
@@ -396,8 +386,16 @@
 
     def _ranking(self, v: Volume) -> list[Backend]:
         """Rendezvous hashing on raw ids, so every gateway ranks the same way."""
-        if not v.ranking:
-            v.ranking = sorted(self.held_by.values(), key=partial(_place, v))
+        held, before = self.held_by, v.ranked_from
+        if before is not held:
+            v.ranked_from = held
+            v.ranking = [s for s in v.ranking if held.get(s.shard) is s is before.get(s.shard)]
+            joined = [s for shard, s in held.items() if before.get(shard) is not s]
+            # Guards against ranking thousands of backends again for a few; one is placed by a hash a bit.
+            if len(joined) * len(held).bit_length() > len(held):
+                v.ranking, joined = sorted(held.values(), key=partial(_place, v)), []
+            for s in joined:
+                insort(v.ranking, s, key=partial(_place, v))
         return v.ranking
 
     def _has_enough(self, s: Backend, chosen: int) -> bool:
