Endings and outcomes succeed, fail, are rejected or cancelled; requests have deadlines

Purely names: Ending.SUCCEEDED and CANCELLED, Outcome.SUCCEEDED, REJECTED and FAILED, the client's succeeded() beside rejected() and failed(); deadline in place of cut_off in the decisions, the driver and both fronts' client sides.

--- a/gorsethread/accounts/lives.py
+++ b/gorsethread/accounts/lives.py
@@ -353,7 +353,7 @@
     ) -> None:
         """service: seconds in work as the shelf told; 0: it told none. outcome: the answer that this gave."""
         sent = self._sent.pop(id, None) if self._together and not forward else None
-        if sent is not None and outcome is Outcome.HONOURED:
+        if sent is not None and outcome is Outcome.SUCCEEDED:
             taken, s, at, turn, out = sent
             if when < self._now:
                 when = self._at(when)
@@ -407,7 +407,7 @@
         s.gives_back(life.volume, life.units, when)
         row = self.window.shelf(s.number)
         row.endings[how.value] = row.endings.get(how.value, 0) + 1
-        if how in (Ending.HONOURED, Ending.TURNED_AWAY, Ending.ERROR):
+        if how in (Ending.SUCCEEDED, Ending.TURNED_AWAY, Ending.ERROR):
             if quiet < when:
                 row.stalled_us += now - _us(quiet)
                 s.stall = (quiet, when)
@@ -439,7 +439,7 @@
         self._loose.pop(id, None)
         life_us = now - life.arrived
         late = outcome != Outcome.LEFT and (
-            outcome != Outcome.HONOURED or life_us > self.promised[life.profile]
+            outcome != Outcome.SUCCEEDED or life_us > self.promised[life.profile]
         )
         self.window.life(life.volume, life.profile, life.units, outcome, late, life.stages, life_us)
         if not life.flights:
@@ -473,7 +473,7 @@
                 s.saw_work(works[s.number])
             if s.honoured:
                 endings = self.window.shelf(s.number).endings
-                endings[Ending.HONOURED.value] = endings.get(Ending.HONOURED.value, 0) + s.honoured
+                endings[Ending.SUCCEEDED.value] = endings.get(Ending.SUCCEEDED.value, 0) + s.honoured
                 s.honoured = 0
 
     # ---- dividing
@@ -554,7 +554,7 @@
         """One forward's time, from the later of its sending and what was already given away."""
         stages, s = life.stages, flight.shelf
         passed = now - life.since
-        if how is not Ending.HONOURED:
+        if how is not Ending.SUCCEEDED:
             stages[Stage.LOST_FORWARD] += passed
             if how in LOST_TO_SHELF:
                 self.window.blamed(life.volume, SHELF, s.number, Stage.LOST_FORWARD, passed)
--- a/gorsethread/accounts/ordinary.py
+++ b/gorsethread/accounts/ordinary.py
@@ -45,7 +45,7 @@
         Stage.UNDIVIDED: undivided,
     }
     life = ended - arrived
-    honoured = numpy.full_like(life, Outcome.HONOURED)
+    honoured = numpy.full_like(life, Outcome.SUCCEEDED)
     late = (life > numpy.array(promised)[profile]).astype(numpy.int64)
     window.together(volume, profile, units, honoured, late, parts, life)
     _blame(volume, behind, shelf, parts[Stage.AT_SHELF], Stage.AT_SHELF, window)
--- a/gorsethread/benchlink/__main__.py
+++ b/gorsethread/benchlink/__main__.py
@@ -10,13 +10,13 @@
 from gorsethread.startfacts import Fields, Malformed, start_facts, word
 
 ENDINGS = {
-    "S": Ending.HONOURED,
+    "S": Ending.SUCCEEDED,
     "E": Ending.ERROR,
     "F": Ending.TURNED_AWAY,
     "T": Ending.TIMED_OUT,
     "C": Ending.UNREACHED,
     "R": Ending.BROKEN,
-    "X": Ending.CALLED_OFF,
+    "X": Ending.CANCELLED,
     "N": Ending.NOT_SENT,
 }
 CLIENT_REPEAT = 2
--- a/gorsethread/faults/mutants.py
+++ b/gorsethread/faults/mutants.py
@@ -52,14 +52,14 @@
 
 
 @mutant("driver: a time-out at the cut-off is lost")
-def _no_cut_off(head: Head) -> None:
-    head.driver._cut_off = lambda t: None  # type: ignore[method-assign]
+def _no_deadline(head: Head) -> None:
+    head.driver._time_is_up = lambda t: None  # type: ignore[method-assign]
 
 
 @mutant("driver: the cut-off comes a second late")
-def _late_cut_off(head: Head) -> None:
+def _late_deadline(head: Head) -> None:
     honest = head.driver.take
-    head.driver.take = lambda *a, cut_off, **n: honest(*a, cut_off=cut_off + 1.0, **n)  # type: ignore
+    head.driver.take = lambda *a, deadline, **n: honest(*a, deadline=deadline + 1.0, **n)  # type: ignore
 
 
 @mutant("driver: a client that left is not noticed")
--- a/gorsethread/faults/webmutants.py
+++ b/gorsethread/faults/webmutants.py
@@ -73,7 +73,7 @@
                 link.out -= 1
                 connection.asking.waiting = False
                 link._rest(connection)
-            link.end(f, Ending.CALLED_OFF)
+            link.end(f, Ending.CANCELLED)
 
         link.cancel = cancel  # type: ignore[method-assign]
 
@@ -178,10 +178,10 @@
 
 
 @mutant("clients: the cut-off counts from the head's start of work, half a second late")
-def _late_cut_off(head: Gateway) -> None:
+def _late_deadline(head: Gateway) -> None:
     honest = head.driver.take
     head.driver.take = (  # type: ignore[method-assign]
-        lambda *a, cut_off, **n: honest(*a, cut_off=cut_off + 0.5, **n)
+        lambda *a, deadline, **n: honest(*a, deadline=deadline + 0.5, **n)
     )
 
 
--- a/gorsethread/head/branching.py
+++ b/gorsethread/head/branching.py
@@ -428,7 +428,7 @@
         )
         self.queue.taking(self._write(number, fact))
         taking = self._taking[number] = Taking(fact, waiting, io.host)
-        taking.timer = self.transport.at(waiting.cut_off, lambda: self._time_is_up(number))
+        taking.timer = self.transport.at(waiting.deadline, lambda: self._time_is_up(number))
         self.promises.keep(fact, lambda kept: self._kept(number, kept))
 
     def _unsure(self, number: Number) -> list[Number]:
--- a/gorsethread/head/clients.py
+++ b/gorsethread/head/clients.py
@@ -33,15 +33,15 @@
 class Awaiting:
     """One command from its capsule to its answer."""
 
-    __slots__ = ("side", "io", "cut_off", "timer", "taken", "profile", "data")
+    __slots__ = ("side", "io", "deadline", "timer", "taken", "profile", "data")
 
-    def __init__(self, side: "ClientSide", io: IoCommand, profile: int, cut_off: float) -> None:
-        self.side, self.io, self.profile, self.cut_off = side, io, profile, cut_off
+    def __init__(self, side: "ClientSide", io: IoCommand, profile: int, deadline: float) -> None:
+        self.side, self.io, self.profile, self.deadline = side, io, profile, deadline
         self.timer: Timer | None = None
         self.taken: Open | None = None
         self.data = b""  # of a write, where a branch remembers what its blocks held
 
-    def honoured(self, shard: int, data: bytes) -> None:
+    def succeeded(self, shard: int, data: bytes) -> None:
         self.taken = None  # see Connection.answer
         if self.side.branch is not None:
             self.side.branch.saw(self.io.command.nsid, self.io.command.first_block, self.data or data)
@@ -98,7 +98,7 @@
         self._sorter = Sorter(site)
         self._slack = site.rules.answer_slack
         self._unit_bytes = site.links.unit_bytes
-        self._cut_offs = [p.cut_off for p in site.profile]
+        self._deadlines = [p.cut_off for p in site.profile]
         self._in_order = [p.in_order for p in site.profile]
         plans = {p.name: n for n, p in enumerate(site.plan)}
         self._volumes = {
@@ -118,12 +118,12 @@
             return
         plan = self._volumes[command.nsid].plan
         profile = self._sorter.profile(plan, command.opcode, command.blocks * BLOCK, command.hints)
-        most = self._cut_offs[profile]
+        most = self._deadlines[profile]
         patience = min(command.patience, most) if command.patience else most
         waiting = Awaiting(self, io, profile, io.arrived + max(MILLISECOND, patience - self._slack))
         io.owned = waiting
         if command.opcode == Opcode.WRITE and command.sgl_type != SGL_IN_CAPSULE:
-            waiting.timer = self.transport.at(waiting.cut_off, lambda: self._never_came(waiting))
+            waiting.timer = self.transport.at(waiting.deadline, lambda: self._never_came(waiting))
 
     def _never_came(self, waiting: Awaiting) -> None:
         """The data of a write did not come in its time: it was not taken, and nothing of it ran."""
@@ -166,7 +166,7 @@
             profile=waiting.profile,
             plan=volume.plan_number,
             key=key,
-            cut_off=waiting.cut_off,
+            deadline=waiting.deadline,
             volume=volume.number,
             place=(volume.number, extent),
             units=float(units_of(length, self._unit_bytes)),
--- a/gorsethread/head/driver.py
+++ b/gorsethread/head/driver.py
@@ -41,7 +41,7 @@
     payload: Any
     place: Place | None
     shard: int
-    cut_off: float
+    deadline: float
     attempts: int = 0
     out: dict[int, Attempt] = field(default_factory=dict)
     answered: bool = False
@@ -76,9 +76,9 @@
         self._last_id = 0
         # One timer for the soonest deadline, as one each costs several times as much. Each entry goes as its
         # time passes, so there are no more than were taken within the longest deadline.
-        self._cut_offs: list[tuple[float, int]] = []
-        self._cut_off_timer: Timer | None = None
-        self._cut_off_at = NEVER
+        self._deadlines: list[tuple[float, int]] = []
+        self._deadline_timer: Timer | None = None
+        self._deadline_at = NEVER
         self.policy = Policy(self, facts, seed)
         # Carries messages to other gateways, where a front has a way to them.
         self.teller: Callable[[int, str], None] | None = None
@@ -108,7 +108,7 @@
         profile: int,
         plan: int,
         key: str | None,
-        cut_off: float,
+        deadline: float,
         volume: int | str,
         units: float,
         shard: int,
@@ -121,18 +121,18 @@
         self._last_id = (self._last_id + 1) % 2**32
         while self._last_id in self.open:
             self._last_id = (self._last_id + 1) % 2**32
-        t = Open(self._last_id, client, payload, place, shard, cut_off)
+        t = Open(self._last_id, client, payload, place, shard, deadline)
         self.open[t.id] = t
-        heapq.heappush(self._cut_offs, (cut_off, t.id))
-        if cut_off < self._cut_off_at:
-            self._await_cut_off(cut_off)
+        heapq.heappush(self._deadlines, (deadline, t.id))
+        if deadline < self._deadline_at:
+            self._await_deadline(deadline)
         self.counts["taken"] += 1
         if self.accounts is not None:
             # What came whole in its capsule was taken as it arrived.
             when = self.transport.now() if awaited else arrived
             t.untold = (volume, profile, int(units), shard, key is not None, arrived, when)
             self._fresh.append(t)
-        taken = RequestTaken(t.id, profile, plan, key, cut_off, str(volume), units, shard, heads, repeat)
+        taken = RequestTaken(t.id, profile, plan, key, deadline, str(volume), units, shard, heads, repeat)
         self.happened("request_taken", taken)
         return t
 
@@ -152,11 +152,11 @@
     def ends_by(self, when: float) -> None:
         """The program ends then: each open request is answered before, however long its client would wait."""
         for t in self.open.values():
-            if t.cut_off > when:
-                t.cut_off = when
-                heapq.heappush(self._cut_offs, (when, t.id))
-        if self.open and when < self._cut_off_at:
-            self._await_cut_off(when)
+            if t.deadline > when:
+                t.deadline = when
+                heapq.heappush(self._deadlines, (when, t.id))
+        if self.open and when < self._deadline_at:
+            self._await_deadline(when)
         self.happened("ends_by", when)
 
     def listed(self, entries: list[tuple[int, int, int, bool, float]], whole: bool, remembered: bool) -> None:
@@ -194,30 +194,30 @@
         if self._fresh:
             self._fresh = []
 
-    def _await_cut_off(self, when: float) -> None:
-        if self._cut_off_timer is not None:
-            self._cut_off_timer.cancel()
-        self._cut_off_at = when
-        self._cut_off_timer = self.transport.at(when, self._cut_offs_came)
+    def _await_deadline(self, when: float) -> None:
+        if self._deadline_timer is not None:
+            self._deadline_timer.cancel()
+        self._deadline_at = when
+        self._deadline_timer = self.transport.at(when, self._deadlines_passed)
 
-    def _cut_offs_came(self) -> None:
-        now, due = self.transport.now(), self._cut_offs
-        self._cut_off_timer, self._cut_off_at = None, NEVER
+    def _deadlines_passed(self) -> None:
+        now, due = self.transport.now(), self._deadlines
+        self._deadline_timer, self._deadline_at = None, NEVER
         while due:
             when, id = due[0]
             t = self.open.get(id)
             # An id may have come to another request since.
-            if t is not None and t.cut_off == when:
+            if t is not None and t.deadline == when:
                 if when > now:
-                    self._await_cut_off(when)
+                    self._await_deadline(when)
                     return
-                self._cut_off(t)
+                self._time_is_up(t)
             elif when > now + PASSED_OVER:
-                self._await_cut_off(now + PASSED_OVER)
+                self._await_deadline(now + PASSED_OVER)
                 return
             heapq.heappop(due)
 
-    def _cut_off(self, t: Open) -> None:
+    def _time_is_up(self, t: Open) -> None:
         for f in list(t.out.values()):
             self._time_out(f)
 
@@ -241,20 +241,20 @@
         if t is None:
             return
         now = self.transport.now()
-        honoured = how is Ending.HONOURED and not t.answered
+        succeeded = how is Ending.SUCCEEDED and not t.answered
         if self.accounts is not None:
             self.accounts.ended(
-                t.id, f.number, how, told.service, now, Outcome.HONOURED if honoured else None
+                t.id, f.number, how, told.service, now, Outcome.SUCCEEDED if succeeded else None
             )
         t.out.pop(f.number, None)
-        self.counts["forwards honoured" if how is Ending.HONOURED else f"forwards {how.value}"] += 1
+        self.counts["forwards honoured" if how is Ending.SUCCEEDED else f"forwards {how.value}"] += 1
         if f.first_write:
             self._placing_ended(t, how)
-        if honoured:
+        if succeeded:
             # Not held back until the batch: the answer goes to the client at once.
             t.answered = True
             self.counts["honoured"] += 1
-            t.client.honoured(self.shards.get(f.backend, UNPLACED), told.data)
+            t.client.succeeded(self.shards.get(f.backend, UNPLACED), told.data)
         end = AttemptEnded(
             t.id, f.number, how, f.backend, now - f.sent_at, t.answered, told.elsewhere, told.usage
         )
@@ -282,7 +282,7 @@
         link = self.links.get(backend)
         if (
             t.answered
-            or self._now >= t.cut_off
+            or self._now >= t.deadline
             or link is None
             or not (t.shard == self.shards[backend] if t.shard != UNPLACED else self._holds(t, f))
         ):
@@ -290,7 +290,7 @@
             self._ended(f, Ending.NOT_SENT, NOTHING)
             return
         self.counts["forwards"] += 1
-        if wait > 0 and self._now + wait < t.cut_off:
+        if wait > 0 and self._now + wait < t.deadline:
             self.transport.at(self._now + wait, lambda: self._time_out(f))
         if self.accounts is not None:
             self.accounts.sent(t.id, f.number, backend, self.transport.now(), t.untold)
@@ -359,7 +359,7 @@
             f.over = True
             if link := self.links.get(f.backend):
                 link.cancel(f)
-            self._ended(f, Ending.CALLED_OFF, NOTHING)
+            self._ended(f, Ending.CANCELLED, NOTHING)
 
     def reject(self, request: int, return_after: float) -> None:
         if self.recorder:
@@ -367,7 +367,7 @@
         t = self.open.get(request)
         if t and not t.answered:
             t.answered = True
-            self._account(t, Outcome.PUSHED_BACK)
+            self._account(t, Outcome.REJECTED)
             self.counts["pushed back"] += 1
             t.client.rejected(return_after)
             self._close(t)
@@ -378,7 +378,7 @@
         t = self.open.get(request)
         if t and not t.answered:
             t.answered = True
-            self._account(t, Outcome.GIVEN_UP)
+            self._account(t, Outcome.FAILED)
             self.counts["given up"] += 1
             t.client.failed()
             self._close(t)
--- a/gorsethread/head/landing.py
+++ b/gorsethread/head/landing.py
@@ -33,7 +33,7 @@
         self.ended, self.redoable, self.driver = ended, redoable, driver
         self.taken: Open | None = None
 
-    def honoured(self, shard: int, data: bytes) -> None:
+    def succeeded(self, shard: int, data: bytes) -> None:
         self.ended(self, Answer.IN_EFFECT, data, 0.0)
 
     def rejected(self, return_after: float) -> None:
@@ -218,7 +218,7 @@
             profile=profile,
             plan=self.plans[v.plan],
             key=f"{m.volume}/{extent}" if known.in_order else None,
-            cut_off=now + max(0.001, known.cut_off - self.site.rules.answer_slack),
+            deadline=now + max(0.001, known.cut_off - self.site.rules.answer_slack),
             volume=m.volume,
             units=float(units_of(len(m.data), self.site.links.unit_bytes)),
             shard=self.placement.shard_of(m.volume, extent),
--- a/gorsethread/head/links.py
+++ b/gorsethread/head/links.py
@@ -14,7 +14,7 @@
 from gorsethread.queues.dial import Association, Names, dial
 from gorsethread.transport.base import Transport, Unreachable
 
-ENDINGS: dict[int, Ending] = {Status.SUCCESS: Ending.HONOURED, Status.ABORT_REQUESTED: Ending.CALLED_OFF}
+ENDINGS: dict[int, Ending] = {Status.SUCCESS: Ending.SUCCEEDED, Status.ABORT_REQUESTED: Ending.CANCELLED}
 
 
 class Order(NamedTuple):
--- a/gorsethread/lab/accounts.py
+++ b/gorsethread/lab/accounts.py
@@ -137,7 +137,7 @@
         for volume in range(1, volumes + 1):
             for n in range(each):
                 stages = drawn[(volume + n) % len(drawn)]
-                window.life(volume, 0, 1, Outcome.HONOURED, False, stages, sum(stages))
+                window.life(volume, 0, 1, Outcome.SUCCEEDED, False, stages, sum(stages))
         window.settle()
 
     def held(fill: Callable[[], object]) -> int:
--- a/gorsethread/lab/crowd.py
+++ b/gorsethread/lab/crowd.py
@@ -230,7 +230,7 @@
             self.running -= 1
         self._begin()
         if not f.over:
-            self.world.at(self.world.now + WAY, lambda: f.head.ended(f, Ending.HONOURED))
+            self.world.at(self.world.now + WAY, lambda: f.head.ended(f, Ending.SUCCEEDED))
 
     def drop(self, f: "_Sent") -> None:
         if f.begun and not f.freed:
@@ -255,7 +255,7 @@
 @dataclass(eq=False)
 class _Held:
     ask: Ask
-    cut_off: float
+    deadline: float
     forwards: int = 0
     out: "_Sent | None" = None
     answered: bool = False
@@ -319,7 +319,7 @@
                 ask.profile,
                 store.plan,
                 None,
-                t.cut_off,
+                t.deadline,
                 f"v{ask.volume}",
                 float(ask.units),
                 ask.shard,
@@ -328,9 +328,9 @@
             )
         )
         self.policy.batch_ended()
-        self.world.at(t.cut_off, lambda: self._cut_off(id))
+        self.world.at(t.deadline, lambda: self._time_is_up(id))
 
-    def _cut_off(self, id: int) -> None:
+    def _time_is_up(self, id: int) -> None:
         t = self.open.get(id)
         if t is not None and t.out is not None:
             self.ended(t.out, Ending.TIMED_OUT)
@@ -341,7 +341,7 @@
         f.over = True
         t = self.open[f.id]
         t.out = None
-        if how is Ending.HONOURED:
+        if how is Ending.SUCCEEDED:
             t.answered = True
             self.world.honoured(t.ask)
         else:
@@ -368,7 +368,7 @@
     def cancel_attempt(self, transaction: int, number: int) -> None:
         t = self.open[transaction]
         if t.out is not None and t.out.number == number:
-            self.ended(t.out, Ending.CALLED_OFF)
+            self.ended(t.out, Ending.CANCELLED)
 
     def reject(self, transaction: int, return_after: float) -> None:
         self._answer(transaction, "pushed back")
--- a/gorsethread/lab/peers.py
+++ b/gorsethread/lab/peers.py
@@ -66,7 +66,7 @@
         link = self.links[self.placement.shard_of(c.nsid, extent)]
 
         def ended(f: Attempt, how: Ending, told: Told) -> None:
-            honoured = how is Ending.HONOURED
+            honoured = how is Ending.SUCCEEDED
             io.answer(Completion(0, Status.SUCCESS if honoured else Status.INTERNAL_ERROR), told.data)
 
         read = 0 if data else c.blocks * BLOCK
--- a/gorsethread/model.py
+++ b/gorsethread/model.py
@@ -28,13 +28,13 @@
 class Ending(Enum):
     """How an attempt ended."""
 
-    HONOURED = "honoured"
+    SUCCEEDED = "honoured"
     ERROR = "error"
     TURNED_AWAY = "turned away"
     TIMED_OUT = "timed out"
     UNREACHED = "unreached"
     BROKEN = "broken"
-    CALLED_OFF = "called off"
+    CANCELLED = "called off"
     NOT_SENT = "not sent"
 
     @property
@@ -49,15 +49,15 @@
 
 
 _NEVER_RAN = (Ending.TURNED_AWAY, Ending.UNREACHED, Ending.NOT_SENT)
-_MAY_STILL_RUN = (Ending.TIMED_OUT, Ending.BROKEN, Ending.CALLED_OFF)
+_MAY_STILL_RUN = (Ending.TIMED_OUT, Ending.BROKEN, Ending.CANCELLED)
 
 
 class Outcome(IntEnum):
     """How a request ended. The numbers stand in snapshots of accounts: added to, never changed."""
 
-    HONOURED = 0
-    PUSHED_BACK = 1
-    GIVEN_UP = 2
+    SUCCEEDED = 0
+    REJECTED = 1
+    FAILED = 2
     LEFT = 3
 
 
@@ -158,7 +158,7 @@
     profile: int
     plan: int
     key: str | None
-    cut_off: float
+    deadline: float
     volume: str
     units: float
     shard: int
@@ -231,7 +231,7 @@
     profile: Profile
     volume: Volume
     key: str | None
-    cut_off: float
+    deadline: float
     promised_by: float
     units: float
     shard: int
--- a/gorsethread/platform/backends.py
+++ b/gorsethread/platform/backends.py
@@ -29,7 +29,7 @@
     target: bytes
     headers: Headers
     body: bytes
-    cut_off: float
+    deadline: float
 
 
 def figure(value: bytes | None) -> float:
@@ -99,7 +99,7 @@
         connection = self.pool.busy.get(f.request)
         if connection is not None and connection.out is f:
             connection.link.lose(connection)
-        self.end(f, Ending.CALLED_OFF)  # also where it only waited: not the backend, the client ended it
+        self.end(f, Ending.CANCELLED)  # also where it only waited: not the backend, the client ended it
 
     # ---- connections
 
@@ -142,13 +142,13 @@
         """Whether an attempt that waited for its connection may still begin. Meanwhile its time may have
         passed, the backend may have moved or been told to drain, or have forgotten the request's key."""
         now = self.transport.now()
-        if self.closed or now >= f.payload.cut_off:
+        if self.closed or now >= f.payload.deadline:
             return False
         return self.pool.may_begin(f.request, self.backend, f.sent_at, now)
 
     def _submit(self, connection: BackendConnection, f: Attempt) -> None:
         outgoing: OutgoingRequest = f.payload
-        left = max(1, round((outgoing.cut_off - self.transport.now()) / MILLISECOND))
+        left = max(1, round((outgoing.deadline - self.transport.now()) / MILLISECOND))
         headers = [(b"host", self.host), *outgoing.headers, (b"req-deadline-ms", b"%d" % left)]
         connection.out = f
         connection.uses += 1
@@ -228,7 +228,7 @@
         if answer.status == 200:
             self.end(
                 f,
-                Ending.HONOURED,
+                Ending.SUCCEEDED,
                 Told(answer.body, figure(answer.one(ELSEWHERE)), figure(answer.one(USAGE))),
             )
         elif answer.status in (503, 504) and answer.one(DECLINED) == b"1":
--- a/gorsethread/platform/clients.py
+++ b/gorsethread/platform/clients.py
@@ -114,17 +114,17 @@
         self._take(connection, request, fields)
 
     def _take(self, connection: Connection, request: Request, w: RequestFields) -> None:
-        cut_off = min(connection.arrived + w.patience, self.end_by)
+        deadline = min(connection.arrived + w.patience, self.end_by)
         headers = [(name, value) for name, value in request.headers if name in ONWARD]
         connection.id = w.id
         self.open[w.id] = connection
         connection.taken = self.driver.take(
             connection,
-            OutgoingRequest(request.method, request.target, headers, request.body, cut_off),
+            OutgoingRequest(request.method, request.target, headers, request.body, deadline),
             profile=w.profile,
             plan=w.plan,
             key=w.key,
-            cut_off=cut_off,
+            deadline=deadline,
             volume=w.volume,
             units=w.units,
             shard=w.shard,
--- a/gorsethread/platform/connection.py
+++ b/gorsethread/platform/connection.py
@@ -56,7 +56,7 @@
 
     # ---- the driver's answers
 
-    def honoured(self, shard: int, data: bytes) -> None:
+    def succeeded(self, shard: int, data: bytes) -> None:
         self.taken = None
         self.answer(200, [], data)
 
--- a/gorsethread/policy.py
+++ b/gorsethread/policy.py
@@ -94,15 +94,15 @@
             v = self.volumes[own] = Volume(own, plan, self.floor * plan.weight, new.heads, 0.0, self.born)
         v.heads = new.heads
         # A client's repeat belongs to its first try, whose age shows in how little time is left.
-        left = new.cut_off - now
+        left = new.deadline - now
         longest = self.spans[new.profile] = max(self.spans[new.profile], left)
         age = longest - left if new.repeat or not self.facts.repeats_marked else 0.0
         p = self.facts.profiles[new.profile]
         # Guards rule 1 where a client leaves before its latency target: no look is set past the deadline.
-        promised_by = min(new.cut_off, now - age + p.promised)
+        promised_by = min(new.deadline, now - age + p.promised)
         self.order += 1
         key = new.key if p.in_order else None
-        t = Request(new.id, self.order, p, v, key, new.cut_off, promised_by, new.units, new.shard)
+        t = Request(new.id, self.order, p, v, key, new.deadline, promised_by, new.units, new.shard)
         self.requests[new.id] = t
         if self.facts.budget:
             self.taken.append(now)
@@ -151,8 +151,8 @@
         """This gateway itself ends then: what its clients would wait longer for is answered before."""
         self.now = self.host.clock()
         for t in self.requests.values():
-            if t.cut_off > when:
-                t.cut_off, t.promised_by = when, min(t.promised_by, when)
+            if t.deadline > when:
+                t.deadline, t.promised_by = when, min(t.promised_by, when)
                 self._note(max(self.now, when - self._expected(t)), t)
 
     def woken(self, name: str) -> None:
@@ -462,9 +462,9 @@
     def _judge(self, s: Backend, how: Ending, elapsed: float, t: Request, sent: float) -> None:
         if not s.ready and how.never_ran:
             s.last_send = self.drained_at = 0.0  # takes nothing new already, or is gone; no sign of overload
-        if how in (Ending.CALLED_OFF, Ending.NOT_SENT) or not s.ready and how.never_ran:
+        if how in (Ending.CANCELLED, Ending.NOT_SENT) or not s.ready and how.never_ran:
             return  # says nothing of the backend's health
-        if how in (Ending.HONOURED, Ending.ERROR, Ending.TURNED_AWAY):
+        if how in (Ending.SUCCEEDED, Ending.ERROR, Ending.TURNED_AWAY):
             s.answered_at, s.answered_of = self.now, max(s.answered_of, sent)
         elif how in (Ending.TIMED_OUT, Ending.BROKEN) and s.answered_of > sent:
             # Guards against taking one lost answer or broken connection for the backend's own state: it has
@@ -482,15 +482,15 @@
         if how is Ending.TURNED_AWAY:
             part = 0.5
             self.overload_until = self.now + 1.0
-        elif how in (Ending.HONOURED, Ending.TIMED_OUT):
-            if how is Ending.HONOURED:
+        elif how in (Ending.SUCCEEDED, Ending.TIMED_OUT):
+            if how is Ending.SUCCEEDED:
                 s.time += (0.3 if s.time else 1.0) * (elapsed - s.time)
                 seen = s.times.get(t.profile, elapsed)
                 s.times[t.profile] = seen + 0.3 * (elapsed - seen)
                 s.unit_time = min(1.02 * s.unit_time, elapsed / max(t.units, 1.0))
             wait = elapsed - 2.0 * s.unit_time * t.units if s.unit_time < float("inf") else elapsed
             part = WAIT_PART * self.quickest / max(wait, 0.001)
-        in_line = how is Ending.HONOURED and wait > LINE_PART * self.quickest
+        in_line = how is Ending.SUCCEEDED and wait > LINE_PART * self.quickest
         if in_line:
             # Guards against many gateways' slots adding up: more of this gateway's would only wait in the
             # line, where no gateway can put what is dearer first. Hurts where work of one size differs much.
@@ -500,7 +500,7 @@
             if self.now - elapsed >= s.cut_at:
                 late = elapsed > t.profile.promised  # else it may have met a short stop only
                 self._cut(s, self.first_rate * (1.0 if late else 2.0), max(0.2 if late else 0.5, part))
-        elif how is Ending.HONOURED:
+        elif how is Ending.SUCCEEDED:
             s.rate = min(FREE_RATE, s.rate * 2.0 ** min(1.0, self.now - s.grown_at))
             if not in_line and len(s.out) + 1 >= int(s.bound):
                 s.bound = min(HIGHEST_BOUND, s.bound + 0.5 / s.bound)
@@ -608,7 +608,7 @@
         """A waiting request past its latency target gives way where others still can keep theirs."""
         if t.over or t.out or self.requests.get(t.id) is not t:
             return
-        last = t.cut_off - (expected := self._expected(t))
+        last = t.deadline - (expected := self._expected(t))
         if self.now < min(last, t.promised_by - expected):
             self._note(min(last, t.promised_by - expected), t)
             return
@@ -634,7 +634,7 @@
     def _end(self, t: Request) -> None:
         t.over = True
         harmless = t.ran_at is None or t.profile.everywhere and self._is_repeatable(t, self.now)
-        if harmless and t.out == 0 and self.now < t.cut_off:
+        if harmless and t.out == 0 and self.now < t.deadline:
             s = self.held_by.get(t.shard)
             self.host.reject(t.id, min(self.facts.longest_return, s.time if s else self.quickest))
         else:
@@ -643,7 +643,7 @@
     # ---- (5) retries
 
     def _may_go_again(self, t: Request) -> bool:
-        if t.out or t.attempts >= min(self.facts.most_forwards, ATTEMPTS_MOST) or self.now >= t.cut_off:
+        if t.out or t.attempts >= min(self.facts.most_forwards, ATTEMPTS_MOST) or self.now >= t.deadline:
             return False
         if self.now < self.overload_until or not self._within_budget():
             return False
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -106,13 +106,13 @@
     def answer(
         self,
         id: int,
-        how: Ending = Ending.HONOURED,
+        how: Ending = Ending.SUCCEEDED,
         number: int = 0,
         finished: bool | None = None,
         elsewhere: float = 0,
     ) -> None:
         shelf, sent = self.host.sent[(id, number)]
-        over = how is Ending.HONOURED if finished is None else finished
+        over = how is Ending.SUCCEEDED if finished is None else finished
         self.host.say(f"    {id} on shelf {shelf}: {how.value}")
         self.policy.attempt_ended(
             AttemptEnded(id, number, how, shelf, self.host.now - sent, over, elsewhere, 0)
--- a/tests/queues.py
+++ b/tests/queues.py
@@ -77,7 +77,7 @@
         n = s.shelf.number
         self.out[n] -= 1
         self.accounts.ended(s.id, 0, how, service, now)
-        self.accounts.answered(s.id, Outcome.HONOURED if how is Ending.HONOURED else Outcome.GIVEN_UP, now)
+        self.accounts.answered(s.id, Outcome.SUCCEEDED if how is Ending.SUCCEEDED else Outcome.FAILED, now)
         if waiting := self.held.get(n):
             self.offer(now, waiting.popleft())
 
@@ -139,7 +139,7 @@
         if now >= s.shelf.hung_from:
             return
         s.shelf.free += 1
-        self.at(now + 0.0005, lambda at: s.head.ended(at, s, Ending.HONOURED, now - begun))
+        self.at(now + 0.0005, lambda at: s.head.ended(at, s, Ending.SUCCEEDED, now - begun))
         self.begin(now, s.shelf)
 
     def traffic(
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -23,7 +23,7 @@
 from gorsethread.model import Ending, Held, Outcome
 from tests.queues import KNOWN, QueueDay
 
-ENDINGS = [Ending.HONOURED] * 3 + list(Ending)
+ENDINGS = [Ending.SUCCEEDED] * 3 + list(Ending)
 EVENTS = st.lists(
     st.tuples(
         st.sampled_from(["taken", "held", "sent", "ended", "answered", "look", "close"]),
@@ -83,7 +83,7 @@
     for id in range(1, 5):
         accounts.answered(id, Outcome.LEFT, now)
         for forward in range(3):
-            accounts.ended(id, forward, Ending.CALLED_OFF, 0.0, now)
+            accounts.ended(id, forward, Ending.CANCELLED, 0.0, now)
     windows.append(accounts.close_window(now))
     assert not accounts.open and not accounts.lanes
     assert all(not s.forwards and not s.out and not s.lanes for s in accounts.shelves.values())
@@ -115,7 +115,7 @@
                 elif what == 1:
                     accounts.sent(id, 0, shelf, when)
                 else:
-                    accounts.ended(id, 0, Ending.HONOURED, service * took, when, Outcome.HONOURED)
+                    accounts.ended(id, 0, Ending.SUCCEEDED, service * took, when, Outcome.SUCCEEDED)
         a, b, c = (accounts.close_window(9.0) for accounts in (one, each, many))
         self.assertEqual(0, a.remainders + b.remainders + c.remainders)
         self.assertEqual(a, b)
@@ -158,7 +158,7 @@
         life = accounts._life(1)
         assert life is not None
         life.stages[Stage.ARRIVING] -= 7
-        accounts.answered(1, Outcome.HONOURED, 0.02)
+        accounts.answered(1, Outcome.SUCCEEDED, 0.02)
         self.assertEqual(1, accounts.close_window(1.0).remainders)
 
     def test_one_life(self) -> None:
@@ -171,11 +171,11 @@
         accounts.sent(1, 0, 6, 0.013)
         accounts.ended(1, 0, Ending.BROKEN, 0.0, 0.020)
         accounts.held(1, Held.REST, 6, 0.021)
-        accounts.ended(9, 0, Ending.HONOURED, 0.022, 0.024)  # 2 ms of way: the least there
-        accounts.answered(9, Outcome.HONOURED, 0.024)
+        accounts.ended(9, 0, Ending.SUCCEEDED, 0.022, 0.024)  # 2 ms of way: the least there
+        accounts.answered(9, Outcome.SUCCEEDED, 0.024)
         accounts.sent(1, 1, 5, 0.030)
-        accounts.ended(1, 1, Ending.HONOURED, 0.010, 0.050)
-        accounts.answered(1, Outcome.HONOURED, 0.050)
+        accounts.ended(1, 1, Ending.SUCCEEDED, 0.010, 0.050)
+        accounts.answered(1, Outcome.SUCCEEDED, 0.050)
         window = accounts.close_window(0.05)
         row = window.rows[1, 0]
         self.assertEqual(
@@ -219,7 +219,7 @@
     for volume, profile, us in lives:
         stages = [0] * STAGES
         stages[Stage.SLOTS], stages[Stage.WORK] = us // 3, us - us // 3
-        window.life(volume, profile, 1, Outcome.HONOURED, us > 1000, stages, us)
+        window.life(volume, profile, 1, Outcome.SUCCEEDED, us > 1000, stages, us)
         window.blamed(volume, 1 + volume % 5, us % 3, Stage.SLOTS, us // 3)
         window.shelf(us % 3).worked(volume, us % 7, 1, 1 + us % 7, us - us // 3)
         window.shelf(us % 3).endings["honoured"] = 1
@@ -254,7 +254,7 @@
         stages = [0] * STAGES
         stages[Stage.SLOTS] = 5
         for volume in range(1, 100_001):
-            window.life(volume, 0, 1, Outcome.HONOURED, False, stages, 5)
+            window.life(volume, 0, 1, Outcome.SUCCEEDED, False, stages, 5)
             window.blamed(volume, volume % 997 + 1, 1, Stage.SLOTS, 5)
         window.settle()
         self.assertLessEqual(len(window.rows), ROWS_MOST)
@@ -279,9 +279,9 @@
         window = Window()
         stages = [0] * STAGES
         for volume in range(1, 2000):
-            window.life(volume, 0, 1, Outcome.HONOURED, False, stages, 0)
+            window.life(volume, 0, 1, Outcome.SUCCEEDED, False, stages, 0)
         for _ in range(500):
-            window.life(5000, 0, 1, Outcome.HONOURED, False, stages, 0)
+            window.life(5000, 0, 1, Outcome.SUCCEEDED, False, stages, 0)
         window.settle()
         self.assertGreater(window.rows[5000, 0].lives, 440)
         for row in window.all_rows():
--- a/tests/test_accounts_running.py
+++ b/tests/test_accounts_running.py
@@ -44,7 +44,7 @@
         await self.heads[0].end()
         whole = self.kept()
         rows = whole.all_rows()
-        self.assertEqual(80, sum(row.outcomes[Outcome.HONOURED] for row in rows))
+        self.assertEqual(80, sum(row.outcomes[Outcome.SUCCEEDED] for row in rows))
         self.assertEqual(80, sum(row.lives for row in rows))
         self.assertEqual(0, whole.remainders)
         for row in rows:
--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -252,7 +252,7 @@
                 driver = self.heads[0].driver
                 t = next(iter(driver.open.values()))
                 f = t.out[0]
-                acts = [lambda f=f: self._answer(f), lambda t=t, d=driver: d._cut_off(t)]
+                acts = [lambda f=f: self._answer(f), lambda t=t, d=driver: d._time_is_up(t)]
                 for act in acts if first == "answer" else reversed(acts):
                     act()
                 how, _, _ = await sent
@@ -260,7 +260,7 @@
                 await self.until(lambda d=driver: not d.open)
 
     def _answer(self, f: Attempt) -> None:
-        self.heads[0].driver.links[f.backend]._end(f, Ending.HONOURED, Told())
+        self.heads[0].driver.links[f.backend]._end(f, Ending.SUCCEEDED, Told())
 
     async def test_the_list_is_gone_at_start(self) -> None:
         """The head serves by the list it remembers; without one it pushes back in time."""
--- a/tests/test_idle_shelves.py
+++ b/tests/test_idle_shelves.py
@@ -53,7 +53,7 @@
                     profile=0,
                     plan=0,
                     key=None,
-                    cut_off=clock.time + 1.0,
+                    deadline=clock.time + 1.0,
                     volume=1,
                     place=(1, n % 2),
                     units=1.0,
@@ -65,7 +65,7 @@
                 clock.move(clock.time + 0.001)
                 f = links[n % 2].held.pop()
                 f.over = True
-                driver._ended(f, Ending.HONOURED, NOTHING)
+                driver._ended(f, Ending.SUCCEEDED, NOTHING)
                 clock.move(clock.time + 0.001)
         finally:
             sys.setprofile(None)
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -72,10 +72,10 @@
         self.start()
         for id, (answered, how) in enumerate(
             [
-                (0.1, Ending.HONOURED),
-                (1.0, Ending.HONOURED),
+                (0.1, Ending.SUCCEEDED),
+                (1.0, Ending.SUCCEEDED),
                 (1.5, Ending.TIMED_OUT),
-                (1.6, Ending.HONOURED),
+                (1.6, Ending.SUCCEEDED),
                 (2.6, Ending.TURNED_AWAY),
             ]
         ):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -110,7 +110,7 @@
                     self.end()
                     if (id, 0) in self.host.sent:
                         last = self.host.now
-                        self.answer(id, Ending.HONOURED)
+                        self.answer(id, Ending.SUCCEEDED)
                     self.host.now += 0.02
                 self.assertLessEqual(last + held_up, told_at + max(grace, 2 * held_up) + slack)
 
@@ -208,7 +208,7 @@
         for id, how in enumerate(
             (
                 Ending.BROKEN,
-                Ending.CALLED_OFF,
+                Ending.CANCELLED,
                 Ending.BROKEN,
                 Ending.NOT_SENT,
                 Ending.BROKEN,
--- a/tests/test_same_decisions.py
+++ b/tests/test_same_decisions.py
@@ -39,7 +39,7 @@
 class Deaf:
     profile = 0
 
-    def honoured(self, shard: int, data: bytes) -> None: ...
+    def succeeded(self, shard: int, data: bytes) -> None: ...
     def rejected(self, return_after: float) -> None: ...
     def failed(self) -> None: ...
 
@@ -215,7 +215,7 @@
                     if not f.over:
                         f.over = True
                         how = chance.choice(
-                            [Ending.HONOURED] * 6
+                            [Ending.SUCCEEDED] * 6
                             + [Ending.ERROR, Ending.TURNED_AWAY, Ending.BROKEN, Ending.UNREACHED]
                         )
                         told_too = Told(elsewhere=chance.randrange(3)) if chance.random() < 0.5 else NOTHING
@@ -246,7 +246,7 @@
             profile=profile,
             plan=0,
             key=key,
-            cut_off=driver.transport.now() + chance.uniform(0.05, 1.0),
+            deadline=driver.transport.now() + chance.uniform(0.05, 1.0),
             volume=volume,
             place=(volume, extent),
             units=float(1 + chance.randrange(8)),
