An agent that began anew is asked for the whole list before the first request is taken

Cause: the first call of a process whose agent counts anew fails (an older generation is not believed) and is followed by one for the whole list; the failure counted as heard, so that the process served by its old list in between. Found as the diff was read once more. Log fields of the platform's front say backends, as the rest of it does.

--- a/gorsethread/platform/discovery.py
+++ b/gorsethread/platform/discovery.py
@@ -122,7 +122,8 @@
                     continue
                 self._asking = False
                 if not self.stopped:
-                    self._first_call_is_over()
+                    if not self._whole:  # else what is known is asked for once more, and whole
+                        self._first_call_is_over()
                     self.log.info("the list is not followed", reason=str(error)[:200])
                     self.driver.list_refused(self.transport.now() - self._call_began)
                 return
@@ -192,7 +193,7 @@
                 "list",
                 generation=told.generation,
                 whole=told.reset,
-                shelves={s.instance_id: s.lifecycle for s in told.instances[:20]},
+                backends={s.instance_id: s.lifecycle for s in told.instances[:20]},
             )
             self._pass_on(told.instances, told.reset, False)
         self._first_call_is_over()
--- a/gorsethread/platform/program.py
+++ b/gorsethread/platform/program.py
@@ -114,7 +114,7 @@
         self.log.info(
             "gateway serves",
             address=f"{self.configuration.listen[0]}:{self.configuration.listen[1]}",
-            shelves=len(self.discovery.known),
+            backends=len(self.discovery.known),
         )
 
     def reload(self) -> None:
--- a/tests/crossing/test_discovery.py
+++ b/tests/crossing/test_discovery.py
@@ -178,6 +178,20 @@
         self.gateway.logged("gateway serves")
         self.is_served(0)
 
+    def test_an_agent_that_began_anew_is_asked_for_the_whole_list_first(self) -> None:
+        self.begin()
+        self.watch.send(self.said(0, False))  # older than what this process was told
+        again = self.service.accept()
+        self.assertEqual("/v1/servers", again.message().target)
+        with self.assertRaises(ConnectionRefusedError):
+            socket.create_connection((HOST, self.gateway.port), 1.0)
+        again.send(self.said(0, True, self.known[1]))
+        self.gateway.logged("gateway serves")
+        asker = self.ask(wish("a1", patience=600))
+        with self.assertRaises(TimeoutError, msg="sent to a backend that the agent does not know"):
+            self.backends[0].next_request(within=0.8)
+        self.assertIn(asker.message().status, (503, 504))
+
     def test_an_agent_that_hangs_is_waited_for_a_moment_only(self) -> None:
         self.begin()
         began = time.monotonic()
