Two places that stood twice: stabs of drawn scripts, a defect planted for bad requests

draw.stab and kept_stab were one but for their points; 300 drawn scripts, 99 with a stab, are the same to the letter before and after. The two tests of defects plant theirs by one method. test_platform_clients: pass.

--- a/gorsethread/faults/draw.py
+++ b/gorsethread/faults/draw.py
@@ -120,17 +120,15 @@
 
     def stab(self) -> None:
         """In the middle of its own code."""
+        self._stab(POINTS, 60)
+
+    def _stab(self, points: tuple[str, ...], visits: int) -> None:
+        """One head ends at one of the points, as it comes there for up to so many times."""
         head = self._head()
         if head not in self.away:
             self.away.add(head)
-            self._add(
-                "stab",
-                head,
-                0.2,
-                2.0,
-                to=f"point {self.chance.choice(POINTS)}",
-                by=1 + self.chance.randrange(60),
-            )
+            point, visit = f"point {self.chance.choice(points)}", 1 + self.chance.randrange(visits)
+            self._add("stab", head, 0.2, 2.0, to=point, by=visit)
 
     def crash(self) -> None:
         """Just as a message comes: a head with a shelf's answer in hand, a shelf with a command in hand."""
@@ -274,17 +272,7 @@
 
     def kept_stab(self) -> None:
         """In the middle of keeping, or of coming back."""
-        head = self._head()
-        if head not in self.away:
-            self.away.add(head)
-            self._add(
-                "stab",
-                head,
-                0.2,
-                2.0,
-                to=f"point {self.chance.choice(KEPT_POINTS)}",
-                by=1 + self.chance.randrange(12),
-            )
+        self._stab(KEPT_POINTS, 12)
 
     def lag(self) -> None:
         self._add("lag", self._head(), 0.5, 3.0, by=self.chance.choice((0.01, 0.1, 0.1, 0.8)))
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from gorsethread.http1.serving import Request
+from gorsethread.platform.program import Gateway
 from tests.live import Caller, whole, wish
 from tests.live import LiveRig as Rig
 
@@ -247,19 +248,22 @@
 
         self.play(work)
 
+    def fails_at_bombs(self, head: Gateway) -> None:
+        """Plants a defect that requests with a header of their own meet."""
+        honest = head.clients.requested
+
+        def requested(connection: object, request: Request) -> None:
+            if request.one(b"x-bomb"):
+                raise ZeroDivisionError
+            honest(connection, request)  # type: ignore[arg-type]
+
+        head.clients.requested = requested  # type: ignore[method-assign]
+
     def test_a_defect_met_by_a_held_request_costs_its_connection_alone(self) -> None:
         """What was sent ahead is gone on with from the loop, not from the connection's own task."""
 
         async def work() -> None:
-            head = self.start()
-            honest = head.clients.requested
-
-            def requested(connection: object, request: Request) -> None:
-                if request.one(b"x-bomb"):
-                    raise ZeroDivisionError
-                honest(connection, request)  # type: ignore[arg-type]
-
-            head.clients.requested = requested  # type: ignore[method-assign]
+            self.fails_at_bombs(self.start())
             bomb = await self.call(wish("16") + wish("17", more="X-Bomb: 1\r\n"), 0.2)
             self.assertEqual((1, True), (bomb.got.count(b"HTTP/1.1 200"), bomb.ended_at > 0))
             self.assertEqual(200, (await self.call(wish("18"))).status)
@@ -268,15 +272,7 @@
 
     def test_a_defect_met_by_one_connection_costs_that_one_alone(self) -> None:
         async def work() -> None:
-            head = self.start()
-            honest = head.clients.requested
-
-            def requested(connection: object, request: Request) -> None:
-                if request.one(b"x-bomb"):
-                    raise ZeroDivisionError
-                honest(connection, request)  # type: ignore[arg-type]
-
-            head.clients.requested = requested  # type: ignore[method-assign]
+            self.fails_at_bombs(self.start())
             bomb = await self.call(wish("14", more="X-Bomb: 1\r\n"))
             self.assertNotEqual(0.0, bomb.ended_at)
             self.assertEqual(500, bomb.status, "what was read is owed an answer")
