--- a/gorsethread/lab/allseeing.py
+++ b/gorsethread/lab/allseeing.py
@@ -8,7 +8,9 @@
 from functools import partial
 from typing import Any
 
-from gorsethread.lab.crowd import UNIT_WORK, USABLE, Scene, Score, World, draw
+from gorsethread.lab.crowd.day import UNIT_WORK, Scene, draw
+from gorsethread.lab.crowd.score import USABLE, Score
+from gorsethread.lab.crowd.world import World
 from gorsethread.model import Backend, Ending, Request
 from gorsethread.policy import FREE_RATE, LOWEST_RATE, WAIT_PART, Policy
 
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -2,8 +2,10 @@
 
 import unittest
 
-from gorsethread.lab.crowd import Ask as Wish
-from gorsethread.lab.crowd import Day, Scene, Store, World, draw, due_units
+from gorsethread.lab.crowd.day import Ask as Wish
+from gorsethread.lab.crowd.day import Day, Scene, Store, draw
+from gorsethread.lab.crowd.score import due_units
+from gorsethread.lab.crowd.world import World
 from gorsethread.policy import Policy
 
 
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -20,7 +20,9 @@
 from gorsethread.harness.processes import Processes
 from gorsethread.head.messages import SENT_MOST, Messages
 from gorsethread.lab.allseeing import EvenParts
-from gorsethread.lab.crowd import Scene, Score, World, draw
+from gorsethread.lab.crowd.day import Scene, draw
+from gorsethread.lab.crowd.score import Score
+from gorsethread.lab.crowd.world import World
 from gorsethread.lab.lending import LENT_UNITS, Result, Trial, script_of
 from gorsethread.logs import log_for, start_logs
 from gorsethread.membership.words import Kind, Message, write
