A recovering gateway leaves a replica's records alone until it has fetched them

What callers would have seen: reads of written extents answered as never written.

Cause: a fetch from one replica marked every connected replica to be replaced by the gateway's own table, and the next appended record did it. A replica whose later records were not fetched yet lost them.

Fix: ReplicationSender.may_replace is off until the recovery is COMPLETE; what was held back is sent then.

Evidence: a simulation with late polls and a record appended between the two fetches: "an owner is forgotten: volume 4, extent 11" (and 13) before, good after; the sender's own test failed before as well.

--- a/gorsethread/durable_log/replication.py
+++ b/gorsethread/durable_log/replication.py
@@ -62,12 +62,20 @@
 
     Its table has the replicas that the last call of set_replicas() named, and former ones until all of these
     have as many records.
+
+    Attributes:
+        required: How many replicas must have a record.
+        replicas: The state of each replica.
+        fenced: Another gateway knows a later incarnation of this one.
+        may_replace: A replica's records may be replaced by this gateway's; not while the replica may hold
+            records that this gateway still lacks.
     """
 
     def __init__(self, required: int) -> None:
         self.required = required
         self.replicas: dict[int, ReplicaState] = {}
-        self.fenced = False  # another gateway knows a later incarnation of this one
+        self.fenced = False
+        self.may_replace = True
 
     def set_replicas(self, gateways: Iterable[int]) -> tuple[list[int], list[int]]:
         """Set the gateways that hold replicas; return the added and the removed ones.
@@ -124,6 +132,8 @@
         replica = self.replicas.get(gateway)
         if replica is None or replica.confirmed is None or replica.in_flight:
             return None
+        if replica.resend_all and not self.may_replace:
+            return None
         if replica.sent >= last and not replica.resend_all:
             return None
         if replica.resend_all:
--- a/gorsethread/nvme_gateway/replicated_log.py
+++ b/gorsethread/nvme_gateway/replicated_log.py
@@ -154,6 +154,8 @@
         if self.store.incomplete:
             self.store.incomplete = False
             self.store.merge_recovered(RecordTable())
+        self.sender.may_replace = True
+        self.replication.send_to_all()
         self._log_completion()
 
     def _log_completion(self) -> None:
@@ -173,6 +175,7 @@
         stage = self.recovery.stage
         self.incarnation = self.recovery.next_incarnation(self.transport.wall_time() * MS_PER_SECOND)
         self.store.incomplete = stage is not Stage.COMPLETE
+        self.sender.may_replace = stage is Stage.COMPLETE
         await self.store.start_incarnation(self.incarnation)
         self.log.info(
             "serving from recovered records",
--- a/tests/recovery/test_stages.py
+++ b/tests/recovery/test_stages.py
@@ -392,6 +392,21 @@
         assert batch is not None
         self.assertEqual((True, (1, 1)), (batch.replaces_all, batch.records[0].number))
 
+    def test_records_of_a_replica_are_not_replaced_before_all_have_been_fetched(self) -> None:
+        # Guards against a recovering gateway that overwrites later records which only this replica holds.
+        last = self.add_record(1)
+        self.sender.may_replace = False
+        for connect in (
+            lambda: self.sender.connected(1, NO_SEQUENCE, last),
+            lambda: (self.sender.connected(1, last, NO_SEQUENCE), self.sender.resend_all()),
+        ):
+            connect()
+            self.assertIsNone(self.sender.next_batch(1, self.table, last))
+        self.sender.may_replace = True
+        batch = self.sender.next_batch(1, self.table, last)
+        assert batch is not None
+        self.assertTrue(batch.replaces_all)
+
     def test_a_former_replica_is_removed_once_the_new_one_has_as_much(self) -> None:
         last = self.add_record(1)
         for n in (1, 2):
--- a/tests/test_durable_log.py
+++ b/tests/test_durable_log.py
@@ -8,6 +8,7 @@
 import unittest
 from collections import Counter
 from pathlib import Path
+from unittest import mock
 
 import pytest
 from typer.testing import CliRunner
@@ -15,13 +16,14 @@
 from gorsethread.cli.main import app
 from gorsethread.durable_log import replication_messages
 from gorsethread.durable_log.log_store import LogStore
-from gorsethread.durable_log.records import ExtentPlaced, Record
+from gorsethread.durable_log.records import ExtentPlaced, ExtentReleased, Record
 from gorsethread.harness.durable_log_trial import SUPPORTED_ACTS, DurableLogTrial, Result
 from gorsethread.harness.process_faults import unsupported_acts
 from gorsethread.harness.processes import Processes
 from gorsethread.harness.site import SUPPORTED_PARTIES
 from gorsethread.logs import log_for, start_logs
 from gorsethread.nvme_gateway.peers import fleet_id
+from gorsethread.nvme_gateway.recovery_client import RecoveryClient
 from gorsethread.recovery.stages import CompletionReason, Stage
 from gorsethread.simulation.durable_log_mutants import DURABLE_LOG_MUTANTS
 from gorsethread.simulation.durable_log_simulation import DurableLogSimulation
@@ -163,6 +165,29 @@
         self.assertIs(CompletionReason.CERTAIN, recovery.completion_reason)
         self.assertGreater(recovery.stage_since, simulation.traffic_start + 13.0, "it waited for replica 2")
 
+    def test_a_fetch_from_one_replica_leaves_the_records_of_the_other_alone(self) -> None:
+        # Guards against a recovering gateway that overwrites later records before it has fetched them.
+        delays = {1: 1.5, 2: 3.0}  # seconds of gateway 0's polls, so that replication connects before them
+        poll_once = RecoveryClient._poll_once
+
+        async def poll_late(client: RecoveryClient, peer: int) -> None:
+            if client.topology.gateway == 0 and client.stages.incarnation:
+                await client.transport.sleep(delays[peer])
+            await poll_once(client, peer)
+
+        simulation = world("3 cut head-0 <-> head-1 for 2\n5 older head-0 by 3 for 0.5\n", seconds=14)
+
+        def append_between_the_fetches() -> None:
+            log = simulation.gateways[0].replicated_log
+            self.assertEqual(({1}, Stage.RESTRICTED), (log.recovery.fetched, log.recovery.stage))
+            log.append(ExtentReleased(4, 1 << 20))
+
+        simulation.loop.call_at(simulation.traffic_start + 8.0, append_between_the_fetches)
+        with mock.patch.object(RecoveryClient, "_poll_once", poll_late):
+            outcome = simulation.play()
+        self.assertTrue(outcome.good, (outcome.reasons, outcome.defects))
+        self.assertEqual({1, 2}, simulation.gateways[0].replicated_log.recovery.fetched)
+
     def test_an_empty_disk_is_recognised_as_lost_and_refilled(self) -> None:
         simulation = self.play_good("3 wipe head-0 for 0.5\n3 kill head-2 for 3\n")
         recovery = simulation.gateways[0].replicated_log.recovery
