A trial looks up the owner of a connection with one read of the system's table

Cause: for each connection to a backend the relay asked psutil for the connections of every child, which reads the whole table each time: 14 ms a child beside 2,800 sockets. Backends, discovery and clients run in that process, so they were all held up; gateways logged "not connected in time" before any cut.

Test: the lookup finds each child by one read; before, it never read the table itself, so the test fails there (no CONNECTION_TABLE to count).

--- a/gorsethread/harness/processes.py
+++ b/gorsethread/harness/processes.py
@@ -3,17 +3,21 @@
 import asyncio
 import contextlib
 import os
+import re
 import signal
 import sys
 from pathlib import Path
 
-import psutil
 from google.protobuf import text_format
 
 from gorsethread.site_config import site_pb2 as pb
 from gorsethread.site_config.sizing import addresses_needed, resized_site
 from gorsethread.transport.real import free_ports
 
+CONNECTION_TABLE = Path("/proc/net/tcp")
+STATE_FIELD, INODE_FIELD = 3, 9  # of a row of the table
+LISTENING = b"0A"
+
 
 def resize_site(site: pb.Site, gateways: int, backends: int) -> pb.Site:
     """Returns the site on free loopback ports with the given numbers of gateways and backends."""
@@ -21,6 +25,27 @@
     return resized_site(site, gateways, backends, [f"127.0.0.1:{port}" for port in ports])
 
 
+def _sockets_at(port: int) -> set[str]:
+    """Returns the links in /proc of the connected sockets at a local port of this machine.
+
+    Asking psutil for the connections of each child reads the system's whole table once a child, which held
+    this process up for long while gateways connected often.
+    """
+    rows = re.findall(rb"^ *\d+: [0-9A-F]{8}:%04X .*$" % port, CONNECTION_TABLE.read_bytes(), re.MULTILINE)
+    fields = [row.split() for row in rows]
+    return {f"socket:[{row[INODE_FIELD].decode()}]" for row in fields if row[STATE_FIELD] != LISTENING}
+
+
+def _open_sockets(pid: int) -> set[str]:
+    """Returns the links of a process's descriptors; empty if it has ended."""
+    links = set()
+    with contextlib.suppress(OSError):
+        for descriptor in os.scandir(f"/proc/{pid}/fd"):
+            with contextlib.suppress(OSError):  # closed since
+                links.add(os.readlink(descriptor.path))
+    return links
+
+
 class Processes:
     """The child processes, each with a log file and a file of records in the folder."""
 
@@ -58,12 +83,10 @@
 
     def owner_of(self, peer: str) -> str:
         """Returns the child that owns a connection's local address (host:port), or "" if none does."""
-        port = int(peer.rpartition(":")[2])
+        sockets = _sockets_at(int(peer.rpartition(":")[2]))
         for name, process in self.running.items():
-            with contextlib.suppress(psutil.Error):
-                connections = psutil.Process(process.pid).net_connections("tcp4")
-                if any(c.laddr.port == port for c in connections if c.raddr):
-                    return name
+            if sockets & _open_sockets(process.pid):
+                return name
         return ""
 
     def pid(self, name: str) -> int | None:
--- a/tests/test_harness.py
+++ b/tests/test_harness.py
@@ -1,6 +1,7 @@
 """Tests of the harness: the stream relay, scripts of faults, and trials with gateways as real processes."""
 
 import asyncio
+import socket
 import tempfile
 import unittest
 from collections import Counter
@@ -10,7 +11,7 @@
 
 import pytest
 
-from gorsethread.harness import site
+from gorsethread.harness import processes, site
 from gorsethread.harness.process_faults import FaultPlayer, unsupported_acts
 from gorsethread.harness.processes import Processes
 from gorsethread.harness.relay import LinkFaults, StreamRelay
@@ -311,6 +312,39 @@
         self.play(work)
 
 
+class OwnersOfConnections(unittest.TestCase):
+    CONNECTS_AND_WAITS = (
+        "import socket, sys; s = socket.create_connection(('127.0.0.1', int(sys.argv[1]))); s.recv(1)"
+    )
+
+    def test_the_child_that_owns_a_connection_is_found_by_one_look_at_the_table(self) -> None:
+        # Guards against a look at the system's table for each child, which held up clients and backends.
+        table = mock.Mock(wraps=processes.CONNECTION_TABLE)
+
+        async def work(folder: str) -> tuple[str, str]:
+            children = Processes(Path(folder), SITE)
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                port = listener.getsockname()[1]
+                for name in ("head 0", "head 1", "head 2"):
+                    await children.start(name, str(port), begins=("-c", self.CONNECTS_AND_WAITS))
+                listener.settimeout(20.0)
+                connections = [listener.accept()[0] for _ in range(3)]
+                found = [children.owner_of(f"127.0.0.1:{c.getpeername()[1]}") for c in connections]
+                calls = table.read_bytes.call_count
+                unknown = children.owner_of(f"127.0.0.1:{port}")
+                for connection in connections:
+                    connection.close()
+                await children.end_all()
+            self.assertEqual(3, calls)
+            return ",".join(sorted(found)), unknown
+
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            mock.patch.object(processes, "CONNECTION_TABLE", table),
+        ):
+            self.assertEqual(("head 0,head 1,head 2", ""), asyncio.run(work(folder)))
+
+
 class Scripts(unittest.TestCase):
     def test_unsupported_acts_of_a_script_are_listed(self) -> None:
         script = read_script(
