The trial of a replay without dependencies brings a dependent pair in every play

Cause: the script waited for a time; where nothing, or only writes that happened to run in order, was queued by then, there was nothing to find.

Change: the link stays cut until a client has two accepted writes at different backends, the second sent after the first's answer; the first one's backend works on nothing as the replay begins. A play without a pair says that it proves nothing, and the test fails on that. The test asserts all that it did before and one thing more; the clients send for 34 s in place of 14 s, so that a pair can come late.

--- a/gorsethread/harness/process_faults.py
+++ b/gorsethread/harness/process_faults.py
@@ -18,6 +18,7 @@
 
 ROOM_COUNT = 2
 FOLDER_ACTS = ("wipe", "older", "rot", "swap")  # acts that change a gateway's folder while it is down
+HEAL_CHECK_SECONDS = 0.05  # between two questions whether a cut may be healed
 KILL_POINT_TIMEOUT_SECONDS = 15.0  # from a stab until the process must have reached its kill point
 
 
@@ -57,6 +58,8 @@
         # Applies one of FOLDER_ACTS while the gateway is down, if gateways have folders.
         self.on_folder_act: Callable[[Act], None] = lambda act: None
         self.on_act: Callable[[str, Act], None] = lambda event, act: None
+        # Returns whether a cut whose time is over may be healed; asked again until it is.
+        self.may_heal: Callable[[Act], bool] = lambda act: True
         self.link_far_side: list[str] = []  # parties that a branch reaches over its link, if there is one
         self.stopped: set[str] = set()  # by SIGSTOP; emptied as they resume
         self.unreached_points: list[str] = []  # stabs whose kill point was not reached
@@ -93,7 +96,7 @@
             directions = self.directions(act)
             self.faults.cut(directions, now)
             self.on_act("cut", act)
-            self._after(act.seconds, lambda: self.faults.heal(directions, self.transport.now()))
+            self._after(act.seconds, lambda: self._heal(act, directions))
         elif act.kind in ("reset", "mute"):
             assert self.streams is not None, "reset and mute need a stream relay"
             self.on_act(act.kind, act)
@@ -127,6 +130,12 @@
                 self._tasks.append(asyncio.ensure_future(self._restart(name, act.seconds)))
         return now + act.seconds
 
+    def _heal(self, act: Act, directions: list[Direction]) -> None:
+        if self.may_heal(act):
+            self.faults.heal(directions, self.transport.now())
+        else:
+            self._after(HEAL_CHECK_SECONDS, lambda: self._heal(act, directions))
+
     def _after(self, seconds: float, action: Callable[[], Any]) -> None:
         self.transport.call_at(self.transport.now() + seconds, action)
 
--- a/gorsethread/simulation/branch_checks.py
+++ b/gorsethread/simulation/branch_checks.py
@@ -50,14 +50,17 @@
         created.started_at = self.transport.now()
         return created
 
+    def write_accepted(self, attempt: Any) -> None:
+        """Records that a gateway of the branch accepted the write of an attempt."""
+        label, gateway = attempt.request.label, attempt.link.number
+        self.recorder.record("accepted", label=label, attempt=attempt.attempt, head=gateway)
+
     def answered(self, attempt: Any, how: str, completion: Any, data: bytes) -> None:
         request, now = attempt.request, self.transport.now()
         blocks = [(request.volume.number, request.first_block + n) for n in range(request.blocks)]
         accepted = how == "honoured" and request.operation == Opcode.WRITE and completion.dw0 == 0
         if accepted:
-            self.recorder.record(
-                "accepted", label=request.label, attempt=attempt.attempt, head=attempt.link.number
-            )
+            self.write_accepted(attempt)
             self.accepted.update(dict.fromkeys(blocks, (request.label, now)))
         elif (
             how == "honoured"
--- a/tests/test_offline_writes.py
+++ b/tests/test_offline_writes.py
@@ -15,6 +15,13 @@
 from gorsethread.cli.main import app
 from gorsethread.durable_log.replication_messages import encode
 from gorsethread.harness.branches import SUPPORTED_ACTS, BranchTrial, Result
+from gorsethread.harness.dependent_writes import (
+    NO_PAIR,
+    AcceptedWrite,
+    DependentPair,
+    DependentWritesTrial,
+    find_pair,
+)
 from gorsethread.harness.process_faults import unsupported_acts
 from gorsethread.harness.processes import Processes
 from gorsethread.harness.site import SUPPORTED_PARTIES
@@ -348,13 +355,28 @@
             self.assertIn(expected, str(caught.exception))
 
 
+class DependentPairs(unittest.TestCase):
+    def test_a_pair_is_two_writes_at_different_shards_of_which_one_was_answered_before_the_other_was_sent(
+        self,
+    ) -> None:
+        first = AcceptedWrite(1, shard=0, sent_at=1.0, answered_at=1.2)
+        overlapping = AcceptedWrite(2, shard=1, sent_at=1.1, answered_at=1.3)
+        at_the_same_shard = AcceptedWrite(3, shard=0, sent_at=1.25, answered_at=1.4)
+        dependent = AcceptedWrite(4, shard=2, sent_at=1.5, answered_at=1.6)
+        self.assertIsNone(find_pair([first, overlapping, at_the_same_shard]))
+        found = find_pair([first, overlapping, at_the_same_shard, dependent])
+        self.assertEqual(DependentPair(first, dependent), found)
+
+
 @pytest.mark.processes
 class RealProcesses(unittest.TestCase):
-    def play(self, script: str, mutation: str = "") -> tuple[Result, list[dict[str, Any]]]:
+    def play(
+        self, script: str, mutation: str = "", trial_class: type[BranchTrial] = BranchTrial
+    ) -> tuple[Result, list[dict[str, Any]]]:
         start_logs(True, "critical")
         branch_states: list[dict[str, Any]] = []
 
-        class Trial(BranchTrial):
+        class Trial(trial_class):  # type: ignore[valid-type, misc]
             async def _clients_finished(self) -> None:
                 """Also runs `branch show` in a process of its own, as an operator would."""
                 await super()._clients_finished()
@@ -394,9 +416,11 @@
             line + "\n" for line in REAL_PROCESSES.splitlines() if not line.startswith(("14", "17.5"))
         )
         result, _ = self.play(
-            script.replace("seconds 30", "seconds 14"),
+            script.replace("seconds 30", "seconds 34"),
             "from gorsethread.offline_writes.write_queue import WriteQueue\n"
             "WriteQueue._dependencies_finished = lambda queue, write: True\n",
+            DependentWritesTrial,
         )
+        self.assertNotIn(NO_PAIR, result.reasons)
         self.assertGreater(result.causal_breaks, 0, result)
         self.assertFalse(result.good)
