A soak of shutdowns: series of signals and crowds by seed, on real processes under load

Why: shutdowns were tested one by one. Now a seed draws the order of SIGHUP and two SIGTERMs, their gaps (from one turn of the loop to 0.5 s), several gateways after another, and a crowd: idle clients, new connections, a hanging backend, no discovery.

A gateway that ends before its last answers is found.

--- a/gorsethread/cli/faults.py
+++ b/gorsethread/cli/faults.py
@@ -8,7 +8,13 @@
 from rich.console import Console
 from rich.table import Table
 
-from gorsethread.cli.options import SitePath, print_error, read_site_or_exit, write_json
+from gorsethread.cli.options import (
+    SitePath,
+    print_error,
+    read_seeds_or_exit,
+    read_site_or_exit,
+    write_json,
+)
 from gorsethread.experiments.script_comparison import beside
 from gorsethread.harness.process_faults import unsupported_acts
 from gorsethread.harness.site import SUPPORTED_ACTS, SUPPORTED_PARTIES
@@ -57,14 +63,6 @@
 ]
 
 
-def _seeds(text: str) -> range:
-    first, dots, last = text.partition("..")
-    if not first.isdigit() or dots and not last.isdigit() or dots and int(last) < int(first):
-        typer.echo(f"--seeds: {text!r} is not like 0..999", err=True)
-        raise typer.Exit(2)
-    return range(int(first), int(last or first) + 1)
-
-
 def _script(site: pb.Site, what: str, web: bool = False, with_records: bool = False) -> Script:
     if what.isdigit():
         return generate_script(site, int(what), web, with_records)
@@ -109,7 +107,11 @@
 
     Exit status 0: in each, every rule held and nothing was left over.
     """
-    settings, wanted, mutant_name = read_site_or_exit(site), _seeds(seeds), _mutant(mutant, web, with_records)
+    settings, wanted, mutant_name = (
+        read_site_or_exit(site),
+        read_seeds_or_exit(seeds),
+        _mutant(mutant, web, with_records),
+    )
     console = Console(stderr=json_path == "-")
     summary, began = Summary(), wall_seconds()
     for played in play_many(settings, wanted, at_once, mutant_name, web, with_records):
--- a/gorsethread/cli/main.py
+++ b/gorsethread/cli/main.py
@@ -16,6 +16,7 @@
 
 from gorsethread.cli import accounts, branch, faults, fleet, lab, records
 from gorsethread.cli.options import SitePath, read_site_or_exit, write_json
+from gorsethread.cli.shutdowns import shutdowns
 from gorsethread.errors import GorsethreadError
 from gorsethread.experiments import bench as benches
 from gorsethread.experiments.alternate import Alternating
@@ -48,6 +49,7 @@
 
 app.add_typer(accounts.app)
 app.add_typer(lab.app)
+lab.app.command()(shutdowns)
 app.add_typer(faults.app)
 app.add_typer(fleet.app)
 app.add_typer(records.app)
--- a/gorsethread/cli/options.py
+++ b/gorsethread/cli/options.py
@@ -36,3 +36,12 @@
         sys.stdout.write(text)
     elif path:
         Path(path).write_text(text)
+
+
+def read_seeds_or_exit(text: str) -> range:
+    """Returns the seeds of an option like 0..999 or 7; exits with status 2 if it is not like that."""
+    first, dots, last = text.partition("..")
+    if not first.isdigit() or dots and not last.isdigit() or dots and int(last) < int(first):
+        typer.echo(f"--seeds: {text!r} is not like 0..999", err=True)
+        raise typer.Exit(2)
+    return range(int(first), int(last or first) + 1)
--- a/gorsethread/fakes/web/clients.py
+++ b/gorsethread/fakes/web/clients.py
@@ -105,6 +105,8 @@
     connection: ClientConnection | None = None
     written_at = 0.0
     written_again = False
+    # The gateway's end of the connection had arrived before the request was written, where that is known.
+    written_after_end = False
 
     def send(self) -> bool:
         self.client.transport.spawn(self._connect_and_write())
@@ -204,7 +206,8 @@
             not self.written_again
             and self.client.may_be_unread(self)
             and (
-                self.client.transport.now() - self.written_at < CROSSING_SECONDS
+                self.written_after_end
+                or self.client.transport.now() - self.written_at < CROSSING_SECONDS
                 or connection.used
                 and self.written_at - connection.idle_since >= MIN_IDLE_SECONDS
             )
@@ -215,7 +218,7 @@
         elif (
             self.written_again
             and self.client.may_be_unread(self)
-            and (self.client.transport.now() - self.written_at < CROSSING_SECONDS)
+            and (self.written_after_end or self.client.transport.now() - self.written_at < CROSSING_SECONDS)
         ):
             self._record_shut_out()
         else:
@@ -241,7 +244,7 @@
         self.client.transport.spawn(connection.listen())
         if self.over or self.client.transport.now() >= self.request.by - 0.02:
             stream.close()
-            self.ended("unreachable", None, b"")
+            self._record_shut_out()
         else:
             self._write(connection)
 
