A log event names an accepted loss with a word of the glossary

The event of a recovery that ends by an accepted loss used a withdrawn word, which tests/test_terminology.py reports.

--- a/gorsethread/nvme_gateway/replicated_log.py
+++ b/gorsethread/nvme_gateway/replicated_log.py
@@ -163,7 +163,7 @@
         assert recovery.completion_reason is not None
         certain = recovery.completion_reason is not CompletionReason.LOSS_ACCEPTED
         self.log.info(
-            "no record is missing any more" if certain else "records that nobody returned are given up",
+            "no record is missing any more" if certain else "records that nobody returned count as lost",
             after=round(recovery.stage_since - recovery.started, 3),
             reason=recovery.completion_reason.value,
             answered=sorted(recovery.answers),
