A trial that was not good keeps its logs and record folders and says where

Why: the plays that showed the older backup had to be played again to be traced, as their folders were removed.

Change: TrialFolder keeps the folder of a trial where the trial asks for it or an error comes, and prints its path; the trials of lost disks and of shutdowns use it, without a planted defect.

Measured: its tests pass (kept if not good, removed if good, kept after an error).

--- a/gorsethread/cli/shutdowns.py
+++ b/gorsethread/cli/shutdowns.py
@@ -1,6 +1,5 @@
 """gorsethread lab shutdowns: a soak of shutdowns of HTTP gateways, a seed a trial."""
 
-import tempfile
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -9,6 +8,7 @@
 from gorsethread.cli.options import SitePath, read_seeds_or_exit, read_site_or_exit, write_json
 from gorsethread.harness.processes import Processes
 from gorsethread.harness.shutdown_trial import ShutdownTrial, script_of
+from gorsethread.harness.trial_folder import TrialFolder
 from gorsethread.logs import log_for, start_logs
 from gorsethread.site_config import site_pb2 as pb
 from gorsethread.transport.real import RealTransport, run
@@ -19,11 +19,13 @@
     trials: list[ShutdownTrial] = []
 
     async def work(transport: RealTransport) -> None:
-        with tempfile.TemporaryDirectory(prefix="gorsethread-shutdowns-") as folder:
-            processes = Processes(Path(folder), site)
+        with TrialFolder("gorsethread-shutdowns-") as folder:
+            processes = Processes(folder.path, site)
             trial = ShutdownTrial(transport, processes, site, log_for(), script_of(seed), defect_code)
             trials.append(trial)
-            await trial.play()
+            result = await trial.play()
+            if not result.good and not defect_code:
+                folder.keep()
 
     run(work, seed)
     return trials[0]
--- a/tests/test_durable_log.py
+++ b/tests/test_durable_log.py
@@ -21,6 +21,7 @@
 from gorsethread.harness.process_faults import unsupported_acts
 from gorsethread.harness.processes import Processes
 from gorsethread.harness.site import SUPPORTED_PARTIES
+from gorsethread.harness.trial_folder import TrialFolder
 from gorsethread.logs import log_for, start_logs
 from gorsethread.nvme_gateway.peers import fleet_id
 from gorsethread.nvme_gateway.recovery_client import RecoveryClient
@@ -389,11 +390,13 @@
         start_logs(True, "critical")
 
         async def work() -> Result:
-            with tempfile.TemporaryDirectory() as folder:
+            with TrialFolder("gorsethread-records-") as folder:
                 trial = DurableLogTrial(
-                    RealTransport(3), Processes(Path(folder), SITE), SITE, log_for(), read_script(text), plant
+                    RealTransport(3), Processes(folder.path, SITE), SITE, log_for(), read_script(text), plant
                 )
                 result = await trial.play()
+                if not result.good and not plant:
+                    folder.keep()
                 assert isinstance(result, Result)
                 return result
 
--- a/tests/test_harness.py
+++ b/tests/test_harness.py
@@ -1,6 +1,9 @@
 """Tests of the harness: the stream relay, scripts of faults, and trials with gateways as real processes."""
 
 import asyncio
+import contextlib
+import io
+import shutil
 import socket
 import tempfile
 import unittest
@@ -17,6 +20,7 @@
 from gorsethread.harness.relay import LinkFaults, StreamRelay
 from gorsethread.harness.service import SUPPORTED_ACTS, SUPPORTED_PARTIES, ServiceTrial
 from gorsethread.harness.site import SiteTrial
+from gorsethread.harness.trial_folder import TrialFolder
 from gorsethread.logs import log_for, start_logs
 from gorsethread.simulation.runs import play
 from gorsethread.simulation.script import read_script
@@ -312,6 +316,30 @@
         self.play(work)
 
 
+class TrialFolders(unittest.TestCase):
+    def test_the_folder_of_a_trial_is_kept_only_if_it_was_not_good(self) -> None:
+        for good in (True, False):
+            with self.subTest(good=good), contextlib.redirect_stderr(io.StringIO()) as said:
+                with TrialFolder("gorsethread-test-") as folder:
+                    (folder.path / "head-0.log").write_text("a line")
+                    if not good:
+                        folder.keep()
+                self.addCleanup(shutil.rmtree, folder.path, ignore_errors=True)
+                self.assertEqual(not good, (folder.path / "head-0.log").exists())
+                self.assertEqual(not good, str(folder.path) in said.getvalue())
+
+    def test_a_trial_that_raises_keeps_its_folder(self) -> None:
+        with (
+            contextlib.redirect_stderr(io.StringIO()) as said,
+            self.assertRaises(OSError),
+            TrialFolder("gorsethread-test-") as folder,
+        ):
+            self.addCleanup(shutil.rmtree, folder.path, ignore_errors=True)
+            raise OSError("no descriptor left")
+        self.assertTrue(folder.path.exists())
+        self.assertIn(str(folder.path), said.getvalue())
+
+
 class OwnersOfConnections(unittest.TestCase):
     CONNECTS_AND_WAITS = (
         "import socket, sys; s = socket.create_connection(('127.0.0.1', int(sys.argv[1]))); s.recv(1)"
