--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Case 2: four bad clients send one request each whose length is written twice, with many spaces between.
+"""Case 2: eight bad clients send one request each whose length is written twice, with many spaces between.
 
 The requests of the usual clients have to get their final answer all the same.
 """
@@ -16,10 +16,10 @@
 
 SECONDS = 20.0
 CLIENTS = 6
-DEADLINE_MS = 2000
+DEADLINE_MS = 500
 SLACK = 0.5 + 0.05  # seconds after its time up to which an answer earns nothing but is not lost
 BAD_AT = 6.0
-BAD_CLIENTS = 4
+BAD_CLIENTS = 8
 HEADER_BYTES = 16_000  # of a bad request's header section in all
 
 
@@ -40,7 +40,7 @@
     writer.write(bad_request(draws))
     record.add("bad_request_sent")
     try:
-        got = (await asyncio.wait_for(reader.readline(), 60.0)).decode("latin-1").strip() or "closed"
+        got = (await asyncio.wait_for(reader.readline(), 70.0)).decode("latin-1").strip() or "closed"
     except (OSError, TimeoutError) as error:
         got = type(error).__name__
     writer.close()
@@ -63,7 +63,7 @@
             "seed": f"{seed:016x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": discovery.known(),
-            "settings": standins.settings(1, 1, [standins.request_class("read", 0.3, 2.0, "free")]),
+            "settings": standins.settings(1, 1, [standins.request_class("read", 0.2, DEADLINE_MS / 1000, "free")]),
         },
         scratch,
         record,
@@ -82,7 +82,7 @@
             counts["served"] += answer.status == 200
             if answer.status == 0 or took > DEADLINE_MS / 1000 + SLACK:
                 what = "no answer" if answer.status == 0 else f"its answer, {answer.status},"
-                breaks.append(f"request {request_id} had 2 s and got {what} after {took:.2f} s")
+                breaks.append(f"request {request_id} had {DEADLINE_MS / 1000:g} s and got {what} after {took:.2f} s")
             await asyncio.sleep(draws.uniform(0.0, 0.2))
         client.close()
 
