One bad length no longer holds the gateway up: lengths are found in one pass over the lines

Cause: the search for repeated Content-Length lines. For "Content-Length: 5", blanks, ",5" its lazy group tried every end, and at each one ran over the blanks that were left: steps with the square of the blanks, on the only thread. Change: the lines of the header section are split and each is divided at its first colon: one pass, whatever they hold. The lengths found are the same; the test of invalid and ambiguous lengths is unchanged.

--- a/gorsethread/http1/server_codec.py
+++ b/gorsethread/http1/server_codec.py
@@ -5,7 +5,6 @@
 request is parsed before its response.
 """
 
-import re
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -20,8 +19,6 @@
     content_length,
 )
 
-CONTENT_LENGTH_LINES = re.compile(rb"\ncontent-length[ \t]*:[ \t]*([^\r\n]*?)[ \t]*\r?(?=\n)", re.IGNORECASE)
-
 
 class Request(NamedTuple):
     """A complete request; its header names are in lower case."""
@@ -43,6 +40,16 @@
         return found[0] if found else None
 
 
+def _content_length_values(header_section: bytes) -> list[bytes]:
+    """Returns the value of each Content-Length line, in one pass over the lines."""
+    values = []
+    for line in header_section.split(b"\n"):
+        name, _, value = line.partition(b":")
+        if name.rstrip(b" \t").lower() == b"content-length":
+            values.append(value.strip(b" \t\r"))
+    return values
+
+
 def closing_response(status: int) -> bytes:
     """Returns a response without a body that closes the connection; needs no decoded request."""
     return (
@@ -123,7 +130,7 @@
         if request.http_version != b"1.1":
             raise InvalidRequestError(505, "another version")
         headers: Headers = list(request.headers)
-        lengths = CONTENT_LENGTH_LINES.findall(self._header_section.partition(b"\r\n\r\n")[0] + b"\n")
+        lengths = _content_length_values(self._header_section.partition(b"\r\n\r\n")[0])
         self._header_section = b""
         if len(lengths) > 1 or lengths and not lengths[0].isdigit():
             raise InvalidRequestError(400, "two ways to tell the length")
--- /dev/null
+++ b/tests/http_gateway/test_hold_ups.py
@@ -0,0 +1,85 @@
+"""Bytes that are slow to decode must not hold up the gateway's other clients: a real process, raw sockets."""
+
+import contextlib
+import threading
+import time
+from collections.abc import Sequence
+
+import pytest
+
+from tests.crossing.rig import PeerEnded, ProcessTest, Server, response_bytes
+from tests.live import request_bytes
+
+TIMEOUT_MS = 500  # of a usual client's request
+# The platform counts a request as lost if its answer comes later than half a second after its timeout, and
+# gives 50 ms more on sockets.
+ANSWERED_WITHIN = TIMEOUT_MS / 1000 + 0.5 + 0.05
+INVALID_ANSWERED_WITHIN = 3.0  # seconds from connecting within which an invalid request is owed an error
+USUAL_SECONDS = 4.0  # for which usual requests are sent after the slow bytes
+SLOW_CLIENTS = 8
+HEADER_SECTION_BYTES = 16_000
+
+
+def padded(start: bytes, end: bytes, blank: bytes = b" ", size: int = HEADER_SECTION_BYTES) -> bytes:
+    """Returns a header section of that size with blanks between its start and its end."""
+    return start + blank * (size - len(start) - len(end)) + end
+
+
+@pytest.mark.processes
+class HoldUps(ProcessTest):
+    def start_backend(self, body: bytes = response_bytes(200, b"ok")) -> Server:
+        """Starts a backend that answers each request at once with those bytes."""
+        backend = Server(self)
+
+        def answer() -> None:
+            with contextlib.suppress(OSError):
+                while True:
+                    peer, _ = backend.next_request(60.0)
+                    peer.send(body)
+
+        threading.Thread(target=answer, daemon=True).start()
+        return backend
+
+    def send_at_once(self, requests: Sequence[bytes]) -> list[float]:
+        """Sends each on a connection of its own; the list fills with the seconds until its answer or end."""
+        took: list[float] = []
+
+        def send(data: bytes) -> None:
+            began = time.monotonic()
+            with contextlib.suppress(OSError), self.client().socket as connection:
+                connection.sendall(data)
+                connection.recv(1)
+            took.append(time.monotonic() - began)
+
+        for data in requests:
+            threading.Thread(target=send, args=(data,), daemon=True).start()
+        return took
+
+    def assert_usual_clients_are_answered(self) -> None:
+        """Sends usual requests one after the other, each of which has to get its answer in time."""
+        until = time.monotonic() + USUAL_SECONDS
+        number = 0x1000
+        peer = self.client()
+        while time.monotonic() < until:
+            number += 1
+            began = time.monotonic()
+            try:
+                peer.send(request_bytes(f"{number:x}", shard=1, timeout_ms=TIMEOUT_MS))
+                status = peer.message().status
+            except (PeerEnded, OSError) as error:
+                self.fail(f"no answer: {error!r}")
+            self.assertLess(time.monotonic() - began, ANSWERED_WITHIN)
+            self.assertEqual(200, status)
+            time.sleep(0.02)
+
+    def assert_held_up_by_none(self, requests: Sequence[bytes]) -> None:
+        self.start(self.start_backend(), self.start_backend())
+        took = self.send_at_once(requests)
+        self.assert_usual_clients_are_answered()
+        self.assertEqual(len(requests), len(took))
+        self.assertLess(max(took), INVALID_ANSWERED_WITHIN)
+
+    def test_lengths_far_apart_in_one_line_hold_up_no_other_client(self) -> None:
+        # Guards against a search of the lengths whose steps grow with the square of a line's blanks.
+        request = padded(request_bytes("1")[:-2] + b"Content-Length: 5", b",5\r\n\r\n") + b"hello"
+        self.assert_held_up_by_none([request] * SLOW_CLIENTS)
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -1,7 +1,9 @@
 """The HTTP codec: valid and invalid messages of both sides, split into pieces at any position."""
 
 import contextlib
+import time
 import unittest
+from collections.abc import Callable
 
 import h11
 from hypothesis import given
@@ -29,6 +31,25 @@
     return [data[start:end] for start, end in zip(positions, positions[1:], strict=False) if start < end]
 
 
+SIZES_APART = 8  # the factor between the two sizes of which the growth of work is measured
+# Work in proportion to the bytes grows by SIZES_APART, work with their square by its square.
+GROWTH_MAX = 3 * SIZES_APART
+
+
+def growth(work: Callable[[int], None], size: int) -> float:
+    """Returns how many times as long work(SIZES_APART * size) takes as work(size), each at its fastest."""
+
+    def fastest(of_size: int) -> float:
+        taken = []
+        for _ in range(5):
+            began = time.process_time()
+            work(of_size)
+            taken.append(time.process_time() - began)
+        return min(taken)
+
+    return fastest(SIZES_APART * size) / max(fastest(size), 1e-6)
+
+
 CUT_POSITIONS = st.lists(st.integers(0, 10_000), max_size=12)
 
 
@@ -88,6 +109,22 @@
             with self.subTest(lengths=lengths):
                 self.assert_refused(start + lengths + b"\r\nhello", 400)
 
+    def test_the_work_on_a_length_grows_with_its_bytes_and_not_with_their_square(self) -> None:
+        # Guards against one bad length that holds the gateway up, so that other clients get no answer.
+        start = b"PUT /a/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: a\r\n"
+
+        for line in (b"Content-Length: 5%s,5", b"Content-Length:%s5 5", b"Content-Length%s: 5", b"X: 5%s,5"):
+            for blank in (b" ", b"\t"):
+
+                def refuse(size: int, line: bytes = line, blank: bytes = blank) -> None:
+                    codec = ServerCodec()
+                    codec.feed(start + line % (blank * size) + b"\r\n\r\nhello")
+                    with contextlib.suppress(InvalidRequestError):
+                        codec.next_request()
+
+                with self.subTest(line=line, blank=blank):
+                    self.assertLess(growth(refuse, 1_900), GROWTH_MAX)
+
     def test_a_body_over_the_bound_is_refused_before_it_is_complete(self) -> None:
         self.assert_refused(b"PUT /a/b HTTP/1.1\r\nHost: a\r\nContent-Length: 60000000\r\n\r\n", 413)
         chunk = b"%x\r\n%s\r\n" % (REQUEST_BODY_BYTES_MAX // 2, b"x" * (REQUEST_BODY_BYTES_MAX // 2))
