--- /dev/null
+++ b/gorsethread/transport/real_streams.py
@@ -0,0 +1,180 @@
+"""TCP connections and listening ports of a real process, on Tornado streams."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, Protocol
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from gorsethread.transport.base import MAX_READ_BYTES, Stream, StreamClosed, StreamEnded
+
+TCP_STATES_PEER_ENDED = (7, 8, 9, 11)  # Linux numbers of CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING
+LISTEN_BACKLOG = 512  # connections that the system completes before the program accepts them
+ACCEPTS_PER_EVENT = 32  # per loop iteration, so that a flood of connections does not starve open ones
+ACCEPT_RETRY_DELAY = 0.05  # seconds, after accept() failed
+
+
+class Tasks(Protocol):
+    """What a listener uses of the transport."""
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Runs a coroutine as a task."""
+        ...
+
+
+class RealStream:
+    """A TCP connection, on a Tornado stream."""
+
+    def __init__(self, stream: IOStream, peer: str) -> None:
+        self._stream = stream
+        self.peer = peer
+        self._flushed: asyncio.Future[None] | None = None
+        self._corked: list[bytes] = []  # written in this iteration of the loop; emptied at its end
+        self._corked_size = 0
+        self._sending_ended = False
+        self._closed_here = False
+        stream.set_nodelay(True)
+
+    @property
+    def unsent(self) -> int:
+        buffered = self._stream._total_write_index - self._stream._total_write_done_index
+        return self._corked_size + buffered
+
+    async def read(self) -> bytes:
+        try:
+            return await self._stream.read_bytes(MAX_READ_BYTES, partial=True)
+        except StreamClosedError as error:
+            if error.real_error is None and not self._closed_here:
+                raise StreamEnded("closed by peer") from None
+            raise StreamClosed(str(error.real_error or "closed")) from None
+
+    def is_idle(self) -> bool:
+        if self._stream.closed() or self._stream._read_buffer_size:
+            return False
+        try:
+            # Looks for bytes or an end that the system has received and the loop has not read yet.
+            self._stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def peer_ended(self) -> bool:
+        if self._stream.closed():
+            return True
+        try:
+            state = self._stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        except OSError:
+            return False  # TCP_INFO is not supported: the end is noticed when the stream is read
+        return state in TCP_STATES_PEER_ENDED
+
+    def write(self, data: bytes) -> None:
+        if self._stream.closed() or self._sending_ended:
+            return
+        # All writes of one iteration of the loop are sent with a single system call.
+        if not self._corked:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._corked.append(data)
+        self._corked_size += len(data)
+
+    def _flush(self) -> None:
+        if self._stream.closed():
+            return  # the corked bytes stay counted as unsent
+        corked, self._corked, self._corked_size = self._corked, [], 0
+        if corked:
+            self._flushed = self._stream.write(b"".join(corked))
+            self._flushed.add_done_callback(_retrieve_exception)
+
+    def end_sending(self) -> None:
+        if self._sending_ended or self._stream.closed():
+            return
+        self._sending_ended = True
+        self._flush()
+        if self._flushed is None or self._flushed.done():
+            self._shut_down()
+        else:
+            self._flushed.add_done_callback(lambda flushed: self._shut_down())
+
+    def _shut_down(self) -> None:
+        if not self._stream.closed():
+            with contextlib.suppress(OSError):  # reset by the peer: the next read raises
+                self._stream.socket.shutdown(socket.SHUT_WR)
+
+    async def drained(self) -> None:
+        if self._stream.closed():
+            raise StreamClosed("closed")
+        self._flush()
+        if self._flushed is not None:
+            try:
+                await asyncio.shield(self._flushed)
+            except StreamClosedError as error:
+                raise StreamClosed(str(error.real_error or "closed")) from None
+
+    def close(self) -> None:
+        self._flush()
+        if not self._stream.closed():
+            self._closed_here = True
+        self._stream.close()
+
+
+def _retrieve_exception(future: "asyncio.Future[None]") -> None:
+    """Keeps asyncio from logging the exception of a failed write, which the next read raises."""
+    if not future.cancelled():
+        future.exception()
+
+
+class RealListener:
+    """A listening port that accepts connections itself instead of through Tornado's server.
+
+    Tornado's server accepts up to 128 connections per loop iteration before any can be refused, and its
+    accept loop raises, which ends the program, when the process is out of file descriptors.
+    """
+
+    def __init__(
+        self,
+        transport: Tasks,
+        sockets: list[socket.socket],
+        on_stream: Callable[[Stream], Awaitable[None]],
+        admits: Callable[[], bool] | None,
+    ) -> None:
+        self._transport, self._sockets = transport, sockets
+        self._loop = asyncio.get_event_loop()
+        self._on_stream, self._admits = on_stream, admits
+        self.port: int = sockets[0].getsockname()[1]
+        for listening in sockets:
+            self._start_accepting(listening)
+
+    def _start_accepting(self, listening: socket.socket) -> None:
+        if self._sockets:
+            self._loop.add_reader(listening.fileno(), self._accept, listening, ACCEPTS_PER_EVENT)
+
+    def _accept(self, listening: socket.socket, limit: int) -> None:
+        for _ in range(limit):
+            try:
+                accepted, address = listening.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                return
+            except OSError:
+                # Out of file descriptors: the loop would call this again at once, without end.
+                self._loop.remove_reader(listening.fileno())
+                self._loop.call_later(ACCEPT_RETRY_DELAY, self._start_accepting, listening)
+                return
+            if self._admits is not None and not self._admits():
+                accepted.close()
+                continue
+            stream = IOStream(accepted, read_chunk_size=MAX_READ_BYTES, max_buffer_size=4 * MAX_READ_BYTES)
+            self._transport.spawn(self._serve(RealStream(stream, f"{address[0]}:{address[1]}")))
+
+    async def _serve(self, stream: Stream) -> None:
+        await self._on_stream(stream)
+
+    def close(self) -> None:
+        sockets, self._sockets = self._sockets, []
+        for listening in sockets:
+            # Connections that the system has completed already are still served.
+            self._accept(listening, LISTEN_BACKLOG)
+            self._loop.remove_reader(listening.fileno())
+            listening.close()
