A hold-up of the event loop is counted and logged with the peer whose bytes took longest

Change: the loop waits with a selector that measures each iteration, from the end of one wait to the start of the next; streams and datagrams name the bytes that are worked on. Over 0.15 s, what the platform allows a gateway to be held up, the HTTP gateway logs "the event loop was held up" with the peer; counts have longest_iteration_ms. The virtual transport, whose clock stands still during work, reports nothing. Tests: a blocked stream is reported once with its peer, size and seconds; a blocked timer without a name.

--- a/gorsethread/http_gateway/gateway.py
+++ b/gorsethread/http_gateway/gateway.py
@@ -15,6 +15,7 @@
 from gorsethread.http_gateway.discovery import Discovery
 from gorsethread.http_gateway.endpoint_updates import EndpointUpdates
 from gorsethread.transport.base import Listener, Transport
+from gorsethread.transport.loop_iterations import Iteration
 
 # Fractions of the permitted sockets; the rest is for discovery and the program itself.
 CLIENTS_FRACTION = 0.5
@@ -29,6 +30,8 @@
 FIRST_LIST_SECONDS = 1.5  # longest wait for the agent's list before serving, where lists are pushed
 LAST_ANSWERS_SECONDS = 0.4  # for open requests, after new ones are no longer accepted
 LAST_ANSWERS_POLL_SECONDS = 0.02
+# The platform allows a gateway to be held up for so long between reading its clock and writing.
+HOLD_UP_SECONDS = 0.15
 MAX_WATCH_WAIT_SECONDS = 2.4  # of a call for changes; its answer may arrive later
 
 
@@ -139,6 +142,7 @@
             self._serve()
         self._sweep()
         self._report()
+        self.transport.watch_iterations(HOLD_UP_SECONDS, self._log_hold_up)
 
     def _serve_unless_started(self) -> None:
         if self._listener is None and not self._ending:
@@ -218,6 +222,14 @@
             self._log_counts("counts")
             self.transport.call_at(self.transport.now() + REPORT_INTERVAL_SECONDS, self._report)
 
+    def _log_hold_up(self, iteration: Iteration) -> None:
+        self.log.warning(
+            "the event loop was held up",
+            seconds=round(iteration.seconds, 3),
+            longest_work=iteration.work,
+            work_seconds=round(iteration.work_seconds, 3),
+        )
+
     def _log_counts(self, event: str) -> None:
         counts = {name.replace(" ", "_"): count for name, count in sorted(self.driver.counts.items())}
         messages = dict(self.peer_messages.counts) if self.peer_messages is not None else {}
@@ -231,5 +243,6 @@
             invalid_requests=self.clients.report(),
             invalid_answers=self.pool.report(),
             messages=messages,
+            longest_iteration_ms=round(self.transport.take_longest_iteration().seconds * 1000),
             **counts,
         )
--- a/gorsethread/transport/base.py
+++ b/gorsethread/transport/base.py
@@ -8,6 +8,7 @@
 from typing import Any, Protocol
 
 from gorsethread.errors import GorsethreadError
+from gorsethread.transport.loop_iterations import Iteration
 
 MAX_READ_BYTES = 65_536  # the most that one read of a stream returns
 MAX_DATAGRAM_BYTES = 256  # the operators' platform does not carry longer datagrams between gateways
@@ -178,6 +179,14 @@
         """Calls act after the present callback returns and before anything new is read."""
         ...
 
+    def watch_iterations(self, limit: float, act: Callable[[Iteration], None]) -> None:
+        """Calls act after each iteration of the event loop that took over limit seconds."""
+        ...
+
+    def take_longest_iteration(self) -> Iteration:
+        """Returns the longest iteration of the event loop since the last call of this method."""
+        ...
+
     async def sleep(self, seconds: float) -> None: ...
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
--- a/gorsethread/transport/real.py
+++ b/gorsethread/transport/real.py
@@ -27,6 +27,7 @@
     Timer,
     Unreachable,
 )
+from gorsethread.transport.loop_iterations import Iteration, LoopIterations, MeasuringSelector
 from gorsethread.transport.program import Program, SeededRandom
 from gorsethread.transport.real_streams import LISTEN_BACKLOG, RealListener, RealStream
 
@@ -41,8 +42,10 @@
         loop: asyncio.AbstractEventLoop,
         bound: socket.socket,
         on_datagram: Callable[[bytes, tuple[str, int]], None],
+        iterations: LoopIterations,
     ) -> None:
         self._loop, self._socket, self._on_datagram = loop, bound, on_datagram
+        self._iterations = iterations
         self.port: int = bound.getsockname()[1]
         loop.add_reader(bound.fileno(), self._read)
 
@@ -55,7 +58,9 @@
                 return
             except OSError:
                 continue  # reports that an earlier datagram was refused by its destination, not a fault here
+            self._iterations.work_began(source[0], len(data))
             self._on_datagram(data, source)
+            self._iterations.work_ended(source[0])
             if self._socket.fileno() < 0:
                 return
 
@@ -157,8 +162,9 @@
 class RealTransport(Program):
     """The transport of a real process; each of its random streams depends on the seed and its own name."""
 
-    def __init__(self, seed: int = 0) -> None:
+    def __init__(self, seed: int = 0, iterations: LoopIterations | None = None) -> None:
         self._seed = seed
+        self._iterations = iterations or LoopIterations()
         self._loop = asyncio.get_event_loop()
         super().__init__(self._loop)
         self._loop.set_exception_handler(self._callback_raised)
@@ -179,6 +185,12 @@
     async def sleep(self, seconds: float) -> None:
         await asyncio.sleep(seconds)
 
+    def watch_iterations(self, limit: float, act: Callable[[Iteration], None]) -> None:
+        self._iterations.watch(limit, act)
+
+    def take_longest_iteration(self) -> Iteration:
+        return self._iterations.take_longest()
+
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = self._loop.create_task(work)
         self._tasks.add(task)
@@ -221,7 +233,7 @@
         except asyncio.CancelledError:
             stream.close()
             raise
-        return RealStream(stream, f"{host}:{port}")
+        return RealStream(stream, f"{host}:{port}", self._iterations)
 
     def listen(
         self,
@@ -231,7 +243,11 @@
         admits: Callable[[], bool] | None = None,
     ) -> RealListener:
         return RealListener(
-            self, bind_sockets(port, host, family=socket.AF_INET, backlog=LISTEN_BACKLOG), on_stream, admits
+            self,
+            self._iterations,
+            bind_sockets(port, host, family=socket.AF_INET, backlog=LISTEN_BACKLOG),
+            on_stream,
+            admits,
         )
 
     def datagrams(
@@ -244,7 +260,7 @@
         except OSError:
             bound.close()
             raise
-        return RealDatagrams(self._loop, bound, on_datagram)
+        return RealDatagrams(self._loop, bound, on_datagram, self._iterations)
 
     def random_stream(self, name: str) -> RandomStream:
         return SeededRandom(f"{self._seed}/{name}")
@@ -328,8 +344,10 @@
 def run(main: Callable[[RealTransport], Coroutine[Any, Any, None]], seed: int = 0) -> None:
     """Runs a program on a new transport until it ends."""
 
+    iterations = LoopIterations()
+
     async def run_main() -> None:
-        transport = RealTransport(seed)
+        transport = RealTransport(seed, iterations)
         # Objects that exist at the start are never freed, and a request leaves few reference cycles behind.
         # Collecting at the default rate would cost a good part of the time of each request. The price is some
         # MiB of garbage that is held a little longer.
@@ -338,4 +356,8 @@
         gc.set_threshold(20_000, 20, 20)
         await main(transport)
 
-    asyncio.run(run_main())
+    def new_loop() -> asyncio.AbstractEventLoop:
+        return asyncio.SelectorEventLoop(MeasuringSelector(iterations))
+
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        runner.run(run_main())
--- a/gorsethread/transport/real_streams.py
+++ b/gorsethread/transport/real_streams.py
@@ -9,6 +9,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from gorsethread.transport.base import MAX_READ_BYTES, Stream, StreamClosed, StreamEnded
+from gorsethread.transport.loop_iterations import LoopIterations
 
 TCP_STATES_PEER_ENDED = (7, 8, 9, 11)  # Linux numbers of CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING
 LISTEN_BACKLOG = 512  # connections that the system completes before the program accepts them
@@ -27,9 +28,10 @@
 class RealStream:
     """A TCP connection, on a Tornado stream."""
 
-    def __init__(self, stream: IOStream, peer: str) -> None:
+    def __init__(self, stream: IOStream, peer: str, iterations: LoopIterations) -> None:
         self._stream = stream
         self.peer = peer
+        self._iterations = iterations
         self._flushed: asyncio.Future[None] | None = None
         self._corked: list[bytes] = []  # written in this iteration of the loop; emptied at its end
         self._corked_size = 0
@@ -43,12 +45,15 @@
         return self._corked_size + buffered
 
     async def read(self) -> bytes:
+        self._iterations.work_ended(self.peer)
         try:
-            return await self._stream.read_bytes(MAX_READ_BYTES, partial=True)
+            data: bytes = await self._stream.read_bytes(MAX_READ_BYTES, partial=True)
         except StreamClosedError as error:
             if error.real_error is None and not self._closed_here:
                 raise StreamEnded("closed by peer") from None
             raise StreamClosed(str(error.real_error or "closed")) from None
+        self._iterations.work_began(self.peer, len(data))
+        return data
 
     def is_idle(self) -> bool:
         if self._stream.closed() or self._stream._read_buffer_size:
@@ -136,11 +141,12 @@
     def __init__(
         self,
         transport: Tasks,
+        iterations: LoopIterations,
         sockets: list[socket.socket],
         on_stream: Callable[[Stream], Awaitable[None]],
         admits: Callable[[], bool] | None,
     ) -> None:
-        self._transport, self._sockets = transport, sockets
+        self._transport, self._iterations, self._sockets = transport, iterations, sockets
         self._loop = asyncio.get_event_loop()
         self._on_stream, self._admits = on_stream, admits
         self.port: int = sockets[0].getsockname()[1]
@@ -166,7 +172,8 @@
                 accepted.close()
                 continue
             stream = IOStream(accepted, read_chunk_size=MAX_READ_BYTES, max_buffer_size=4 * MAX_READ_BYTES)
-            self._transport.spawn(self._serve(RealStream(stream, f"{address[0]}:{address[1]}")))
+            peer = f"{address[0]}:{address[1]}"
+            self._transport.spawn(self._serve(RealStream(stream, peer, self._iterations)))
 
     async def _serve(self, stream: Stream) -> None:
         await self._on_stream(stream)
--- a/gorsethread/transport/virtual/process.py
+++ b/gorsethread/transport/virtual/process.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from gorsethread.transport.base import Stream, Unreachable
+from gorsethread.transport.loop_iterations import NO_ITERATION, Iteration
 from gorsethread.transport.program import Program, SeededRandom
 from gorsethread.transport.virtual.datagrams import VirtualDatagrams
 from gorsethread.transport.virtual.disk import Disk, VirtualAppendOnlyFile, VirtualRandomAccessFile
@@ -123,6 +124,12 @@
     def call_soon(self, act: Callable[[], None]) -> None:
         self.network.loop.call_soon(self.deliver, act)
 
+    def watch_iterations(self, limit: float, act: Callable[[Iteration], None]) -> None:
+        """Never calls act: work takes no time on the simulated clock."""
+
+    def take_longest_iteration(self) -> Iteration:
+        return NO_ITERATION
+
     async def sleep(self, seconds: float) -> None:
         waiting = self.network.loop.create_future()
         self.call_at(self.now() + seconds, lambda: wake(waiting))
