One connection's buffered bytes no longer keep the event loop: large reads go on one an iteration

Cause: awaiting a read that is complete does not suspend, so a connection's task worked off all that was buffered, six reads of 64 KiB, in one iteration of the loop. The same for backends' answers, discovery, NVMe and replica streams. Change, in the real transport's streams: a read complete at once gives the loop back; a read returns 16 KiB at most; of those over 2 KiB one is admitted an iteration, in order. Bytes that read() has not returned make a stream not idle.

--- /dev/null
+++ b/gorsethread/transport/large_reads.py
@@ -0,0 +1,39 @@
+"""Shares the event loop among connections: one large read goes on in each of its iterations."""
+
+import asyncio
+from collections import deque
+
+READ_BYTES = 16_384  # the most that one read of a real stream returns, to be worked on without a pause
+SMALL_READ_BYTES = 2_048  # a usual request or answer is smaller; larger reads wait for each other
+
+
+class LargeReads:
+    """Admits one large read in each iteration of the event loop, in the order of their arrival.
+
+    The work on a peer's bytes has no pause, and a peer can choose bytes that are slow to work on. Small reads
+    do not wait here, so that usual requests and answers pass between the large reads of others.
+    """
+
+    def __init__(self) -> None:
+        self._waiting: deque[asyncio.Future[None]] = deque()  # one a stream; emptied one an iteration
+        self._admitted = False  # a large read was admitted in this iteration
+
+    async def admitted(self) -> None:
+        """Returns at once if no large read was admitted in this iteration, else in a later one."""
+        loop = asyncio.get_running_loop()
+        if not self._admitted:
+            self._admitted = True
+            loop.call_soon(self._admit_next, loop)
+            return
+        waiting = loop.create_future()
+        self._waiting.append(waiting)
+        await waiting
+
+    def _admit_next(self, loop: asyncio.AbstractEventLoop) -> None:
+        while self._waiting:
+            waiting = self._waiting.popleft()
+            if not waiting.done():  # it is done if its reader was cancelled
+                waiting.set_result(None)
+                loop.call_soon(self._admit_next, loop)
+                return
+        self._admitted = False
--- a/gorsethread/transport/real.py
+++ b/gorsethread/transport/real.py
@@ -27,6 +27,7 @@
     Timer,
     Unreachable,
 )
+from gorsethread.transport.large_reads import LargeReads
 from gorsethread.transport.loop_iterations import Iteration, LoopIterations, MeasuringSelector
 from gorsethread.transport.program import Program, SeededRandom
 from gorsethread.transport.real_streams import LISTEN_BACKLOG, RealListener, RealStream
@@ -165,6 +166,7 @@
     def __init__(self, seed: int = 0, iterations: LoopIterations | None = None) -> None:
         self._seed = seed
         self._iterations = iterations or LoopIterations()
+        self._large_reads = LargeReads()
         self._loop = asyncio.get_event_loop()
         super().__init__(self._loop)
         self._loop.set_exception_handler(self._callback_raised)
@@ -233,7 +235,7 @@
         except asyncio.CancelledError:
             stream.close()
             raise
-        return RealStream(stream, f"{host}:{port}", self._iterations)
+        return RealStream(stream, f"{host}:{port}", self._iterations, self._large_reads)
 
     def listen(
         self,
@@ -245,6 +247,7 @@
         return RealListener(
             self,
             self._iterations,
+            self._large_reads,
             bind_sockets(port, host, family=socket.AF_INET, backlog=LISTEN_BACKLOG),
             on_stream,
             admits,
--- a/gorsethread/transport/real_streams.py
+++ b/gorsethread/transport/real_streams.py
@@ -4,11 +4,12 @@
 import contextlib
 import socket
 from collections.abc import Awaitable, Callable, Coroutine
-from typing import Any, Protocol
+from typing import Any, Protocol, cast
 
 from tornado.iostream import IOStream, StreamClosedError
 
 from gorsethread.transport.base import MAX_READ_BYTES, Stream, StreamClosed, StreamEnded
+from gorsethread.transport.large_reads import READ_BYTES, SMALL_READ_BYTES, LargeReads
 from gorsethread.transport.loop_iterations import LoopIterations
 
 TCP_STATES_PEER_ENDED = (7, 8, 9, 11)  # Linux numbers of CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING
@@ -28,10 +29,14 @@
 class RealStream:
     """A TCP connection, on a Tornado stream."""
 
-    def __init__(self, stream: IOStream, peer: str, iterations: LoopIterations) -> None:
+    def __init__(
+        self, stream: IOStream, peer: str, iterations: LoopIterations, large_reads: LargeReads
+    ) -> None:
         self._stream = stream
         self.peer = peer
         self._iterations = iterations
+        self._large_reads = large_reads
+        self._reading: asyncio.Future[bytes] | None = None
         self._flushed: asyncio.Future[None] | None = None
         self._corked: list[bytes] = []  # written in this iteration of the loop; emptied at its end
         self._corked_size = 0
@@ -47,17 +52,30 @@
     async def read(self) -> bytes:
         self._iterations.work_ended(self.peer)
         try:
-            data: bytes = await self._stream.read_bytes(MAX_READ_BYTES, partial=True)
+            self._reading = reading = self._start_reading()
+            # Awaiting a complete read does not suspend: its task would go on for as long as there are bytes.
+            is_complete = reading.done()
+            data = await reading
         except StreamClosedError as error:
             if error.real_error is None and not self._closed_here:
                 raise StreamEnded("closed by peer") from None
             raise StreamClosed(str(error.real_error or "closed")) from None
+        if len(data) > SMALL_READ_BYTES:
+            await self._large_reads.admitted()
+        elif is_complete:
+            await asyncio.sleep(0.0)
+        self._reading = None
         self._iterations.work_began(self.peer, len(data))
         return data
 
+    def _start_reading(self) -> "asyncio.Future[bytes]":
+        return cast("asyncio.Future[bytes]", self._stream.read_bytes(READ_BYTES, partial=True))
+
     def is_idle(self) -> bool:
         if self._stream.closed() or self._stream._read_buffer_size:
             return False
+        if self._reading is not None and self._reading.done():
+            return False  # read() has bytes that it has not returned yet
         try:
             # Looks for bytes or an end that the system has received and the loop has not read yet.
             self._stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
@@ -142,11 +160,13 @@
         self,
         transport: Tasks,
         iterations: LoopIterations,
+        large_reads: LargeReads,
         sockets: list[socket.socket],
         on_stream: Callable[[Stream], Awaitable[None]],
         admits: Callable[[], bool] | None,
     ) -> None:
-        self._transport, self._iterations, self._sockets = transport, iterations, sockets
+        self._transport, self._sockets = transport, sockets
+        self._iterations, self._large_reads = iterations, large_reads
         self._loop = asyncio.get_event_loop()
         self._on_stream, self._admits = on_stream, admits
         self.port: int = sockets[0].getsockname()[1]
@@ -173,7 +193,8 @@
                 continue
             stream = IOStream(accepted, read_chunk_size=MAX_READ_BYTES, max_buffer_size=4 * MAX_READ_BYTES)
             peer = f"{address[0]}:{address[1]}"
-            self._transport.spawn(self._serve(RealStream(stream, peer, self._iterations)))
+            served = RealStream(stream, peer, self._iterations, self._large_reads)
+            self._transport.spawn(self._serve(served))
 
     async def _serve(self, stream: Stream) -> None:
         await self._on_stream(stream)
--- a/tests/http_gateway/test_hold_ups.py
+++ b/tests/http_gateway/test_hold_ups.py
@@ -18,6 +18,7 @@
 USUAL_SECONDS = 4.0  # for which usual requests are sent after the slow bytes
 SLOW_CLIENTS = 8
 HEADER_SECTION_BYTES = 16_000
+CHUNKS = 65_000  # of one byte each: inside the bound of a body
 
 
 def padded(start: bytes, end: bytes, blank: bytes = b" ", size: int = HEADER_SECTION_BYTES) -> bytes:
@@ -83,3 +84,9 @@
         # Guards against a search of the lengths whose steps grow with the square of a line's blanks.
         request = padded(request_bytes("1")[:-2] + b"Content-Length: 5", b",5\r\n\r\n") + b"hello"
         self.assert_held_up_by_none([request] * SLOW_CLIENTS)
+
+    def test_chunks_of_one_byte_hold_up_no_other_client(self) -> None:
+        # Guards against a connection's task that works off all buffered bytes in one loop iteration.
+        start = request_bytes("1")[:-2].replace(b"GET", b"PUT") + b"Transfer-Encoding: chunked\r\n\r\n"
+        request = start + b"1\r\nx\r\n" * CHUNKS + b"0\r\n\r\n"
+        self.assert_held_up_by_none([request] * SLOW_CLIENTS)
--- a/tests/test_loop_iterations.py
+++ b/tests/test_loop_iterations.py
@@ -1,4 +1,4 @@
-"""Iterations of the real event loop: the longest one is known, and a long one says whose bytes it worked on."""
+"""Iterations of the real event loop: the longest is known, and a long one names the bytes it worked on."""
 
 import time
 import unittest
