A header section over 16 KiB is refused before any work on it, however its bytes arrive

Cause: h11 holds its bound only against a section that is not complete yet; the gateway had none of its own. Change: HeaderSection collects a section up to its blank line (CRLF or bare LF); over the bound the request gets 431, as an incomplete one did, before h11 or the search of the lengths runs. A body no longer counts as a part of a section that ends in bare LFs, where a line of the body was taken for a second length. A mutant of the simulation follows the type.

--- a/gorsethread/http1/server_codec.py
+++ b/gorsethread/http1/server_codec.py
@@ -18,6 +18,7 @@
     InvalidRequestError,
     content_length,
 )
+from gorsethread.http1.header_section import HeaderSection
 
 
 class Request(NamedTuple):
@@ -40,16 +41,6 @@
         return found[0] if found else None
 
 
-def _content_length_values(header_section: bytes) -> list[bytes]:
-    """Returns the value of each Content-Length line, in one pass over the lines."""
-    values = []
-    for line in header_section.split(b"\n"):
-        name, _, value = line.partition(b":")
-        if name.rstrip(b" \t").lower() == b"content-length":
-            values.append(value.strip(b" \t\r"))
-    return values
-
-
 def closing_response(status: int) -> bytes:
     """Returns a response without a body that closes the connection; needs no decoded request."""
     return (
@@ -68,8 +59,7 @@
     def __init__(self) -> None:
         self._wire = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADER_SECTION_BYTES_MAX)
         self._request: h11.Request | None = None
-        # The header section as received, to detect a repeated length: h11 merges equal Content-Length lines.
-        self._header_section = b""
+        self._header_section = HeaderSection()
         self._body: list[bytes] = []
         self._size = 0
         self._received = False
@@ -92,7 +82,7 @@
             if self.bytes_ahead > READ_AHEAD_BYTES_MAX:
                 raise InvalidRequestError(400, "too much sent ahead")
         elif self._request is None:
-            self._header_section += data
+            self._header_section.receive(data)
         self._received = True
         self._wire.receive_data(data)
 
@@ -104,6 +94,8 @@
         """
         if self.open:
             return None
+        if self._header_section.over_bound:
+            raise InvalidRequestError(431, "header section over the bound")
         try:
             return self._next()
         except h11.RemoteProtocolError as error:
@@ -130,8 +122,7 @@
         if request.http_version != b"1.1":
             raise InvalidRequestError(505, "another version")
         headers: Headers = list(request.headers)
-        lengths = _content_length_values(self._header_section.partition(b"\r\n\r\n")[0])
-        self._header_section = b""
+        lengths = self._header_section.content_lengths()
         if len(lengths) > 1 or lengths and not lengths[0].isdigit():
             raise InvalidRequestError(400, "two ways to tell the length")
         try:
@@ -151,8 +142,7 @@
         self._request = None
         self._body = []
         self._size = 0
-        self._header_section = self._wire.trailing_data[0]
-        self.bytes_ahead = len(self._header_section)
+        self.bytes_ahead = len(self._wire.trailing_data[0])
         self.open = True
         return Request(request.method, request.target, list(request.headers), body)
 
@@ -193,6 +183,8 @@
         keeps_alive = not last and wire.our_state is h11.DONE and wire.their_state is h11.DONE
         if keeps_alive:
             wire.start_next_cycle()
-            self._header_section = wire.trailing_data[0]
-            self._received = bool(self._header_section)
+            received, _ = wire.trailing_data
+            self._header_section = HeaderSection()
+            self._header_section.receive(received)
+            self._received = bool(received)
         return b"".join(part for part in parts if part), keeps_alive
--- a/gorsethread/simulation/http_mutants.py
+++ b/gorsethread/simulation/http_mutants.py
@@ -236,7 +236,6 @@
 def _accepts_ambiguous_lengths(gateway: Gateway) -> None:
     class Trusting(server_codec.ServerCodec):
         def _begin(self, request: h11.Request) -> None:
-            self._header_section = b""
             self._request = request
 
     original = gateway.clients.on_stream
--- a/tests/http_gateway/test_hold_ups.py
+++ b/tests/http_gateway/test_hold_ups.py
@@ -18,6 +18,7 @@
 USUAL_SECONDS = 4.0  # for which usual requests are sent after the slow bytes
 SLOW_CLIENTS = 8
 HEADER_SECTION_BYTES = 16_000
+LONG_HEADER_SECTION_BYTES = 60_000  # over the bound, and within what one read used to return
 CHUNKS = 65_000  # of one byte each: inside the bound of a body
 
 
@@ -85,6 +86,12 @@
         request = padded(request_bytes("1")[:-2] + b"Content-Length: 5", b",5\r\n\r\n") + b"hello"
         self.assert_held_up_by_none([request] * SLOW_CLIENTS)
 
+    def test_long_header_sections_that_come_whole_hold_up_no_other_client(self) -> None:
+        # Guards against work on a header section over the bound, which came whole.
+        start = request_bytes("1")[:-2] + b"Content-Length: 5"
+        request = padded(start, b",5\r\n\r\n", b" ", LONG_HEADER_SECTION_BYTES)
+        self.assert_held_up_by_none([request] * SLOW_CLIENTS)
+
     def test_chunks_of_one_byte_hold_up_no_other_client(self) -> None:
         # Guards against a connection's task that works off all buffered bytes in one loop iteration.
         start = request_bytes("1")[:-2].replace(b"GET", b"PUT") + b"Transfer-Encoding: chunked\r\n\r\n"
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -11,6 +11,7 @@
 
 from gorsethread.http1.client_codec import ClientCodec, Response
 from gorsethread.http1.framing import (
+    HEADER_SECTION_BYTES_MAX,
     READ_AHEAD_BYTES_MAX,
     REQUEST_BODY_BYTES_MAX,
     InvalidRequestError,
@@ -138,6 +139,41 @@
         self.assert_refused(b"GET /a HTTP/1.0\r\n\r\n", 505)
         self.assert_refused(b"GET /a HTTP/1.1\r\n\r\n", 400)
 
+    def test_a_header_section_over_the_bound_is_refused_however_it_arrives(self) -> None:
+        # Guards against a header section over the bound that is worked on because it came whole.
+        start = b"GET /a HTTP/1.1\r\nHost: a\r\nX: "
+        for end in (b"\r\n\r\n", b"\n\n", b"\n\r\n"):
+            within = start + b"y" * (HEADER_SECTION_BYTES_MAX - len(start) - len(end)) + end
+            over = start + b"y" * (HEADER_SECTION_BYTES_MAX - len(start) - len(end) + 1) + end
+            for piece_size in (1, 4096, 65_536):
+                with self.subTest(end=end, piece_size=piece_size):
+                    self.assertIsNotNone(self.feed_in_pieces(ServerCodec(), within + GET, piece_size))
+                    with self.assertRaises(InvalidRequestError) as caught:
+                        self.feed_in_pieces(ServerCodec(), over + GET, piece_size)
+                    self.assertEqual(431, caught.exception.status)
+
+    def test_a_header_section_over_the_bound_behind_another_request_is_refused(self) -> None:
+        codec = ServerCodec()
+        over = b"GET /a HTTP/1.1\r\nHost: a\r\nX: " + b"y" * HEADER_SECTION_BYTES_MAX + b"\r\n\r\n"
+        self.assertIsNotNone(self.feed_in_pieces(codec, GET + over, 65_536))
+        codec.respond(200, [], b"")
+        with self.assertRaises(InvalidRequestError) as caught:
+            codec.next_request()
+        self.assertEqual(431, caught.exception.status)
+
+    def test_a_length_in_a_body_is_no_second_length(self) -> None:
+        body = b"\ncontent-length: 9\r\n"
+        request = self.read(b"PUT /a HTTP/1.1\nHost: a\nContent-Length: %d\n\n%s" % (len(body), body))
+        self.assertEqual(body, request.body)
+
+    def feed_in_pieces(self, codec: ServerCodec, data: bytes, piece_size: int) -> Request | None:
+        """Returns the first request found in the bytes, fed in pieces of that size."""
+        for begin in range(0, len(data), piece_size):
+            codec.feed(data[begin : begin + piece_size])
+            if (request := codec.next_request()) is not None:
+                return request
+        return None
+
     def test_other_protocols_are_refused(self) -> None:
         self.assert_refused(b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n", 501)
         self.assert_refused(b"GET /a HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n", 501)
