A body has a bound on its chunks: 4,096 in a request, 16,384 in an answer

Since the event loop is shared others are not late by one such body, but pay. Cause: bodies were bounded by their bytes alone; h11 takes some 15 us for each chunk of any size. Change: the codecs count chunks as they begin and stop past the bound: 413, or an invalid answer. A full body may have chunks of 16 bytes in a request and of 128 in an answer, and one chunk in many reads counts once. Tests: the two of the codecs failed before (no error).

--- a/gorsethread/http1/client_codec.py
+++ b/gorsethread/http1/client_codec.py
@@ -12,6 +12,7 @@
 from gorsethread.http1.framing import (
     HEADER_SECTION_BYTES_MAX,
     RESPONSE_BODY_BYTES_MAX,
+    RESPONSE_CHUNKS_MAX,
     Headers,
     InvalidResponseError,
     content_length,
@@ -57,6 +58,7 @@
         self._response: h11.Response | None = None
         self._body: list[bytes] = []
         self._size = 0
+        self._chunk_count = 0
         self._interim_responses = 0
         self.awaiting_response = False
         self.ends_with_connection = False
@@ -120,8 +122,11 @@
                 self._begin(event)
             elif isinstance(event, h11.Data):
                 self._size += len(event.data)
+                self._chunk_count += event.chunk_start
                 if self._size > RESPONSE_BODY_BYTES_MAX:
                     raise InvalidResponseError("body over the bound")
+                if self._chunk_count > RESPONSE_CHUNKS_MAX:
+                    raise InvalidResponseError("body of too many chunks")
                 self._body.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 return self._complete()
@@ -149,6 +154,7 @@
         self._response = None
         self._body = []
         self._size = 0
+        self._chunk_count = 0
         self._interim_responses = 0
         more, _ = wire.trailing_data
         closes = self.ends_with_connection or bool(more)
--- a/gorsethread/http1/framing.py
+++ b/gorsethread/http1/framing.py
@@ -7,6 +7,9 @@
 # The platform's page gives one bound for the bodies of requests and responses, but valid responses of 150 to
 # 390 KB were seen on its sockets. This bound keeps out those that announce gigabytes or never end.
 RESPONSE_BODY_BYTES_MAX = 2 * 1024 * 1024
+# Each chunk of a body costs the work of some hundred bytes, whatever its size.
+REQUEST_CHUNKS_MAX = 4_096
+RESPONSE_CHUNKS_MAX = 16_384
 READ_AHEAD_BYTES_MAX = HEADER_SECTION_BYTES_MAX + REQUEST_BODY_BYTES_MAX  # received while a request is open
 LENGTH_DIGITS_MAX = 12
 
--- a/gorsethread/http1/server_codec.py
+++ b/gorsethread/http1/server_codec.py
@@ -14,6 +14,7 @@
     HEADER_SECTION_BYTES_MAX,
     READ_AHEAD_BYTES_MAX,
     REQUEST_BODY_BYTES_MAX,
+    REQUEST_CHUNKS_MAX,
     Headers,
     InvalidRequestError,
     content_length,
@@ -62,6 +63,7 @@
         self._header_section = HeaderSection()
         self._body: list[bytes] = []
         self._size = 0
+        self._chunk_count = 0
         self._received = False
         self.bytes_ahead = 0
         self.open = False
@@ -110,8 +112,11 @@
                 self._begin(event)
             elif isinstance(event, h11.Data):
                 self._size += len(event.data)
+                self._chunk_count += event.chunk_start
                 if self._size > REQUEST_BODY_BYTES_MAX:
                     raise InvalidRequestError(413, "body over the bound")
+                if self._chunk_count > REQUEST_CHUNKS_MAX:
+                    raise InvalidRequestError(413, "body of too many chunks")
                 self._body.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 return self._complete()
@@ -142,6 +147,7 @@
         self._request = None
         self._body = []
         self._size = 0
+        self._chunk_count = 0
         self.bytes_ahead = len(self._wire.trailing_data[0])
         self.open = True
         return Request(request.method, request.target, list(request.headers), body)
--- a/tests/http_gateway/test_hold_ups.py
+++ b/tests/http_gateway/test_hold_ups.py
@@ -17,8 +17,10 @@
 INVALID_ANSWERED_WITHIN = 3.0  # seconds from connecting within which an invalid request is owed an error
 USUAL_SECONDS = 4.0  # for which usual requests are sent after the slow bytes
 SLOW_CLIENTS = 8
+OK = response_bytes(200, b"ok")
 HEADER_SECTION_BYTES = 16_000
 LONG_HEADER_SECTION_BYTES = 60_000  # over the bound, and within what one read used to return
+ANSWER_CHUNKS = 300_000  # of one byte each: inside the bound of an answer's body
 CHUNKS = 65_000  # of one byte each: inside the bound of a body
 
 
@@ -29,7 +31,7 @@
 
 @pytest.mark.processes
 class HoldUps(ProcessTest):
-    def start_backend(self, body: bytes = response_bytes(200, b"ok")) -> Server:
+    def start_backend(self, body: bytes = OK) -> Server:
         """Starts a backend that answers each request at once with those bytes."""
         backend = Server(self)
 
@@ -74,8 +76,9 @@
             self.assertEqual(200, status)
             time.sleep(0.02)
 
-    def assert_held_up_by_none(self, requests: Sequence[bytes]) -> None:
-        self.start(self.start_backend(), self.start_backend())
+    def assert_held_up_by_none(self, requests: Sequence[bytes], slow_answer: bytes = b"") -> None:
+        """The requests, and the slow answer that the backend of shard 0 gives, hold up no usual client."""
+        self.start(self.start_backend(slow_answer or OK), self.start_backend())
         took = self.send_at_once(requests)
         self.assert_usual_clients_are_answered()
         self.assertEqual(len(requests), len(took))
@@ -97,3 +100,10 @@
         start = request_bytes("1")[:-2].replace(b"GET", b"PUT") + b"Transfer-Encoding: chunked\r\n\r\n"
         request = start + b"1\r\nx\r\n" * CHUNKS + b"0\r\n\r\n"
         self.assert_held_up_by_none([request] * SLOW_CLIENTS)
+
+    def test_answers_of_one_byte_chunks_hold_up_no_other_client(self) -> None:
+        # Guards against a backend's answer whose many chunks are worked off in one loop iteration.
+        answer = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        answer += b"1\r\nx\r\n" * ANSWER_CHUNKS + b"0\r\n\r\n"
+        requests = [request_bytes(f"{number:x}") for number in range(1, 1 + SLOW_CLIENTS)]
+        self.assert_held_up_by_none(requests, answer)
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -14,6 +14,8 @@
     HEADER_SECTION_BYTES_MAX,
     READ_AHEAD_BYTES_MAX,
     REQUEST_BODY_BYTES_MAX,
+    REQUEST_CHUNKS_MAX,
+    RESPONSE_CHUNKS_MAX,
     InvalidRequestError,
     InvalidResponseError,
 )
@@ -174,6 +176,26 @@
                 return request
         return None
 
+    def test_a_body_of_too_many_chunks_is_refused_before_it_is_complete(self) -> None:
+        # Guards against a body within its bound whose chunks cost a second of work.
+        start = b"PUT /a/b HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        codec = ServerCodec()
+        for _ in range(2):  # the count begins anew with each request
+            codec.feed(start + b"1\r\nx\r\n" * REQUEST_CHUNKS_MAX + b"0\r\n\r\n")
+            request = codec.next_request()
+            assert request is not None
+            self.assertEqual(b"x" * REQUEST_CHUNKS_MAX, request.body)
+            codec.respond(200, [], b"")
+        self.assert_refused(start + b"1\r\nx\r\n" * (REQUEST_CHUNKS_MAX + 1), 413)
+
+    def test_a_chunk_that_arrives_in_many_pieces_counts_once(self) -> None:
+        codec = ServerCodec()
+        codec.feed(b"PUT /a/b HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n")
+        size = REQUEST_CHUNKS_MAX + 1
+        request = self.feed_in_pieces(codec, b"%x\r\n%s\r\n0\r\n\r\n" % (size, b"x" * size), 1)
+        assert request is not None
+        self.assertEqual(size, len(request.body))
+
     def test_other_protocols_are_refused(self) -> None:
         self.assert_refused(b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n", 501)
         self.assert_refused(b"GET /a HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n", 501)
@@ -263,6 +285,18 @@
             with self.subTest(data=data[:60]):
                 self.assert_invalid(data)
 
+    def test_a_response_of_too_many_chunks_is_invalid(self) -> None:
+        # Guards against an answer within its bound whose chunks cost seconds of work.
+        start = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        codec = self.codec_with_open_request()
+        for _ in range(2):  # the count begins anew with each response
+            response = codec.feed(start + b"1\r\nx\r\n" * RESPONSE_CHUNKS_MAX + b"0\r\n\r\n")
+            assert response is not None
+            self.assertEqual(b"x" * RESPONSE_CHUNKS_MAX, response.body)
+            codec.request(b"GET", b"/a/b", [(b"host", b"s")], b"")
+        with self.assertRaises(InvalidResponseError):
+            codec.feed(start + b"1\r\nx\r\n" * (RESPONSE_CHUNKS_MAX + 1))
+
     def test_a_response_without_a_length_is_complete_only_at_the_end_of_its_connection(self) -> None:
         codec = self.codec_with_open_request()
         self.assertIsNone(codec.feed(b"HTTP/1.1 200 OK\r\n\r\nto the"))
