A client's requests in one piece are handled one in an iteration of the event loop

What callers saw: beside 100 clients with a request and 1,700 health checks behind it each, usual requests with 0.5 s were 6.9 s late on; with reads shared they still failed at their deadline (504). Cause: a connection handled all complete requests in one callback; what is answered at once never left it, and an answer set off the whole read-ahead. Evidence: iterations of up to 0.58 s with 64 such clients and no read in them that took long; on the virtual clock 40 requests of one connection in 2 iterations. Change: one request a callback; those behind it by a call in the next iteration, during which the connection is not read. Tests, both failed before ("40 != 2" iterations; "200 != 504" on a real gateway) and pass now, with the 63 of tests/http_gateway.

--- a/gorsethread/http_gateway/client_connection.py
+++ b/gorsethread/http_gateway/client_connection.py
@@ -54,6 +54,7 @@
 
     __slots__ = (
         "_dropped",
+        "_proceed_due",
         "_recheck_due",
         "received_at",
         "codec",
@@ -79,6 +80,7 @@
         self.ended = False  # this side has ended: nothing more is answered or handled
         self.paused = False  # the bytes received are not parsed further for PAUSE_SECONDS
         self._dropped = 0
+        self._proceed_due = False  # requests received already wait for the next iteration of the event loop
         self._recheck_due = False
 
     # ---- the driver's Client interface
@@ -114,7 +116,7 @@
         if not keeps_alive:
             self.end()
         elif self.codec.partial:
-            self.side.transport.call_soon(self.proceed)
+            self._proceed_soon()
 
     def _is_last(self) -> bool:
         """Returns whether the answer being sent is the connection's last one.
@@ -167,11 +169,11 @@
         self.codec.feed(data)
 
     def proceed(self) -> None:
-        """Handles the requests received so far."""
+        """Handles the next request received; those behind it follow in later iterations of the event loop."""
         if self._answers_unread():
             return
         try:
-            self._handle_requests()
+            self._handle_next_request()
         except InvalidRequestError as error:
             self.refuse(error)
         except Exception as error:
@@ -179,17 +181,24 @@
             # of its requests.
             self.side.connection_failed(self, error)
 
-    def _handle_requests(self) -> None:
-        while not self.ended and not self.paused:
-            request = self.codec.next_request()
-            if request is None:
-                break
+    def _handle_next_request(self) -> None:
+        if self.ended or self.paused:
+            return
+        request = self.codec.next_request()
+        if request is not None:
             self.side.handle_request(self, request)
-            if self._answers_unread():
-                return
-        if not self.ended and self.codec.awaits_continue:
+        elif self.codec.awaits_continue:
             self.stream.write(self.codec.continue_response())
 
+    def _proceed_soon(self) -> None:
+        if not self._proceed_due:
+            self._proceed_due = True
+            self.side.transport.call_soon(self._proceed_now)
+
+    def _proceed_now(self) -> None:
+        self._proceed_due = False
+        self.proceed()
+
     def _answers_unread(self) -> bool:
         """Returns whether too much of the answers is unread; then schedules a check to proceed later.
 
@@ -228,4 +237,4 @@
 
     def _is_ahead(self) -> bool:
         far_ahead = self.codec.open and self.codec.bytes_ahead > MAX_AHEAD_BYTES
-        return self.paused or far_ahead or self.stream.unsent > MAX_UNSENT_BYTES
+        return self.paused or self._proceed_due or far_ahead or self.stream.unsent > MAX_UNSENT_BYTES
--- a/tests/http_gateway/test_clients.py
+++ b/tests/http_gateway/test_clients.py
@@ -92,6 +92,28 @@
 
         self.run_scenario(work)
 
+    def test_pipelined_requests_are_handled_one_in_an_iteration_of_the_event_loop(self) -> None:
+        # Guards against a client whose many requests in one piece are all handled before anyone else's.
+        async def work() -> None:
+            gateway = self.start()
+            original, iterations, handled = gateway.clients.handle_request, [0], list[int]()
+
+            def next_iteration() -> None:
+                iterations[0] += 1
+
+            def handle_request(connection: object, request: Request) -> None:
+                handled.append(iterations[0])
+                gateway.transport.call_soon(next_iteration)
+                original(connection, request)  # type: ignore[arg-type]
+
+            gateway.clients.handle_request = handle_request  # type: ignore[method-assign]
+            health_check = b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n"
+            client = await self.call(health_check * 20 + request_bytes("e4") + health_check * 19, 0.3)
+            self.assertEqual(40, client.received.count(b"HTTP/1.1 200"))
+            self.assertEqual((40, 40), (len(handled), len(set(handled))), "two in one iteration")
+
+        self.run_scenario(work)
+
     def test_idle_connections_leave_room_for_others(self) -> None:
         async def work() -> None:
             gateway = self.start()
--- a/tests/http_gateway/test_hold_ups.py
+++ b/tests/http_gateway/test_hold_ups.py
@@ -18,6 +18,8 @@
 USUAL_SECONDS = 4.0  # for which usual requests are sent after the slow bytes
 SLOW_CLIENTS = 8
 OK = response_bytes(200, b"ok")
+MANY_CLIENTS = 100  # of the 128 that the gateway's configuration allows
+HEALTH_CHECKS = 1_700  # in one piece: within what is read ahead of an open request
 HEADER_SECTION_BYTES = 16_000
 LONG_HEADER_SECTION_BYTES = 60_000  # over the bound, and within what one read used to return
 ANSWER_CHUNKS = 300_000  # of one byte each: inside the bound of an answer's body
@@ -107,3 +109,12 @@
         answer += b"1\r\nx\r\n" * ANSWER_CHUNKS + b"0\r\n\r\n"
         requests = [request_bytes(f"{number:x}") for number in range(1, 1 + SLOW_CLIENTS)]
         self.assert_held_up_by_none(requests, answer)
+
+    def test_many_requests_behind_open_ones_hold_up_no_other_client(self) -> None:
+        # Guards against many clients whose requests in one piece are all handled before anyone else's.
+        health_check = b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n"
+        requests = [
+            request_bytes(f"{number:x}") + health_check * HEALTH_CHECKS
+            for number in range(1, 1 + MANY_CLIENTS)
+        ]
+        self.assert_held_up_by_none(requests)
