Dead-lettering a chain of writes is a loop: a long one no longer crashes the branch's gateway

The gateway ended with status 1 at each start; none of the writes was in effect or parked. Cause: WriteQueue.dead_letter() called itself for each dependent and walked the whole queue in each call. Evidence: a chain of 20,000 in the queue alone ended with RecursionError before. Change: the queue keeps the dependents of each write, emptied as writes are removed; dead_letter() goes along them in a loop, and release and discard use the same table. Reasons and stages are as before. Test: the chain of 20,000 is dead-lettered, released and applied in one go; it failed before.

--- a/gorsethread/offline_writes/write_queue.py
+++ b/gorsethread/offline_writes/write_queue.py
@@ -46,6 +46,9 @@
         self._priority_weights = sorted(priority_weights)
         self._is_standby_write_finished = is_standby_write_finished
         self._writes: dict[WriteNumber, QueuedWrite] = {}
+        # The queued writes that depend on a write, of either gateway, in order of acceptance; a write leaves
+        # the lists as it is removed.
+        self._dependents: dict[WriteNumber, list[WriteNumber]] = {}
         self._last_of_key: dict[str, WriteNumber] = {}  # by ordering key, of keys with a queued write
         self._last_position: Position = (0, 0)  # the highest so far
         self.size = 0  # bytes
@@ -95,6 +98,8 @@
         self._last_position = max(self._last_position, write.number.position)
         self.size += write.size
         self._last_of_key[write.ordering_key] = write.number
+        for dependency in write.dependencies:
+            self._dependents.setdefault(dependency, []).append(write.number)
 
     def mark_persisted(self, number: WriteNumber) -> None:
         """Accepts a write that is now on the disks."""
@@ -259,21 +264,33 @@
         queued = self._writes.get(number)
         if queued is None or queued.is_dead_lettered:
             return
+        self._mark_dead_lettered(queued, reason)
+        # Dependents may form a chain as long as the queue, so this is a loop, not a recursion.
+        causes = [number]
+        while causes:
+            cause = causes.pop()
+            for dependent in self._dependents_of(cause):
+                if dependent.is_idle and cause in dependent.write.own_dependencies:
+                    self._mark_dead_lettered(dependent, f"{DEPENDS_ON} {cause.sequence}, which is parked")
+                    causes.append(dependent.write.number)
+
+    def _mark_dead_lettered(self, queued: QueuedWrite, reason: str) -> None:
         queued.stage = WriteStage.DEAD_LETTERED
         queued.reason = reason
-        for dependent_number, dependent in list(self._writes.items()):
-            if number in dependent.write.own_dependencies and dependent.is_idle:
-                self.dead_letter(dependent_number, f"{DEPENDS_ON} {number.sequence}, which is parked")
+
+    def _dependents_of(self, number: WriteNumber) -> list[QueuedWrite]:
+        """Returns the queued writes that depend on a write of either gateway, in order of acceptance."""
+        return [self._writes[dependent] for dependent in self._dependents.get(number, ())]
 
     def dead_letter_dependents_of(self, number: WriteNumber) -> None:
         """Dead-letters the writes that depend on a write that the standby gateway dead-lettered.
 
         Otherwise new writes would wait behind them until an operator decides.
         """
-        for dependent_number, dependent in list(self._writes.items()):
-            if number in dependent.write.other_dependencies and dependent.is_idle:
+        for dependent in self._dependents_of(number):
+            if dependent.is_idle and number in dependent.write.other_dependencies:
                 self.dead_letter(
-                    dependent_number, f"{DEPENDS_ON} one of head {number.gateway}, which is parked"
+                    dependent.write.number, f"{DEPENDS_ON} one of head {number.gateway}, which is parked"
                 )
 
     def release(self, number: WriteNumber) -> list[WriteNumber]:
@@ -307,13 +324,11 @@
         """
         released = [number]
         for cause in released:
-            for dependent_number, dependent in self._writes.items():
-                if cause in dependent.write.dependencies and self._may_release(
-                    dependent, is_standby_write_dead_lettered
-                ):
+            for dependent in self._dependents_of(cause):
+                if self._may_release(dependent, is_standby_write_dead_lettered):
                     dependent.stage = WriteStage.UNKNOWN if dependent.suspects else WriteStage.WAITING
                     dependent.reason = RELEASED
-                    released.append(dependent_number)
+                    released.append(dependent.write.number)
         return released[1:]
 
     def _may_release(
@@ -334,7 +349,7 @@
         """
         if not self._is_dead_lettered(number):
             return False
-        if any(number in queued.write.own_dependencies for queued in self):
+        if any(number in queued.write.own_dependencies for queued in self._dependents_of(number)):
             return False
         self._remove(number)
         return True
@@ -371,5 +386,13 @@
         if queued is None:
             return
         self.size -= queued.write.size
+        for dependency in queued.write.dependencies:
+            self._forget_dependent(dependency, number)
         if self._last_of_key.get(queued.write.ordering_key) == number:
             del self._last_of_key[queued.write.ordering_key]
+
+    def _forget_dependent(self, dependency: WriteNumber, number: WriteNumber) -> None:
+        dependents = self._dependents[dependency]
+        dependents.remove(number)
+        if not dependents:
+            del self._dependents[dependency]
--- a/tests/offline_writes/test_cores.py
+++ b/tests/offline_writes/test_cores.py
@@ -232,6 +232,21 @@
         self.assertTrue(queue.handle_conflict(write_number(1), "changed"), "an operator forced it")
         self.assertEqual([1], [number.sequence for number, _ in queue.ready_writes()])
 
+    def test_a_chain_as_long_as_the_queue_is_dead_lettered_and_released_in_one_go(self) -> None:
+        # Guards against a gateway that crashes at each start as it dead-letters a long chain of writes.
+        length = 20_000
+        queue = WriteQueue(LIMITS, (1.0,))
+        queue.restore(make_write(1, stops_on_conflict=True))
+        for sequence in range(2, length + 1):
+            queue.restore(make_write(sequence, sequence - 1))
+        self.assertFalse(queue.handle_conflict(write_number(1), "changed at the main site"))
+        self.assertEqual(length, len(queue.dead_letters))
+        self.assertEqual("depends on 7, which is parked", queue._writes[write_number(8)].reason)
+        self.assertEqual(length, len(queue.release(write_number(1))))
+        for sequence in range(1, length + 1):
+            queue.mark_applied(write_number(sequence))
+        self.assertEqual((0, {}), (len(queue), queue._dependents))
+
     def test_dependents_of_a_standby_dead_letter_are_dead_lettered_and_released_with_it(self) -> None:
         standby_write = write_number(4, gateway=2)
         queue = self.make_queue()
@@ -471,6 +486,7 @@
                 write = self.WRITES[sequence - 1]
                 write = write if keep_dependencies else replace(write, own_dependencies=())
                 may_have_run = WriteStage(stage) in (WriteStage.UNKNOWN, WriteStage.QUERIED, WriteStage.SENT)
+                queue.add_persisting(write)
                 queue._writes[write.number] = QueuedWrite(
                     write, WriteStage(stage), "", 0, {0: send_token}, [0] if may_have_run else []
                 )
