--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,8 +1,8 @@
 """KNOWN-RED.txt at the root: tests that fail for a fault which is known and not mended yet.
 
 One line each: test | cause | issue, and a fourth part, `intermittent`, for a test that fails in some runs
-only. A run passes over these tests alone and prints them. It fails on over MOST_LINES lines, on a line that is
-malformed or names no test, and on a listed test that passes by now, unless its line says `intermittent`.
+only. A run passes over these tests alone and prints them. It fails on over MOST_LINES lines, on a line that
+is malformed or names no test, and on a listed test that passes by now, unless its line says `intermittent`.
 """
 
 from dataclasses import dataclass
