--- a/gorsethread/transport/large_reads.py
+++ b/gorsethread/transport/large_reads.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import deque
 
-READ_BYTES = 16_384  # the most that one read of a real stream returns, to be worked on without a pause
+READ_BYTES = 32_768  # the most that one read of a real stream returns, to be worked on without a pause
 SMALL_READ_BYTES = 2_048  # a usual request or answer is smaller; larger reads wait for each other
 
 
