Review: cases 6 and 7 from entries; the cases of part one move to 8, 9 and 10

The late second answer is case 8, the cut answer 9, the requests lost at the end 10; their scripts are unchanged.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,8 +1,8 @@
-"""A gateway is told to end while one connection's requests, sent at once, wait for their turn."""
+"""Clients read through one gateway; the length that a shelf gives for some of its answers is too small."""
 
 import asyncio
+import random
 import sys
-import time
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
@@ -21,61 +21,65 @@
     read_message,
     request_bytes,
     run_case,
-    unread_at,
-    write_all,
 )
 
-REQUESTS = 10  # sent at once on one connection, 2 KB in all; the first for the shelf that hangs
-WORK_SECONDS = 0.05  # of a shelf for each request
-HANGING, SOUND = 0, 1
-DEADLINE_MS = 2000  # the longest wait of the class, too
-SEND_AFTER = 1.5  # seconds after SIGTERM
+CLIENTS = 4
+REQUESTS = 100  # of each client, one after the other
+SPOILT_SHARE = 0.1  # of the answers
+MISSING = 3  # bytes by which a spoilt answer's length is too small
+SERVICE_SECONDS = 0.01
+DEADLINE_MS = 2000
 
 
-async def serve(shelf: Shelf, connection: Connection, request: Message) -> None:
-    shelf.record("ran", shelf=shelf.number, id=request.id)
-    await asyncio.sleep(60.0 if shelf.number == HANGING else WORK_SECONDS)
-    connection.writer.write(answer_bytes(200, f"{request.id} made by shelf {shelf.number}".encode()))
+def made_for(id: str) -> bytes:
+    """Returns the body that a shelf makes for a request."""
+    return f"{id} balance 1000000".encode()
+
+
+class Run:
+    """What the stand-ins saw."""
+
+    def __init__(self, record: Record) -> None:
+        self.record = record
+        self.chance = random.Random(7)
+        self.spoilt = self.answers = self.wrong = 0
+
+    async def serve(self, shelf: Shelf, connection: Connection, request: Message) -> None:
+        await asyncio.sleep(SERVICE_SECONDS)
+        body = made_for(request.id)
+        answer = answer_bytes(200, body)
+        if TROUBLE and self.chance.random() < SPOILT_SHARE:
+            # The connection stays open but is of no more use.
+            self.spoilt += 1
+            answer = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body) - MISSING}\r\n\r\n".encode() + body
+        self.record("ran", shelf=shelf.number, id=request.id, answered=answer)
+        connection.writer.write(answer)
+
+    async def client(self, number: int, gateway: Gateway) -> None:
+        reader, writer = await asyncio.open_connection(HOST, gateway.port)
+        for count in range(REQUESTS):
+            id = (number + 1) * 1000 + count
+            writer.write(request_bytes(id, "read", id, DEADLINE_MS, number % 2, volume=number + 1))
+            message = await read_message(reader)
+            self.answers += 1
+            wrong = message.status == 200 and message.body != made_for(f"{id:016x}")
+            self.wrong += wrong
+            self.record("WRONG" if wrong else "answer", id=f"{id:016x}", status=message.status, body=message.body)
+        writer.close()
 
 
 async def main(record: Record, folder: str) -> bool:
-    shelfs = [Shelf(number, serve, record) for number in range(2)]
+    run = Run(record)
+    shelfs = [Shelf(number, run.serve, record) for number in range(2)]
     for shelf in shelfs:
         await shelf.start()
     discovery = Discovery(shelfs, record)
     await discovery.start()
     gateway = Gateway(folder, discovery, SETTINGS)
     await gateway.wait_ready()
-    reader, writer = await asyncio.open_connection(HOST, gateway.port)
-    writer.write(request_bytes(1, "read", 1, DEADLINE_MS, SOUND))
-    await read_message(reader)
-    began = time.monotonic()
-    if TROUBLE:
-        gateway.terminate()
-        record("SIGTERM")
-    await asyncio.sleep(SEND_AFTER / 2)
-    writer.write(request_bytes(2, "read", 2, DEADLINE_MS, SOUND))  # keeps the connection from resting
-    await read_message(reader)
-    await asyncio.sleep(SEND_AFTER / 2)
-    ids = range(100, 100 + REQUESTS)
-    shards = [HANGING, *[SOUND] * (REQUESTS - 1)]
-    data = [request_bytes(id, "read", id, DEADLINE_MS, shard) for id, shard in zip(ids, shards, strict=True)]
-    await write_all(writer, b"".join(data))
-    await asyncio.sleep(0.2)
-    record("sent at once", requests=REQUESTS, unread_at_the_gateway=unread_at(gateway.port, writer))
-    answered = 0
-    try:
-        for id in ids:
-            message = await asyncio.wait_for(read_message(reader), 10.0)
-            answered += 1
-            record("answer", id=f"{id:016x}", status=message.status, connection=message.headers.get("connection"))
-    except (EOFError, OSError, TimeoutError) as error:
-        record("the connection ended", reason=repr(error))
-    seconds = time.monotonic() - began
-    if TROUBLE:
-        record("the gateway ended", status=gateway.process.wait(5.0), seconds=round(time.monotonic() - began, 2))
-    record.say(f"taken {REQUESTS}, answered {answered}, the last {seconds:.2f} s after the signal")
-    return answered == REQUESTS
+    await asyncio.gather(*(run.client(number, gateway) for number in range(CLIENTS)))
+    record.say(f"answers {run.answers}, spoilt by shelfs {run.spoilt}, served with a wrong body {run.wrong}")
+    return run.wrong == 0
 
 
 run_case(main, str(HERE))
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,8 +1,8 @@
 #!/bin/sh
-# What the second review's scripts need beside the build of the deploy file: nothing is to be built. The
-# stand-ins are plain Python (standard library only) and run on the interpreter of .venv. Checks both.
+# What the second review's scripts need beside the build of the deploy file: the project's own stand-ins and the
+# gateway of a site file for cases 6 and 7 (requirements.txt). The stand-ins of cases 8 to 10 are in standins_2.py
+# and need the standard library only. Run it after the build of the deploy file; it needs the package mirror once.
 set -eu
 cd "$(dirname "$0")/.."
-test -x .venv/bin/python || { echo "build-2: .venv is missing; run the build of deploy/balancer.toml first" >&2; exit 1; }
+./run gorsethread version
 .venv/bin/python -B -c 'import sys; assert sys.version_info >= (3, 11); sys.path.insert(0, "review"); import standins_2'
-.venv/bin/python -B -c 'import gorsethread.http_gateway.__main__'
