Fail the attempt when an answer has bytes behind it that may be the rest of its body

Cause: the codec took bytes behind a body only for a reason to close the connection. They are an invalid response now, an attempt that may have run, unless they repeat the response, headers included. Where a read ends with the answer, bytes that have arrived behind it are read first.

test_a_response_with_more_bytes_behind_it_is_valid_and_closes_the_connection held the fault (noise behind an answer is valid); two stricter tests replace it. The mutant that reuses a connection with surplus bytes reads its leftovers alone, as the stricter codec would refuse them beside a further answer.

--- a/gorsethread/fakes/web/backend.py
+++ b/gorsethread/fakes/web/backend.py
@@ -1,11 +1,11 @@
 """A fake backend that speaks HTTP and can send malformed answers."""
 
-from collections.abc import Callable
 from typing import Any
 
 from gorsethread.fakes.backend import GATEWAY_MARK, FakeBackend, ReceivedCommand
 from gorsethread.fakes.record import Fault
 from gorsethread.fakes.web.messages import ATTEMPTS, FIRST_GATEWAY_PORT, body_of, id_of
+from gorsethread.fakes.web.spoilt_answers import SPOILT_ANSWERS, SpoiltAnswer
 from gorsethread.http1.framing import InvalidRequestError
 from gorsethread.http1.server_codec import Request, ServerCodec, closing_response
 from gorsethread.nvme.command import Command, Completion, Opcode, Status, io_command, unpack_service_report
@@ -13,9 +13,6 @@
 from gorsethread.site_config import site_pb2 as pb
 from gorsethread.transport.base import Stream, StreamClosed
 
-FIRST_VALID_NOISE = -3  # index in `noises` from which on each starts with a complete answer
-CLOSING_NOISE = FIRST_VALID_NOISE - 1  # index of the answer without a length, which the close completes
-
 
 class HttpCommand:
     """A request at a backend, with the attributes of an IoCommand that FakeBackend uses."""
@@ -75,12 +72,11 @@
             self.respond(503, [(b"srv-declined", b"1")], b"")
         elif not completion.succeeded:
             self.respond(500, [], b"")
-        elif (noise := self.backend.noise()) is not None:
-            if noise in self.backend.noises[FIRST_VALID_NOISE:]:
-                # The connection carries further requests; after other noise it stays open but unusable.
+        elif (spoilt := self.backend.draw_spoilt_answer()) is not None:
+            if spoilt.is_complete:
                 self.codec.respond(200, [], b"")
-            self.stream.write(noise(io))
-            if noise is self.backend.noises[CLOSING_NOISE]:
+            self.stream.write(spoilt.encode(self.backend.body_for(io)))
+            if spoilt.closes:
                 self.stream.close()
         else:
             elsewhere, usage, _ = unpack_service_report(completion)
@@ -88,10 +84,6 @@
             self.respond(200, headers, self.backend.body_for(io))
 
 
-def _ok_response(body: bytes, headers: bytes = b"") -> bytes:
-    return b"HTTP/1.1 200 OK\r\n" + headers + b"Content-Length: %d\r\n\r\n" % len(body) + body
-
-
 class HttpFakeBackend(FakeBackend):
     """Serves requests over HTTP.
 
@@ -102,30 +94,16 @@
         super().__init__(*arguments)
         self.profiles = {p.name.encode(): p for p in self.site.profile}
         self.spoil_fraction = self.spoil_until = 0.0
-        self.noises: list[Callable[[HttpCommand], bytes]] = [
-            lambda io: b"\x00\xff\x17 what is this \r\n\r\n" * 3,
-            lambda io: b"HTTP/1.1 200 OK\r\nX-Pad: " + b"a" * 40_000,
-            lambda io: b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 77\r\n\r\nhello",
-            lambda io: b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"b" * 60_000,
-            lambda io: b"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\n",
-            lambda io: b"HTTP/1.1 200 OK\r\n\r\n" + self.body_for(io),
-            # Valid, because the connection is closed after it.
-            lambda io: b"HTTP/1.0 200 OK\r\n\r\n" + self.body_for(io),
-            # These three start with a valid answer and have surplus bytes or headers.
-            lambda io: _ok_response(self.body_for(io)) + _ok_response(b"another's answer"),
-            lambda io: b"HTTP/1.1 102 Processing\r\n\r\n" + _ok_response(self.body_for(io)) + b"zzz",
-            lambda io: _ok_response(self.body_for(io), b"Other-Hosts: x\r\nVolume-Load: -7e9999\r\n")
-            + b"\r\n",
-        ]
 
     def body_for(self, io: HttpCommand) -> bytes:
         """Returns a body that names this request's id and the backend's shard."""
         return f"{id_of(io.command.label, io.command.attempt)} {self.me.shard}".encode()
 
-    def noise(self) -> Callable[[HttpCommand], bytes] | None:
+    def draw_spoilt_answer(self) -> SpoiltAnswer | None:
+        """Returns the form of the next answer if it is to be spoilt, or None."""
         if self.transport.now() >= self.spoil_until or self.chance.random() >= self.spoil_fraction:
             return None
-        return self.noises[self.chance.randrange(len(self.noises))]
+        return SPOILT_ANSWERS[self.chance.randrange(len(SPOILT_ANSWERS))]
 
     def _fault(self, fault: Fault) -> None:
         super()._fault(fault)
--- a/gorsethread/http1/client_codec.py
+++ b/gorsethread/http1/client_codec.py
@@ -2,7 +2,8 @@
 
 Stricter than h11 where the platform's pages require it: a body's length has to be given in exactly one way
 and be within the bound. A body without a length ends with the connection, and is complete only if the server
-ended the connection in order.
+ended the connection in order. Bytes behind a response may be the rest of a body whose length was too small,
+so they make it invalid, unless they repeat the response.
 """
 
 from typing import NamedTuple
@@ -17,6 +18,7 @@
     InvalidResponseError,
     content_length,
 )
+from gorsethread.http1.surplus_bytes import is_repeated_response
 
 INTERIM_RESPONSES_MAX = 8  # 1xx responses before one final response
 SWITCHING_PROTOCOLS = 101
@@ -31,7 +33,7 @@
         headers: The headers, with their names in lower case.
         body: The complete body.
         closes_connection: Whether the connection can't be used again, because the server closes it or sent
-            more than the response.
+            the response twice.
     """
 
     status: int
@@ -43,6 +45,15 @@
         """Returns the first value of a header, or None without one."""
         return next((value for known, value in self.headers if known == name), None)
 
+    def check_surplus(self, surplus: bytes) -> None:
+        """Checks bytes that the server sent behind this response.
+
+        Raises:
+            InvalidResponseError: The bytes don't repeat the response, so its body may be cut.
+        """
+        if not is_repeated_response(surplus, self.status, self.headers, self.body):
+            raise InvalidResponseError("more bytes than the response's length")
+
 
 class ClientCodec:
     """The state of one connection to a server, which carries one request at a time.
@@ -80,7 +91,8 @@
         """Decodes bytes from the server; returns the response once it is complete.
 
         Raises:
-            InvalidResponseError: The bytes are not a valid response, or no response is outstanding.
+            InvalidResponseError: The bytes are not a valid response, none is outstanding, or more bytes than
+                the response came with it.
         """
         if not self.awaiting_response:
             raise InvalidResponseError("bytes that nobody asked for")
@@ -156,11 +168,14 @@
         self._size = 0
         self._chunk_count = 0
         self._interim_responses = 0
-        more, _ = wire.trailing_data
-        closes = self.ends_with_connection or bool(more)
+        surplus, _ = wire.trailing_data
+        closes = self.ends_with_connection or bool(surplus)
         closes = closes or wire.our_state is not h11.DONE or wire.their_state is not h11.DONE
         self.awaiting_response = False
         self.ends_with_connection = False
         if not closes:
             wire.start_next_cycle()
-        return Response(response.status_code, list(response.headers), body, closes)
+        complete = Response(response.status_code, list(response.headers), body, closes)
+        if surplus:
+            complete.check_surplus(surplus)
+        return complete
--- a/gorsethread/http_gateway/backend_connection.py
+++ b/gorsethread/http_gateway/backend_connection.py
@@ -63,7 +63,7 @@
         """Reads once; returns the answer if that completed it, else None.
 
         Raises StreamClosed if the connection ended without completing an answer, InvalidResponseError if the
-        bytes are not a valid answer.
+        bytes are not a valid answer, or bytes that have arrived behind it may be the rest of its body.
         """
         try:
             data = await self.stream.read()
@@ -74,7 +74,18 @@
             return answer
         if self.closed:
             return None
-        return self.codec.feed(data)
+        answer = self.codec.feed(data)
+        if answer is not None and self.stream.has_unread_bytes():
+            answer = await self._with_surplus_read(answer)
+        return answer
+
+    async def _with_surplus_read(self, answer: Response) -> Response | None:
+        """Reads the bytes behind an answer that a read ended with; returns the answer if they repeat it."""
+        surplus = await self.stream.read()
+        if self.closed:
+            return None
+        answer.check_surplus(surplus)
+        return answer._replace(closes_connection=True)
 
     def close(self) -> bool:
         """Closes the connection; returns whether it was still open."""
--- a/gorsethread/simulation/http_mutants.py
+++ b/gorsethread/simulation/http_mutants.py
@@ -88,9 +88,9 @@
         original = link._answered
 
         def answered(connection: Any, answer: client_codec.Response) -> None:
-            if answer.closes_connection and not connection.closed:
+            trailing = connection.codec._wire.trailing_data[0]
+            if answer.closes_connection and trailing and not connection.closed:
                 # As a codec without the check would: the extra bytes are read as the next response.
-                trailing = connection.codec._wire.trailing_data[0]
                 connection.codec = _LeftoverBytesCodec(bytes(trailing))
                 answer = answer._replace(closes_connection=False)
             original(connection, answer)
@@ -101,15 +101,15 @@
 
 
 class _LeftoverBytesCodec(client_codec.ClientCodec):
-    """Reads the bytes left over from the previous response as the response to its next request."""
+    """Reads the bytes left over from earlier as the response to each request, instead of those received."""
 
     def __init__(self, leftover: bytes) -> None:
         super().__init__()
         self._leftover = leftover
 
     def feed(self, data: bytes) -> client_codec.Response | None:
-        data, self._leftover = self._leftover + data, b""
-        return super().feed(data)
+        earlier, self._leftover = self._leftover, data
+        return super().feed(earlier)
 
 
 @mutant("shelves: what broke is sent once more by the link itself")
--- a/gorsethread/transport/base.py
+++ b/gorsethread/transport/base.py
@@ -73,6 +73,10 @@
         """Returns whether no bytes are unread and, as far as this machine knows, the peer has not ended."""
         ...
 
+    def has_unread_bytes(self) -> bool:
+        """Returns whether bytes of the peer have arrived that no read has returned yet."""
+        ...
+
     def peer_ended(self) -> bool:
         """Returns whether the peer has ended its sending, even if bytes that it sent earlier are unread."""
         ...
--- a/gorsethread/transport/real_streams.py
+++ b/gorsethread/transport/real_streams.py
@@ -72,19 +72,39 @@
         return cast("asyncio.Future[bytes]", self._stream.read_bytes(READ_BYTES, partial=True))
 
     def is_idle(self) -> bool:
-        if self._stream.closed() or self._stream._read_buffer_size:
+        if self._stream.closed() or self._has_buffered_bytes():
             return False
-        if self._reading is not None and self._reading.done():
-            return False  # read() has bytes that it has not returned yet
         try:
-            # Looks for bytes or an end that the system has received and the loop has not read yet.
-            self._stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            self._peek()
         except BlockingIOError:
             return True
         except OSError:
             return False
         return False
 
+    def has_unread_bytes(self) -> bool:
+        if self._has_buffered_bytes():
+            return True
+        if self._stream.closed():
+            return False
+        try:
+            return bool(self._peek())
+        except OSError:
+            return False
+
+    def _has_buffered_bytes(self) -> bool:
+        # A read that is done and still referenced has bytes that read() has not returned yet.
+        return self._stream._read_buffer_size > 0 or (self._reading is not None and self._reading.done())
+
+    def _peek(self) -> bytes:
+        """Returns a byte that the system has received and the loop has not read yet, or b"" at the end.
+
+        Raises:
+            BlockingIOError: There is neither.
+            OSError: The connection failed.
+        """
+        return self._stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+
     def peer_ended(self) -> bool:
         if self._stream.closed():
             return True
--- a/gorsethread/transport/virtual/streams.py
+++ b/gorsethread/transport/virtual/streams.py
@@ -149,6 +149,9 @@
     def is_idle(self) -> bool:
         return not (self.closed or self._received or self._end_reason)
 
+    def has_unread_bytes(self) -> bool:
+        return bool(self._received)
+
     def peer_ended(self) -> bool:
         return self.closed or bool(self._end_reason)
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -246,12 +246,31 @@
         codec.request(b"GET", b"/a/b", [(b"host", b"s")], b"")  # the connection can be reused
         self.assertIsNotNone(codec.feed(RESPONSE))
 
-    def test_a_response_with_more_bytes_behind_it_is_valid_and_closes_the_connection(self) -> None:
-        for more in (RESPONSE, b"\0\1\2", b"H"):
+    def test_a_response_that_is_repeated_behind_itself_is_valid_and_closes_the_connection(self) -> None:
+        for more in (RESPONSE, RESPONSE[:-1], RESPONSE[: RESPONSE.index(b"\r\n\r\n") + 4]):
             response = self.codec_with_open_request().feed(RESPONSE + more)
             assert response is not None
             self.assertEqual((b"data", True), (response.body, response.closes_connection))
 
+    def test_other_bytes_behind_a_response_may_be_the_rest_of_its_body_and_make_it_invalid(self) -> None:
+        # Guards against an answer cut by a length that is too small being served as complete.
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndata\r\n0\r\n\r\n"
+        stored_response = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndata"
+        for data in (
+            RESPONSE + b"\0\1\2",
+            RESPONSE + b"H",
+            RESPONSE + b"\r\n",
+            RESPONSE + RESPONSE[:20],
+            RESPONSE + stored_response,
+            RESPONSE + RESPONSE.replace(b"data", b"date"),
+            RESPONSE + RESPONSE + b"z",
+            RESPONSE + RESPONSE.replace(b"200", b"500"),
+            chunked + b"rest",
+            chunked + stored_response,
+        ):
+            with self.subTest(data=data):
+                self.assert_invalid(data)
+
     def test_a_response_of_hundreds_of_kilobytes_is_complete(self) -> None:
         body, codec = bytes(range(256)) * 1600, self.codec_with_open_request()
         found = [
