Report a branch's replay progress with its heartbeats, and start what empties a full table

Cause: the main site tracks 4,096 applied writes until the branch reports them completed, and the branch reported its progress only as a stream opened or an operator decided. Each side waited for the other.

The branch reports it with its heartbeats if it has changed. On the same path: a write before the latest tracked one is started though the table is full, as the progress waits for it; the table has room for a whole queue that another gateway replays.

--- a/gorsethread/nvme_gateway/offline/offline_writes.py
+++ b/gorsethread/nvme_gateway/offline/offline_writes.py
@@ -222,6 +222,7 @@
         if standby is not None:
             self._standby.check_takeover(standby in self._alive_gateways(), now)
         self._replay.advance()
+        self._replay.check_stall()
         self._dead_letters.add_overdue(now)
 
     # ---- Events from the rest of the gateway
--- a/gorsethread/nvme_gateway/offline/replay.py
+++ b/gorsethread/nvme_gateway/offline/replay.py
@@ -12,6 +12,7 @@
 from gorsethread.nvme_gateway.offline.queue_persistence import QueuePersistence
 from gorsethread.nvme_gateway.offline.replay_sources import ReplaySource, ReplaySources
 from gorsethread.nvme_gateway.offline.site_connections import SiteConnections
+from gorsethread.nvme_gateway.offline.stall_detector import STALLED_AFTER, StallDetector
 from gorsethread.nvme_gateway.offline.standby_writes import StandbyWrites
 from gorsethread.offline_writes.admission import RETRY_AFTER_PENDING
 from gorsethread.offline_writes.applied_writes import ReplayOutcome
@@ -90,7 +91,11 @@
         self._has_open_write = has_open_write
         self._logger = logger
         self._window = ReplayWindow()
+        self._stalls = StallDetector()
         self._stopped = False
+        self._last_rejection: int | None = (
+            None  # the gateway that rejected a write since the last applied one
+        )
         self._handlers: dict[ReplayOutcome, Callable[[ReceivedReply], None]] = {
             ReplayOutcome.APPLIED: self._on_applied,
             ReplayOutcome.NOT_APPLIED: self._on_not_applied,
@@ -123,6 +128,29 @@
             else:
                 self._advance_source(source, now)
 
+    def check_stall(self) -> None:
+        """Counts and logs a replay that makes no progress; call it several times a second."""
+        now = self._transport.now()
+        if self._link.queueing or not self._persistence.is_ready:
+            self._stalls.made_progress()
+            return
+        waiting = [
+            queued for source in self._sources.all() for queued in source.queue if not queued.is_dead_lettered
+        ]
+        if not waiting:
+            self._stalls.made_progress()
+        elif self._stalls.check(now):
+            self._history.count("replay stalls")
+            oldest = waiting[0]
+            self._logger.warning(
+                "the replay makes no progress",
+                seconds=STALLED_AFTER,
+                waiting=len(waiting),
+                oldest=oldest.write.number,
+                stage=oldest.stage.value,
+                last_rejection=self._last_rejection,
+            )
+
     def _advance_source(self, source: ReplaySource, now: float) -> None:
         source.queue.window = self._window.size
         for number, query_first in source.queue.ready_writes(now):
@@ -235,6 +263,8 @@
             duration = self._transport.now() - received.queued.pending_since
             self._window.record_success(duration, request_class.latency_objective)
         received.source.queue.mark_applied(number)
+        self._stalls.made_progress()
+        self._last_rejection = None
         self._history.count("replayed")
         self._history.note("in effect", number)
         self._block_view.remove(number)
@@ -250,6 +280,7 @@
         received.source.queue.mark_token_refused(received.number, received.reply.send_token)
 
     def _on_retry(self, received: ReceivedReply) -> None:
+        self._last_rejection = received.gateway
         not_before = self._transport.now() + self._window.record_rejection(received.reply.retry_after)
         received.source.queue.mark_rejected(received.number, received.reply.send_token, not_before)
         received.source.queue.defer_query(received.number, not_before)
--- a/gorsethread/nvme_gateway/offline/site_connections.py
+++ b/gorsethread/nvme_gateway/offline/site_connections.py
@@ -1,7 +1,7 @@
 """Streams to gateways of the main site, with heartbeats."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
@@ -27,7 +27,8 @@
     Attributes:
         reply_received: Called with a gateway's reply to a query or a write; raises ProtocolError if invalid.
         connection_lost: Called with a gateway when the stream to it has ended.
-        progress: Returns the progress messages, sent on each new stream and whenever they change.
+        progress: Returns the progress messages, sent on each new stream, and with the heartbeats if they have
+            changed.
     """
 
     reply_received: Callable[[int, messages.ReplayReply], None]
@@ -45,6 +46,7 @@
     last_heartbeat_at: float = 0.0
     last_attempt_at: float = float("-inf")
     heartbeats: int = 0
+    reported: list[messages.ReplayProgress] = field(default_factory=list)  # on this stream
 
 
 class SiteConnections:
@@ -114,6 +116,9 @@
             connection.heartbeats += 1
             self._link.request_sent(now)
             connection.stream.write(encode(messages.Heartbeat(connection.heartbeats)))
+            # The main site tracks each applied write until it is reported completed, and only so many.
+            if self._events.progress() != connection.reported:
+                self._send_progress(gateway)
 
     def close(self) -> None:
         """Closes the open connections."""
@@ -166,5 +171,7 @@
                     self._events.reply_received(gateway, message)
 
     def _send_progress(self, gateway: int) -> None:
-        for message in self._events.progress():
+        progress = self._events.progress()
+        self._connections[gateway].reported = progress
+        for message in progress:
             self.send(gateway, message)
--- a/gorsethread/nvme_gateway/replay_receiver.py
+++ b/gorsethread/nvme_gateway/replay_receiver.py
@@ -20,6 +20,8 @@
 from gorsethread.site_config import site_pb2 as pb
 from gorsethread.transport.base import Stream, Transport
 
+LOG_INTERVAL = 10.0  # seconds between two warnings of refused writes
+
 
 class Waiter(NamedTuple):
     """A stream that waits for the outcome of a running write, and the send token for the reply."""
@@ -52,7 +54,10 @@
         self._log = log
         self._logger = logger
         self._branch_gateways = {number for branch in site.branch for number in branch.head}
+        self._transport = transport
+        self._max_queued = max((branch.queue_writes for branch in site.branch), default=0)
         self._executor = ReplayExecutor(transport, site, driver, placement)
+        self._full_logged_at = float("-inf")
         self._applied_writes: AppliedWrites | None = None
         self._waiters: dict[WriteNumber, list[Waiter]] = {}
         log.on_records_recovered = self._recover
@@ -72,7 +77,7 @@
         if self._log.recovery.stage is not RecoveryStage.COMPLETE or not self._log.store.started:
             return None
         if self._applied_writes is None:
-            self._applied_writes = AppliedWrites(self._log.incarnation)
+            self._applied_writes = AppliedWrites(self._log.incarnation, self._max_queued)
             self._recover()
         return self._applied_writes
 
@@ -148,10 +153,25 @@
             if outcome is ReplayOutcome.START:
                 self._begin(message, idempotent)
             return
+        if outcome is ReplayOutcome.RETRY:
+            self._log_if_full(writes, number.gateway)
         fenced = outcome is ReplayOutcome.FENCED
         detail = writes.epoch_of(number.gateway) if fenced else message.send_token
         self._reply(stream, number, outcome, detail, RETRY_AFTER_RECOVERY)
 
+    def _log_if_full(self, writes: AppliedWrites, gateway: int) -> None:
+        refused = writes.refused_as_full[gateway]
+        now = self._transport.now()
+        if not refused or now < self._full_logged_at + LOG_INTERVAL:
+            return
+        self._full_logged_at = now
+        self._logger.warning(
+            "a branch's writes are refused until it reports earlier ones as completed",
+            branch=gateway,
+            tracked=writes.tracked(gateway),
+            refused=refused,
+        )
+
     def _reply(
         self,
         stream: Stream,
--- a/gorsethread/offline_writes/applied_writes.py
+++ b/gorsethread/offline_writes/applied_writes.py
@@ -7,6 +7,7 @@
 an earlier epoch are fenced.
 """
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import IntEnum
 from typing import NamedTuple
@@ -14,7 +15,9 @@
 from gorsethread.offline_writes.writes import Position, WriteNumber
 
 MAX_RUNNING = 32  # writes of all branches that one gateway of the main site runs concurrently
-MAX_TRACKED = 4096  # applied or unknown writes of one branch gateway that it has not yet reported completed
+# Applied or unknown writes of one branch gateway that it has not yet reported completed, besides as many as
+# its queue may hold: a gateway that replays the queue of another one can't report its progress.
+MAX_TRACKED = 4096
 TOKEN_BITS = 12  # low bits of a send token, above which stands the incarnation
 
 
@@ -74,10 +77,20 @@
 
 
 class AppliedWrites:
-    """Owns one BranchWrites per branch gateway; the attributes there say when entries are removed."""
+    """Owns one BranchWrites per branch gateway; the attributes there say when entries are removed.
 
-    def __init__(self, incarnation: int) -> None:
+    Attributes:
+        refused_as_full: How many writes were refused, by branch gateway, because too many are tracked.
+
+    Args:
+        incarnation: The incarnation of this gateway.
+        max_queued: The number of writes that a branch gateway's queue may hold.
+    """
+
+    def __init__(self, incarnation: int, max_queued: int = 0) -> None:
+        self.refused_as_full: Counter[int] = Counter()
         self._first_token = incarnation << TOKEN_BITS  # tokens of a later incarnation are greater
+        self._max_tracked = MAX_TRACKED + max_queued
         self._branches: dict[int, BranchWrites] = {}  # by branch gateway; bounded by the site file
 
     def restore(self, number: WriteNumber, ran: bool) -> None:
@@ -152,13 +165,30 @@
             return refusal
         if send_token != writes.send_tokens.get(position, 0):
             return ReplayOutcome.STALE_TOKEN
-        tracked = len(writes.applied) + len(writes.unknown)
-        if self.running >= MAX_RUNNING or tracked >= MAX_TRACKED:
+        if self.running >= MAX_RUNNING:
+            return ReplayOutcome.RETRY
+        if self._is_full(writes, position):
+            self.refused_as_full[number.gateway] += 1
             return ReplayOutcome.RETRY
         writes.unknown.discard(position)
         writes.running.add(position)
         return ReplayOutcome.START
 
+    def _is_full(self, writes: BranchWrites, position: Position) -> bool:
+        """Returns whether too many writes are tracked to start this one.
+
+        A write before the latest tracked one is always started: the branch may be unable to report those
+        behind it as completed until this one is. These are at most as many as the branch's queue holds.
+        """
+        if len(writes.applied) + len(writes.unknown) < self._max_tracked:
+            return False
+        return position > max(writes.applied | writes.unknown)
+
+    def tracked(self, gateway: int) -> int:
+        """Returns the number of writes of a branch gateway that it has not yet reported completed."""
+        writes = self._branches.get(gateway)
+        return 0 if writes is None else len(writes.applied) + len(writes.unknown)
+
     def _refusal(
         self, writes: BranchWrites, position: Position, epoch: int, idempotent: bool
     ) -> ReplayOutcome | None:
--- a/tests/offline_writes/test_cores.py
+++ b/tests/offline_writes/test_cores.py
@@ -9,8 +9,15 @@
 from hypothesis import strategies as st
 from minicheck import Protocol, check_safety
 
+from gorsethread.nvme_gateway.offline.stall_detector import STALLED_AFTER, StallDetector
 from gorsethread.offline_writes.admission import Admission, admit_read, admit_write
-from gorsethread.offline_writes.applied_writes import MAX_RUNNING, AppliedWrites, BranchWrites, ReplayOutcome
+from gorsethread.offline_writes.applied_writes import (
+    MAX_RUNNING,
+    MAX_TRACKED,
+    AppliedWrites,
+    BranchWrites,
+    ReplayOutcome,
+)
 from gorsethread.offline_writes.base_versions import BaseVersions, block_digests, combined_version
 from gorsethread.offline_writes.link_monitor import (
     DISCONNECT_AFTER,
@@ -460,6 +467,31 @@
         ]
         self.assertEqual([ReplayOutcome.START] * MAX_RUNNING + [ReplayOutcome.RETRY], outcomes)
 
+    def test_a_full_table_starts_the_writes_that_hold_back_the_branchs_progress(self) -> None:
+        # Guards against a replay that stands still: the table is full, and what empties it is refused.
+        applied_writes = AppliedWrites(1, max_queued=2)
+        last = MAX_TRACKED + 3
+        for sequence in range(2, last + 1):
+            applied_writes.restore(write_number(sequence), True)
+        self.assertIs(ReplayOutcome.RETRY, self.send(applied_writes, last + 1))
+        self.assertEqual((MAX_TRACKED + 2, 1), (applied_writes.tracked(1), applied_writes.refused_as_full[1]))
+        self.assertIs(ReplayOutcome.START, self.send(applied_writes, 1))
+        applied_writes.finish(write_number(1), ReplayOutcome.APPLIED)
+        applied_writes.handle_progress(1, 1, (1, last), frozenset())
+        self.assertEqual(0, applied_writes.tracked(1))
+        self.assertIs(ReplayOutcome.START, self.send(applied_writes, last + 1))
+
+    def test_a_replay_stalls_when_nothing_is_applied_for_a_while(self) -> None:
+        stalls = StallDetector()
+        self.assertEqual(
+            [False, False, True, False],
+            [stalls.check(now) for now in (5.0, 4.9 + STALLED_AFTER, 5.0 + STALLED_AFTER, 99.0)],
+        )
+        stalls.made_progress()
+        self.assertFalse(stalls.stalled)
+        self.assertFalse(stalls.check(99.0))
+        self.assertTrue(stalls.check(99.0 + STALLED_AFTER))
+
 
 class ReplayModelCheck(unittest.TestCase):
     """Explores every state of a small model of the replay.
--- a/tests/test_offline_writes.py
+++ b/tests/test_offline_writes.py
@@ -8,6 +8,7 @@
 import unittest
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
 import pytest
 from typer.testing import CliRunner
@@ -27,6 +28,7 @@
 from gorsethread.harness.site import SUPPORTED_PARTIES
 from gorsethread.logs import log_for, start_logs
 from gorsethread.nvme_gateway.peers import fleet_id
+from gorsethread.offline_writes import applied_writes
 from gorsethread.offline_writes import messages as offline_messages
 from gorsethread.offline_writes.messages import OperatorQuery
 from gorsethread.simulation.branch_mutants import BRANCH_MUTANTS
@@ -41,6 +43,15 @@
 
 PATH = Path(__file__).parent.parent / "deploy" / "branch.txtpb"
 SITE = read_site(PATH)
+# The link is cut long enough for more writes than a test lets the main site track.
+LONG_REPLAY = """seed 3
+heads 5
+shelves 6
+seconds 20
+factor 2.5
+1 link head-3 by 0 for 8
+1 link head-4 by 0 for 8
+"""
 # Gateways of the main site crash when a backend answers them, soon after the replay starts.
 CRASHES_DURING_REPLAY = """seed 3
 heads 5
@@ -159,6 +170,18 @@
         ]
         self.assertGreater(len(applied_for_standby), 2)
 
+    def test_more_writes_than_the_main_site_tracks_are_replayed_on_one_stream(self) -> None:
+        # Guards against a branch that reports its progress only as a stream opens, and is refused for good.
+        most_tracked = 4
+        with mock.patch.object(applied_writes, "MAX_TRACKED", most_tracked - SITE.branch[0].queue_writes):
+            simulation = BranchSimulation(SITE, read_script(LONG_REPLAY))
+            outcome = simulation.play()
+        self.assertEqual(([], []), (outcome.reasons, outcome.defects))
+        branches = [gateway.branch for gateway in simulation.gateways.values() if gateway.branch is not None]
+        main_site_gateways = len(SITE.head) - len(branches)
+        for branch in branches:
+            self.assertGreater(branch.counts["replayed"], 2 * most_tracked * main_site_gateways)
+
     def test_ten_branches_reconnecting_at_once_leave_the_main_sites_clients_served(self) -> None:
         links = "".join(f"6 link head-{gateway} by 0 for 8\n" for gateway in range(3, 13))
         simulation = BranchSimulation(
