Bound the tables that grow with the names and words that clients choose

What was seen: one client that names a new volume in each request makes memory grow linearly, half a kilobyte a name: 32 MB, 66 MB after 51,648 requests in 20 s, 101 MB after 103,616 in 40 s (one trial each).

Cause: a volume's state is kept for 60 s after its last request, however many there are. The rankings by volume, the requests counted for the retry budget and the reasons of invalid requests grew alike.

At most 16,384 volumes have state of their own. Only such are forgotten for others as lose and gain nothing by it; further ones of a tier share one volume. Rankings, counts and reasons are bounded too; a dropped ranking is computed again, alike. A volume with an open request is never idle, also while the request waits for its key's order.

--- a/gorsethread/http_gateway/backend_link.py
+++ b/gorsethread/http_gateway/backend_link.py
@@ -23,7 +23,6 @@
 REUSE_DELAY_SECONDS = 0.005  # after an answer, the backend's close of the connection may still be in transit
 # An answer without a length is given up after this long without a byte while its connection stays open.
 END_TIMEOUT_SECONDS = 0.25
-MAX_REASON_LENGTH = 40  # characters of a counted reason
 
 
 def parse_figure(value: bytes | None) -> float:
@@ -201,7 +200,7 @@
         """Closes a connection after an invalid answer and ends its attempt, which may have run, as ERROR."""
         attempt = self.close_connection(connection)
         if attempt is not None:
-            self.pool.invalid_answers[reason[:MAX_REASON_LENGTH]] += 1
+            self.pool.invalid_answers.add(reason)
             self.end(attempt, AttemptOutcome.ERROR)
 
     def _answered(self, connection: BackendConnection, answer: Response) -> None:
--- a/gorsethread/http_gateway/client_connection.py
+++ b/gorsethread/http_gateway/client_connection.py
@@ -6,12 +6,12 @@
 last answer.
 """
 
-from collections import Counter
 from typing import Protocol
 
 from gorsethread.gateway.open_requests import OpenRequest
 from gorsethread.http1.framing import READ_AHEAD_BYTES_MAX, Headers, InvalidRequestError
 from gorsethread.http1.server_codec import Request, ServerCodec, closing_response
+from gorsethread.http_gateway.reason_counts import ReasonCounts
 from gorsethread.transport.base import MAX_READ_BYTES, Stream, StreamClosed, Transport
 
 PAUSE_SECONDS = 0.25  # after an invalid request, until the connection's next request is read
@@ -20,7 +20,6 @@
 MAX_AHEAD_BYTES = READ_AHEAD_BYTES_MAX - MAX_READ_BYTES
 MAX_UNSENT_BYTES = 262_144  # bytes of unread answers; above this, no further request is handled
 MAX_DROPPED_BYTES = 262_144  # bytes dropped after this side has ended; above this, the connection is closed
-MAX_REASON_LENGTH = 40  # characters of a counted reason
 
 
 class ConnectionOwner(Protocol):
@@ -29,7 +28,7 @@
     transport: Transport
     ending: bool
     open_requests: "dict[bytes, ClientConnection]"
-    invalid_requests: Counter[str]
+    invalid_requests: ReasonCounts
 
     def is_past_end(self) -> bool:
         """Returns whether the time by which the program ends has passed."""
@@ -129,7 +128,7 @@
 
     def refuse(self, error: InvalidRequestError) -> None:
         """Answers an invalid request, or one that is too late, with an error and ends the connection."""
-        self.side.invalid_requests[str(error)[:MAX_REASON_LENGTH]] += 1
+        self.side.invalid_requests.add(str(error))
         self.stream.write(closing_response(error.status))
         self.end()
 
--- a/gorsethread/http_gateway/client_side.py
+++ b/gorsethread/http_gateway/client_side.py
@@ -4,15 +4,15 @@
 that send nothing, part of a request, or invalid requests without end.
 """
 
-from collections import Counter
 from typing import Any
 
 from gorsethread.gateway.driver import Driver
 from gorsethread.http1.framing import InvalidRequestError
 from gorsethread.http1.server_codec import Request, closing_response
 from gorsethread.http_gateway.backend_connection import OutgoingRequest
-from gorsethread.http_gateway.client_connection import MAX_REASON_LENGTH, ClientConnection
+from gorsethread.http_gateway.client_connection import ClientConnection
 from gorsethread.http_gateway.configuration import RequestNames
+from gorsethread.http_gateway.reason_counts import ReasonCounts
 from gorsethread.http_gateway.request_parsing import FORWARDED_HEADERS, RequestFields, parse_request
 from gorsethread.transport.base import Stream, Transport
 
@@ -26,7 +26,6 @@
 UNREAD_LINGER_SECONDS = 2.0  # the same while the client has not read all of its answer
 SHUTDOWN_LINGER_SECONDS = 0.05  # the same after the time by which the program has to end
 FIRST_REQUEST_SECONDS = 0.15  # after connecting, the first request may still be in transit
-MAX_REPORTED_REASONS = 8  # the most frequent reasons in one report
 
 
 class ClientSide:
@@ -54,7 +53,7 @@
         self.log = log
         self.connections: dict[ClientConnection, None] = {}
         self.open_requests: dict[bytes, ClientConnection] = {}
-        self.invalid_requests: Counter[str] = Counter()
+        self.invalid_requests = ReasonCounts()
         self.ending = False
         self.end_by = float("inf")
         self._accepted_count = 0  # accepted connections that on_stream() does not serve yet
@@ -66,7 +65,7 @@
         if len(self.connections) + self._accepted_count >= self.max_connections:
             spare = self._least_used()
             if spare is None:
-                self.invalid_requests["no room for a connection"] += 1
+                self.invalid_requests.add("no room for a connection")
                 return False
             spare.abort()
             del self.connections[spare]
@@ -135,7 +134,7 @@
                 raise InvalidRequestError(409, "the id of an open request")
         except InvalidRequestError as error:
             # The framing is intact, so the connection stays open, but its next request is read after a pause.
-            self.invalid_requests[str(error)[:MAX_REASON_LENGTH]] += 1
+            self.invalid_requests.add(str(error))
             connection.paused = True
             connection.answer(error.status, [], b"")
             return
@@ -217,6 +216,4 @@
 
     def report(self) -> dict[str, int]:
         """Returns, and resets, the most frequent reasons why requests were invalid since the last report."""
-        reasons = self.invalid_requests
-        self.invalid_requests = Counter()
-        return dict(reasons.most_common(MAX_REPORTED_REASONS))
+        return self.invalid_requests.take_report()
--- a/gorsethread/http_gateway/connection_pool.py
+++ b/gorsethread/http_gateway/connection_pool.py
@@ -1,6 +1,6 @@
 """Bounds the connections to all backends together and queues the attempts that wait for one."""
 
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Callable
 from itertools import takewhile
 from typing import Any, Protocol
@@ -8,11 +8,11 @@
 from gorsethread.gateway.attempts import Attempt
 from gorsethread.http_gateway.backend_connection import BackendConnection
 from gorsethread.http_gateway.connection_reuse import ReuseTrust
+from gorsethread.http_gateway.reason_counts import ReasonCounts
 from gorsethread.transport.base import Transport
 
 # Of the backends' idle timeout, so that the gateway closes an idle connection before the backend does.
 IDLE_TIMEOUT_FRACTION = 0.8
-MAX_REPORTED_REASONS = 8  # the most frequent reasons in one report
 
 
 class PooledLink(Protocol):
@@ -66,7 +66,7 @@
         self.open_connections = 0
         self.opened_total = 0
         self.reuse_trust = ReuseTrust()
-        self.invalid_answers: Counter[str] = Counter()
+        self.invalid_answers = ReasonCounts()
         self.idle: dict[BackendConnection, None] = {}  # longest idle first
         self.busy: dict[int, BackendConnection] = {}
         self.waiting: deque[tuple[PooledLink, Attempt]] = deque()
@@ -130,9 +130,7 @@
 
     def report(self) -> dict[str, int]:
         """Returns, and resets, the most frequent reasons why answers were invalid since the last report."""
-        reasons = self.invalid_answers
-        self.invalid_answers = Counter()
-        return dict(reasons.most_common(MAX_REPORTED_REASONS))
+        return self.invalid_answers.take_report()
 
     def sweep(self) -> None:
         """Closes connections that were idle for so long that the backend may be about to close them."""
--- a/gorsethread/http_gateway/gateway.py
+++ b/gorsethread/http_gateway/gateway.py
@@ -243,6 +243,7 @@
             invalid_requests=self.clients.report(),
             invalid_answers=self.pool.report(),
             messages=messages,
+            volumes=len(self.driver.scheduler.queueing.volumes),
             longest_iteration_ms=round(self.transport.take_longest_iteration().seconds * 1000),
             **counts,
         )
--- a/gorsethread/scheduling/fair_queueing.py
+++ b/gorsethread/scheduling/fair_queueing.py
@@ -6,10 +6,15 @@
 
 from bisect import insort
 from collections.abc import Callable, Iterable
+from itertools import islice
 
 from gorsethread.scheduling.model import Request, RequestReceived, ServiceTier, TokenBucket, Volume
 from gorsethread.scheduling.timers import Timers
 
+VOLUMES_MAX = 16_384  # volumes of their own; the requests of further ones share a volume for each tier
+SHARED_VOLUME = "*"
+ROOM_SEARCH_MAX = 8  # volumes looked at, to make room for a new one
+FORGETTABLE_LEAD = 0.01  # units per unit of weight
 FADE_INTERVAL = 0.5  # seconds
 FADE_HALF_LIFE = 1.0  # seconds in which a lead or lag halves, since value is counted per second
 
@@ -28,8 +33,8 @@
     """Holds the volumes, their queues by shard, and the minimum virtual time of the busy volumes.
 
     A volume is busy while it has requests waiting or attempts in flight. An idle volume is kept until
-    forget(). The newly runnable volumes are those with a new request since the last search; search_done()
-    clears them.
+    forget(). Beyond VOLUMES_MAX, unknown volumes of a tier share one, and its part and rate limit. The newly
+    runnable volumes are those with a new request since the last search; search_done() clears them.
     """
 
     def __init__(self, timers: Timers) -> None:
@@ -49,15 +54,43 @@
 
         Volumes with the same name in different tiers belong to different tenants.
         """
-        id = f"{received.service_tier}/{received.volume}"
-        volume = self.volumes.get(id)
+        name = received.volume
+        volume = self.volumes.get(f"{received.service_tier}/{name}")
+        if volume is None and self.is_full():
+            name = SHARED_VOLUME
+            volume = self.volumes.get(f"{received.service_tier}/{name}")
         if volume is None:
+            id = f"{received.service_tier}/{name}"
             service_received = self.minimum_virtual_time * tier.weight
-            volume = Volume(id, received.volume, tier, service_received, received.gateways, initial_bucket())
+            volume = Volume(id, name, tier, service_received, received.gateways, initial_bucket())
             self.volumes[id] = volume
         volume.gateways = received.gateways
         return volume
 
+    def is_known(self, received: RequestReceived) -> bool:
+        """Returns whether a request's volume has state of its own."""
+        return f"{received.service_tier}/{received.volume}" in self.volumes
+
+    def is_full(self) -> bool:
+        """Returns whether an unknown volume gets no state of its own."""
+        return len(self.volumes) >= VOLUMES_MAX
+
+    def room_candidates(self) -> list[Volume]:
+        """Returns idle volumes that lose and gain nothing in their order by being forgotten.
+
+        Each call looks at the next ROOM_SEARCH_MAX volumes, in turn.
+        """
+        looked_at = list(islice(self.volumes.values(), ROOM_SEARCH_MAX))
+        for volume in looked_at:
+            self.volumes[volume.id] = self.volumes.pop(volume.id)
+        return [volume for volume in looked_at if self._is_forgettable(volume)]
+
+    def _is_forgettable(self, volume: Volume) -> bool:
+        if volume.open_requests:
+            return False
+        lead = volume.service_received / volume.tier.weight - self.minimum_virtual_time
+        return lead <= FORGETTABLE_LEAD and not volume.pacing
+
     def enqueue(self, request: Request) -> None:
         """Queues a request; raises an idle volume to the minimum virtual time (DUaL, section 4.3.2)."""
         volume = request.volume
@@ -169,8 +202,8 @@
         self._faded_at = self._timers.now
 
     def idle_volumes(self) -> Iterable[Volume]:
-        """Returns the volumes with no request waiting and no attempt in flight."""
-        return [volume for id, volume in self.volumes.items() if id not in self.busy]
+        """Returns the volumes without open requests."""
+        return [volume for volume in self.volumes.values() if not volume.open_requests]
 
     def forget(self, volume: Volume) -> None:
         """Removes an idle volume."""
--- a/gorsethread/scheduling/model.py
+++ b/gorsethread/scheduling/model.py
@@ -254,6 +254,7 @@
     service_received: float
     gateways: int
     bucket: TokenBucket
+    open_requests: int = 0  # received, and not closed yet
     in_flight: int = 0  # attempts
     queues: dict[int, list["Request"]] = field(default_factory=dict)
     pacing: dict[int, TokenBucket] = field(default_factory=dict)
--- a/gorsethread/scheduling/rate_limits.py
+++ b/gorsethread/scheduling/rate_limits.py
@@ -46,8 +46,12 @@
 
     def is_idle(self, volume: Volume, idle_after: float) -> bool:
         """Returns whether the bucket is full and has not been used for idle_after seconds."""
-        if self._timers.now - volume.bucket.filled_at <= idle_after:
-            return False
+        return self._timers.now - volume.bucket.filled_at > idle_after and self.is_full(volume)
+
+    def is_full(self, volume: Volume) -> bool:
+        """Returns whether the bucket is full, as that of a new volume is after a while."""
+        if not volume.tier.rate_limit:
+            return True
         self._refill(volume)
         return volume.bucket.level >= volume.tier.burst / volume.gateways
 
--- a/gorsethread/scheduling/rendezvous_ranking.py
+++ b/gorsethread/scheduling/rendezvous_ranking.py
@@ -7,7 +7,7 @@
 
 from array import array
 from bisect import bisect_left
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from hashlib import blake2b
@@ -18,6 +18,7 @@
 CHANGES_KEPT = 1024
 MAX_CHANGES_APPLIED_PART = 0.25  # of the backends; after more changes, ranking all of them costs less
 POSITION_BYTES = 8
+POSITIONS_MAX = 1 << 18  # in all rankings together; the least recently used rankings are dropped
 
 
 class Change(NamedTuple):
@@ -76,14 +77,15 @@
 class RendezvousRanking:
     """Ranks the backends in a table by shard, whose owner reports each change with added() or removed().
 
-    Holds the latest CHANGES_KEPT changes, and the ranking of each requested volume until forget().
+    Holds the latest CHANGES_KEPT changes, and the ranking of each requested volume until forget(), or until
+    it is dropped because too many are held. A dropped ranking is computed again, with the same result.
     """
 
     def __init__(self, ranked: Mapping[int, Backend]) -> None:
         self._ranked = ranked
         self._changes: deque[Change] = deque(maxlen=CHANGES_KEPT)
         self._change_count = 0
-        self._rankings: dict[str, _Ranking] = {}  # by the volume's name
+        self._rankings: OrderedDict[str, _Ranking] = OrderedDict()  # by the volume's name
 
     def removed(self, backend: Backend) -> None:
         """Records that a backend no longer serves a shard."""
@@ -102,10 +104,17 @@
         ranking = self._rankings.get(volume_name)
         if ranking is None:
             ranking = self._rankings[volume_name] = _Ranking(volume_name)
+            self._drop_unused()
+        else:
+            self._rankings.move_to_end(volume_name)
         if ranking.changes_seen != self._change_count:
             self._update(ranking)
         return ranking.backends
 
+    def _drop_unused(self) -> None:
+        while len(self._rankings) > 1 and len(self._rankings) * len(self._ranked) > POSITIONS_MAX:
+            self._rankings.popitem(last=False)
+
     def forget(self, volume_name: str) -> None:
         """Drops the ranking of a volume."""
         self._rankings.pop(volume_name, None)
--- a/gorsethread/scheduling/retries.py
+++ b/gorsethread/scheduling/retries.py
@@ -27,6 +27,7 @@
         """Counts a client's request."""
         if self.budget:
             self._received_at.append(self._timers.now)
+            self._drop_old(self._received_at, self.budget.window)
 
     def retry_sent(self) -> None:
         """Counts an attempt that is not the first of its request."""
@@ -74,6 +75,9 @@
         if not budget:
             return True
         for counted_at in (self._received_at, self._retried_at):
-            while counted_at and counted_at[0] <= self._timers.now - budget.window:
-                counted_at.popleft()
+            self._drop_old(counted_at, budget.window)
         return len(self._retried_at) + 1 <= budget.free + budget.ratio * len(self._received_at)
+
+    def _drop_old(self, counted_at: deque[float], window: float) -> None:
+        while counted_at and counted_at[0] <= self._timers.now - window:
+            counted_at.popleft()
--- a/gorsethread/scheduling/scheduler.py
+++ b/gorsethread/scheduling/scheduler.py
@@ -19,6 +19,7 @@
     Request,
     RequestReceived,
     SchedulerSettings,
+    Volume,
 )
 from gorsethread.scheduling.outlier_detection import OutlierDetection
 from gorsethread.scheduling.random_draws import RandomDraws
@@ -80,6 +81,8 @@
         now = self.timers.advance()
         tier = self.settings.service_tiers[received.service_tier]
         request_class = self.settings.request_classes[received.request_class]
+        if self.queueing.is_full() and not self.queueing.is_known(received):
+            self._forget_spare_volumes()
         volume = self.queueing.volume_of(received, tier, self.rate_limits.initial_bucket)
         request = Request(
             received.id,
@@ -93,6 +96,7 @@
             received.shard,
         )
         self.requests[received.id] = request
+        volume.open_requests += 1
         self.retries.request_received()
         last_start = request.objective_ends - self.admission.expected_time(request)
         self.timers.schedule(max(now, last_start), request)
@@ -281,10 +285,19 @@
         self.queueing.fade()
         for volume in self.queueing.idle_volumes():
             if self.rate_limits.is_idle(volume, VOLUME_IDLE_AFTER):
-                self.queueing.forget(volume)
-                self.shards.ranking.forget(volume.name)
+                self._forget(volume)
         self.slow_start.forget_idle()
 
+    def _forget_spare_volumes(self) -> None:
+        """Forgets volumes that would be treated in the same way if they came again as new ones."""
+        for volume in self.queueing.room_candidates():
+            if self.rate_limits.is_full(volume):
+                self._forget(volume)
+
+    def _forget(self, volume: Volume) -> None:
+        self.queueing.forget(volume)
+        self.shards.ranking.forget(volume.name)
+
     def _send_admitted(self) -> None:
         search = AugmentingPathSearch(self.admission)
         for backend_id, requests in search.run(self.queueing.volumes_to_search()).items():
@@ -344,7 +357,8 @@
 
     def _close(self, request: Request) -> None:
         if request.ended and not request.in_flight:
-            self.requests.pop(request.id, None)
+            if self.requests.pop(request.id, None) is not None:
+                request.volume.open_requests -= 1
             self._enqueue_next(self.key_ordering.remove(request))
 
     def _enqueue_next(self, request: Request | None) -> None:
--- a/tests/crossing/rig.py
+++ b/tests/crossing/rig.py
@@ -322,6 +322,11 @@
         if not found:
             raise AssertionError(f"never logged: {texts}: {''.join(self._lines)}")
 
+    def log_lines(self, *texts: str) -> list[str]:
+        """Returns the log lines that contain all of the texts."""
+        with self._line_read:
+            return [line for line in self._lines if all(text in line for text in texts)]
+
     def log_positions(self, *texts: str) -> list[int]:
         """Returns the positions of the log lines that contain all of the texts."""
         with self._line_read:
