Bound the memory that all connections hold together, and the header lines of a message

Callers' picture: hundreds of clients with large unfinished requests or heads of very many short fields, and a process over its memory limit.

Cause: a header section was bounded in bytes and not in lines, which cost some hundred bytes each as objects; what is held was bounded for each connection only; limits.memory_mb was not read.

A message has at most 100 header lines (431), only headers in use are kept, and the bytes held for clients and for backends' unfinished answers have one budget, from memory_mb. Past it the largest unfinished request gets 503.

--- a/gorsethread/http1/client_codec.py
+++ b/gorsethread/http1/client_codec.py
@@ -11,6 +11,7 @@
 import h11
 
 from gorsethread.http1.framing import (
+    HEADER_LINES_MAX,
     HEADER_SECTION_BYTES_MAX,
     RESPONSE_BODY_BYTES_MAX,
     RESPONSE_CHUNKS_MAX,
@@ -62,13 +63,14 @@
         awaiting_response: Whether a response is outstanding.
         ends_with_connection: Whether the response being received has no length, so that it ends with the
             connection.
+        held_bytes: The number of bytes received of a response that is not complete.
     """
 
     def __init__(self) -> None:
         self._wire = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEADER_SECTION_BYTES_MAX)
         self._response: h11.Response | None = None
-        self._body: list[bytes] = []
-        self._size = 0
+        self._body = bytearray()
+        self.held_bytes = 0
         self._chunk_count = 0
         self._interim_responses = 0
         self.awaiting_response = False
@@ -96,6 +98,7 @@
         """
         if not self.awaiting_response:
             raise InvalidResponseError("bytes that nobody asked for")
+        self.held_bytes += len(data)
         try:
             self._wire.receive_data(data)
             return self._next()
@@ -133,13 +136,12 @@
             elif isinstance(event, h11.Response):
                 self._begin(event)
             elif isinstance(event, h11.Data):
-                self._size += len(event.data)
                 self._chunk_count += event.chunk_start
-                if self._size > RESPONSE_BODY_BYTES_MAX:
+                if len(self._body) + len(event.data) > RESPONSE_BODY_BYTES_MAX:
                     raise InvalidResponseError("body over the bound")
                 if self._chunk_count > RESPONSE_CHUNKS_MAX:
                     raise InvalidResponseError("body of too many chunks")
-                self._body.append(bytes(event.data))
+                self._body += event.data
             elif isinstance(event, h11.EndOfMessage):
                 return self._complete()
             else:
@@ -147,6 +149,8 @@
 
     def _begin(self, response: h11.Response) -> None:
         headers: Headers = list(response.headers)
+        if len(headers) > HEADER_LINES_MAX:
+            raise InvalidResponseError("header section of too many lines")
         try:
             length = content_length(headers)
         except ValueError as error:
@@ -160,12 +164,12 @@
 
     def _complete(self) -> Response:
         response = self._response
-        body = b"".join(self._body)
+        body = bytes(self._body)
         wire = self._wire
         assert response is not None
         self._response = None
-        self._body = []
-        self._size = 0
+        self._body.clear()
+        self.held_bytes = 0
         self._chunk_count = 0
         self._interim_responses = 0
         surplus, _ = wire.trailing_data
--- a/gorsethread/http1/framing.py
+++ b/gorsethread/http1/framing.py
@@ -3,6 +3,8 @@
 from gorsethread.errors import GorsethreadError
 
 HEADER_SECTION_BYTES_MAX = 16_384
+# Each header line costs the memory of some hundred bytes, however short it is.
+HEADER_LINES_MAX = 100  # with the start line and the blank line
 REQUEST_BODY_BYTES_MAX = 65_536  # the platform's requests have no larger body
 # The platform's page gives one bound for the bodies of requests and responses, but valid responses of 150 to
 # 390 KB were seen on its sockets. This bound keeps out those that announce gigabytes or never end.
--- a/gorsethread/http1/header_section.py
+++ b/gorsethread/http1/header_section.py
@@ -1,8 +1,8 @@
-"""The header section of a request as received: its bound, and the lengths that it states."""
+"""The header section of a request as received: its bounds, and the lengths that it states."""
 
 import re
 
-from gorsethread.http1.framing import HEADER_SECTION_BYTES_MAX
+from gorsethread.http1.framing import HEADER_LINES_MAX, HEADER_SECTION_BYTES_MAX
 
 BLANK_LINE = re.compile(rb"\n\r?\n")
 BLANK_LINE_BYTES_MAX = 3
@@ -12,7 +12,8 @@
     """Collects the bytes of a header section up to its blank line.
 
     Attributes:
-        over_bound: Whether the section is longer than HEADER_SECTION_BYTES_MAX, however it came.
+        over_bound: Whether the section is longer than HEADER_SECTION_BYTES_MAX or has more lines than
+            HEADER_LINES_MAX, however it came.
     """
 
     def __init__(self) -> None:
@@ -32,6 +33,11 @@
             self._complete = True
         else:
             self.over_bound = len(self._data) > HEADER_SECTION_BYTES_MAX
+        self.over_bound = self.over_bound or self._data.count(b"\n") > HEADER_LINES_MAX
+
+    def clear(self) -> None:
+        """Drops the bytes of a complete section, which is not needed any more."""
+        self._data.clear()
 
     def content_lengths(self) -> list[bytes]:
         """Returns the value of each Content-Length line, in one pass over the lines.
--- a/gorsethread/http1/server_codec.py
+++ b/gorsethread/http1/server_codec.py
@@ -11,6 +11,7 @@
 import h11
 
 from gorsethread.http1.framing import (
+    HEADER_LINES_MAX,
     HEADER_SECTION_BYTES_MAX,
     READ_AHEAD_BYTES_MAX,
     REQUEST_BODY_BYTES_MAX,
@@ -55,14 +56,19 @@
     Attributes:
         open: Whether next_request() returned a request that has no response yet.
         bytes_ahead: The number of bytes received behind the open request.
+        held_bytes: The number of bytes received for the open or the next request and behind it.
+
+    Args:
+        kept_headers: The names, in lower case, of the headers that requests are returned with; None for all.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, kept_headers: frozenset[bytes] | None = None) -> None:
+        self._kept_headers = kept_headers
+        self.held_bytes = 0
         self._wire = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADER_SECTION_BYTES_MAX)
-        self._request: h11.Request | None = None
+        self._request: Request | None = None
         self._header_section = HeaderSection()
-        self._body: list[bytes] = []
-        self._size = 0
+        self._body = bytearray()
         self._chunk_count = 0
         self._received = False
         self.bytes_ahead = 0
@@ -86,6 +92,7 @@
         elif self._request is None:
             self._header_section.receive(data)
         self._received = True
+        self.held_bytes += len(data)
         self._wire.receive_data(data)
 
     def next_request(self) -> Request | None:
@@ -111,14 +118,15 @@
             if isinstance(event, h11.Request):
                 self._begin(event)
             elif isinstance(event, h11.Data):
-                self._size += len(event.data)
                 self._chunk_count += event.chunk_start
-                if self._size > REQUEST_BODY_BYTES_MAX:
+                if len(self._body) + len(event.data) > REQUEST_BODY_BYTES_MAX:
                     raise InvalidRequestError(413, "body over the bound")
                 if self._chunk_count > REQUEST_CHUNKS_MAX:
                     raise InvalidRequestError(413, "body of too many chunks")
-                self._body.append(bytes(event.data))
+                self._body += event.data
             elif isinstance(event, h11.EndOfMessage):
+                if len(event.headers) > HEADER_LINES_MAX:
+                    raise InvalidRequestError(431, "trailer section over the bound")
                 return self._complete()
             else:
                 raise InvalidRequestError(400, "the connection ended")
@@ -138,19 +146,23 @@
             raise InvalidRequestError(413, "body over the bound")
         if request.method == b"CONNECT" or any(name == b"upgrade" for name, _ in headers):
             raise InvalidRequestError(501, "no other protocol is spoken here")
-        self._request = request
+        self._header_section.clear()
+        kept = self._kept_headers
+        if kept is not None:
+            headers = [(name, value) for name, value in headers if name in kept]
+        self._request = Request(request.method, request.target, headers, b"")
 
     def _complete(self) -> Request:
         request = self._request
-        body = b"".join(self._body)
+        body = bytes(self._body)
         assert request is not None
         self._request = None
-        self._body = []
-        self._size = 0
+        self._body.clear()
         self._chunk_count = 0
         self.bytes_ahead = len(self._wire.trailing_data[0])
+        self.held_bytes = len(body) + self.bytes_ahead
         self.open = True
-        return Request(request.method, request.target, list(request.headers), body)
+        return request._replace(body=body)
 
     @property
     def awaits_continue(self) -> bool:
@@ -186,6 +198,7 @@
             wire.send(h11.EndOfMessage()),
         ]
         self.open = False
+        self.held_bytes = self.bytes_ahead
         keeps_alive = not last and wire.our_state is h11.DONE and wire.their_state is h11.DONE
         if keeps_alive:
             wire.start_next_cycle()
--- a/gorsethread/http_gateway/backend_connection.py
+++ b/gorsethread/http_gateway/backend_connection.py
@@ -5,6 +5,7 @@
 from gorsethread.gateway.attempts import Attempt
 from gorsethread.http1.client_codec import ClientCodec, Response
 from gorsethread.http1.framing import Headers
+from gorsethread.http_gateway.memory_budget import BudgetShare, MemoryBudget
 from gorsethread.transport.base import Stream, StreamEnded, Timer
 
 DEADLINE_HEADER = b"req-deadline-ms"  # the operators' header: milliseconds that the client still waits
@@ -33,17 +34,33 @@
         """Closes the connection and returns the attempt that was in flight on it."""
         ...
 
+    def answer_invalid(self, connection: "BackendConnection", reason: str) -> None:
+        """Closes a connection after an invalid answer and ends its attempt."""
+        ...
+
 
 class BackendConnection:
     """One connection and the attempt in flight on it.
 
-    end_timer bounds the wait for the end of an answer without a length. closed says that the connection was
-    closed here. idle_since is in seconds of the transport's clock.
+    share is what its incomplete answer holds of the budget. end_timer bounds the wait for the end of an
+    answer without a length. closed says that the connection was closed here. idle_since is in seconds of the
+    transport's clock.
     """
 
-    __slots__ = ("attempt", "codec", "end_timer", "idle_since", "link", "closed", "stream", "use_count")
-
-    def __init__(self, link: ConnectionOwner, stream: Stream) -> None:
+    __slots__ = (
+        "attempt",
+        "codec",
+        "end_timer",
+        "idle_since",
+        "link",
+        "closed",
+        "share",
+        "stream",
+        "use_count",
+    )
+
+    def __init__(self, link: ConnectionOwner, stream: Stream, budget: MemoryBudget) -> None:
+        self.share = BudgetShare(budget)
         self.link = link
         self.stream = stream
         self.closed = False
@@ -75,6 +92,7 @@
         if self.closed:
             return None
         answer = self.codec.feed(data)
+        self.share.update(self.codec.held_bytes)
         if answer is not None and self.stream.has_unread_bytes():
             answer = await self._with_surplus_read(answer)
         return answer
@@ -94,5 +112,6 @@
         if self.closed:
             return False
         self.closed = True
+        self.share.update(0)
         self.stream.close()
         return True
--- a/gorsethread/http_gateway/backend_link.py
+++ b/gorsethread/http_gateway/backend_link.py
@@ -142,7 +142,7 @@
             return
         self.attempts_out -= 1
         self.pool.opened_total += 1
-        connection = BackendConnection(self, stream)
+        connection = BackendConnection(self, stream, self.pool.budget)
         if attempt.ended:
             self._keep_idle(connection)
         elif self.may_begin(attempt):
@@ -165,10 +165,12 @@
                     self._await_end(connection)
                 if answer is not None:
                     self._answered(connection, answer)
+                elif self.pool.budget.exceeded:
+                    self._drop_largest_answer()
         except StreamClosed:
             self._connection_ended(connection)
         except InvalidResponseError as error:
-            self._answer_invalid(connection, str(error))
+            self.answer_invalid(connection, str(error))
         self.pool.connection_freed()
 
     def _connection_ended(self, connection: BackendConnection) -> None:
@@ -193,16 +195,23 @@
 
     def _end_overdue(self, connection: BackendConnection) -> None:
         if not connection.closed and connection.codec.ends_with_connection:
-            self._answer_invalid(connection, "an answer with neither a length nor an end")
+            self.answer_invalid(connection, "an answer with neither a length nor an end")
             self.pool.connection_freed()
 
-    def _answer_invalid(self, connection: BackendConnection, reason: str) -> None:
+    def answer_invalid(self, connection: BackendConnection, reason: str) -> None:
         """Closes a connection after an invalid answer and ends its attempt, which may have run, as ERROR."""
         attempt = self.close_connection(connection)
         if attempt is not None:
             self.pool.invalid_answers.add(reason)
             self.end(attempt, AttemptOutcome.ERROR)
 
+    def _drop_largest_answer(self) -> None:
+        """Gives up the incomplete answer that holds the most memory, whichever backend sends it."""
+        connection = self.pool.largest_incomplete_answer()
+        if connection is not None:
+            connection.link.answer_invalid(connection, "no memory for an incomplete answer")
+            self.pool.connection_freed()
+
     def _answered(self, connection: BackendConnection, answer: Response) -> None:
         attempt = connection.attempt
         connection.attempt = None
--- a/gorsethread/http_gateway/client_connection.py
+++ b/gorsethread/http_gateway/client_connection.py
@@ -11,7 +11,9 @@
 from gorsethread.gateway.open_requests import OpenRequest
 from gorsethread.http1.framing import READ_AHEAD_BYTES_MAX, Headers, InvalidRequestError
 from gorsethread.http1.server_codec import Request, ServerCodec, closing_response
+from gorsethread.http_gateway.memory_budget import BudgetShare, MemoryBudget
 from gorsethread.http_gateway.reason_counts import ReasonCounts
+from gorsethread.http_gateway.request_parsing import KEPT_HEADERS
 from gorsethread.transport.base import MAX_READ_BYTES, Stream, StreamClosed, Transport
 
 PAUSE_SECONDS = 0.25  # after an invalid request, until the connection's next request is read
@@ -27,6 +29,7 @@
 
     transport: Transport
     ending: bool
+    budget: MemoryBudget
     open_requests: "dict[bytes, ClientConnection]"
     invalid_requests: ReasonCounts
 
@@ -42,13 +45,18 @@
         """Ends a connection whose bytes raised an unexpected error."""
         ...
 
+    def relieve_memory(self) -> None:
+        """Makes connections give up what they hold while the budget is exceeded."""
+        ...
+
 
 class ClientConnection:
     """One client's connection, which acts as the driver's Client for the request open on it.
 
     open_request is None again after the answer or once the client has left. state_since is when the
     connection was opened, last became idle, began to receive the current request, or was ended by this side;
-    received_at is when bytes were last received. Both are in seconds of the transport's clock.
+    received_at is when bytes were last received; unread_since is when the client last read of its answers, or
+    had nothing to read. All are in seconds of the transport's clock. share is what it holds of the budget.
     """
 
     __slots__ = (
@@ -62,15 +70,19 @@
         "paused",
         "request_id",
         "served",
+        "share",
         "side",
         "state_since",
         "stream",
+        "unread_since",
     )
 
     def __init__(self, side: ConnectionOwner, stream: Stream, now: float) -> None:
         self.side = side
         self.stream = stream
-        self.codec = ServerCodec()
+        self.codec = ServerCodec(KEPT_HEADERS)
+        self.share = BudgetShare(side.budget)
+        self.unread_since = now
         self.open_request: OpenRequest | None = None
         self.request_id = b""
         self.state_since: float = now
@@ -109,9 +121,12 @@
         if self.ended:
             return
         data, keeps_alive = self.codec.respond(status, headers, body, last=self._is_last())
+        if not self.stream.unsent:
+            self.unread_since = self.side.transport.now()
         self.stream.write(data)
         self.state_since = self.side.transport.now()
         self.served = True
+        self.update_share()
         if not keeps_alive:
             self.end()
         elif self.codec.partial:
@@ -137,13 +152,23 @@
         if not self.ended:
             self.ended = True
             self.state_since = self.side.transport.now()
+            self.codec = ServerCodec(KEPT_HEADERS)  # drops the bytes received
+            self.update_share()
             self.stream.end_sending()
 
     def abort(self) -> None:
         """Closes both directions at once."""
         self.ended = True
+        self.share.update(0)
         self.stream.close()
 
+    def update_share(self) -> None:
+        """Updates what this connection holds of the budget, and whether its client reads its answers."""
+        held = self.codec.held_bytes + self.stream.unsent
+        if not self.stream.unsent or held < self.share.held:
+            self.unread_since = self.side.transport.now()
+        self.share.update(held)
+
     # ---- received bytes
 
     async def serve(self) -> None:
@@ -166,6 +191,9 @@
         if not self.codec.partial and not self.codec.open and self.served:
             self.state_since = self.received_at
         self.codec.feed(data)
+        self.update_share()
+        if self.side.budget.exceeded:
+            self.side.relieve_memory()
 
     def proceed(self) -> None:
         """Handles the next request received; those behind it follow in later iterations of the event loop."""
@@ -235,5 +263,6 @@
             self.proceed()
 
     def _is_ahead(self) -> bool:
-        far_ahead = self.codec.open and self.codec.bytes_ahead > MAX_AHEAD_BYTES
+        most_ahead = 0 if self.side.budget.exceeded else MAX_AHEAD_BYTES
+        far_ahead = self.codec.open and self.codec.bytes_ahead > most_ahead
         return self.paused or self._proceed_due or far_ahead or self.stream.unsent > MAX_UNSENT_BYTES
--- a/gorsethread/http_gateway/client_side.py
+++ b/gorsethread/http_gateway/client_side.py
@@ -12,6 +12,7 @@
 from gorsethread.http_gateway.backend_connection import OutgoingRequest
 from gorsethread.http_gateway.client_connection import ClientConnection
 from gorsethread.http_gateway.configuration import RequestNames
+from gorsethread.http_gateway.memory_budget import MemoryBudget
 from gorsethread.http_gateway.reason_counts import ReasonCounts
 from gorsethread.http_gateway.request_parsing import FORWARDED_HEADERS, RequestFields, parse_request
 from gorsethread.transport.base import Stream, Transport
@@ -26,6 +27,7 @@
 UNREAD_LINGER_SECONDS = 2.0  # the same while the client has not read all of its answer
 SHUTDOWN_LINGER_SECONDS = 0.05  # the same after the time by which the program has to end
 FIRST_REQUEST_SECONDS = 0.15  # after connecting, the first request may still be in transit
+UNREAD_SECONDS = 1.0  # without reading of its answers, after which a client may lose them for lack of memory
 
 
 class ClientSide:
@@ -40,16 +42,24 @@
         driver: admits the requests.
         names: the names that requests use for their class, tier and zone.
         max_connections: bound on the connections open at once.
+        budget: the bytes held for connections.
         log: for structured events.
     """
 
     def __init__(
-        self, transport: Transport, driver: Driver, names: RequestNames, max_connections: int, log: Any
+        self,
+        transport: Transport,
+        driver: Driver,
+        names: RequestNames,
+        max_connections: int,
+        budget: MemoryBudget,
+        log: Any,
     ) -> None:
         self.transport = transport
         self.driver = driver
         self.names = names
         self.max_connections = max_connections
+        self.budget = budget
         self.log = log
         self.connections: dict[ClientConnection, None] = {}
         self.open_requests: dict[bytes, ClientConnection] = {}
@@ -130,6 +140,8 @@
             return
         try:
             fields = parse_request(request, self.names)
+            if self.budget.exceeded:
+                raise InvalidRequestError(503, "no memory for a request")
             if fields.id in self.open_requests:
                 raise InvalidRequestError(409, "the id of an open request")
         except InvalidRequestError as error:
@@ -160,6 +172,36 @@
             arrived=connection.received_at,
         )
 
+    # ---- memory
+
+    def relieve_memory(self) -> None:
+        """Makes connections give up what they hold while the budget is exceeded.
+
+        First the incomplete request of the most bytes is refused, then the answers are dropped that a client
+        does not read. Complete requests keep what they hold; further ones are refused meanwhile.
+        """
+        while self.budget.exceeded:
+            largest = max(
+                (c for c in self.connections if c.codec.partial and not c.ended),
+                key=lambda c: (c.share.held, -c.state_since),
+                default=None,
+            )
+            if largest is None:
+                break
+            largest.refuse(InvalidRequestError(503, "no memory for an incomplete request"))
+        unread_before = self.transport.now() - UNREAD_SECONDS
+        while self.budget.exceeded:
+            unread = max(
+                (c for c in self.connections if c.stream.unsent and c.unread_since <= unread_before),
+                key=lambda c: c.stream.unsent,
+                default=None,
+            )
+            if unread is None:
+                break
+            self.invalid_requests.add("no memory for unread answers")
+            unread.abort()
+            del self.connections[unread]
+
     # ---- connections ended
 
     def sweep(self) -> None:
@@ -169,6 +211,7 @@
         crowded = len(self.connections) >= CROWDED_FRACTION * self.max_connections
         max_idle = MIN_IDLE_SECONDS if crowded else MAX_IDLE_SECONDS
         for connection in list(self.connections):
+            connection.update_share()
             if connection.ended:
                 self._close_ended(connection, now)
             elif connection.codec.open:
@@ -181,6 +224,7 @@
                 and connection.stream.is_idle()
             ):
                 connection.end()
+        self.relieve_memory()
 
     def _close_ended(self, connection: ClientConnection, now: float) -> None:
         """Closes a connection that this side has ended, once its client had time to end it too."""
--- a/gorsethread/http_gateway/configuration.py
+++ b/gorsethread/http_gateway/configuration.py
@@ -23,6 +23,7 @@
 
 Unchecked = Any  # the type of a field that is not checked; a value of a wrong type matches no request
 MIN_SOCKETS = 32
+DEFAULT_MEMORY = 64.0  # megabytes, where the configuration gives none
 # Stands for a missing list, which does not count as a complete one.
 NO_LIST = ListAnswer(generation=0, reset=False, instances=[])
 DECODING_ERROR = re.compile(r"(?P<reason>.*?)(?: - at `\$\.?(?P<field>.*)`)?", re.DOTALL)
@@ -47,11 +48,11 @@
 class Configuration:
     """One gateway's configuration.
 
-    connect_timeout and idle_timeout are for connections to backends, in seconds. longest_wait is the longest
-    time that a client waits, in seconds. known_endpoints is the endpoint list to start with. pushed says that
-    the list is pushed to discovery's agent on this machine, so that a new process counts as notified of it
-    from its start. peers holds every gateway's address by its number, this one's included, if gateways may
-    send each other messages; else it is empty.
+    memory is what the process may use, in megabytes. connect_timeout and idle_timeout are for connections to
+    backends, in seconds. longest_wait is the longest time that a client waits, in seconds. known_endpoints is
+    the endpoint list to start with. pushed says that the list is pushed to discovery's agent on this machine,
+    so that a new process counts as notified of it from its start. peers holds every gateway's address by its
+    number, this one's included, if gateways may send each other messages; else it is empty.
     """
 
     name: str
@@ -59,6 +60,7 @@
     discovery: Address
     seed: int
     sockets: int
+    memory: float
     known_endpoints: ListAnswer
     scheduler_settings: SchedulerSettings
     request_names: RequestNames
@@ -72,6 +74,7 @@
 
 class _Limits(msgspec.Struct):
     sockets: int
+    memory: float = msgspec.field(name="memory_mb", default=DEFAULT_MEMORY)
 
 
 class _Permissions(msgspec.Struct):
@@ -190,6 +193,7 @@
         discovery=parse_address(file.discovery, "discovery"),
         seed=_seed(file.seed),
         sockets=file.limits.sockets,
+        memory=file.limits.memory,
         known_endpoints=file.known,
         # Polls in either mode: pushed lists go to the agent on this machine, which the gateway watches.
         scheduler_settings=replace(settings, may_send_messages=bool(peers), polls_endpoints=True),
--- a/gorsethread/http_gateway/connection_pool.py
+++ b/gorsethread/http_gateway/connection_pool.py
@@ -8,6 +8,7 @@
 from gorsethread.gateway.attempts import Attempt
 from gorsethread.http_gateway.backend_connection import BackendConnection
 from gorsethread.http_gateway.connection_reuse import ReuseTrust
+from gorsethread.http_gateway.memory_budget import MemoryBudget
 from gorsethread.http_gateway.reason_counts import ReasonCounts
 from gorsethread.transport.base import Transport
 
@@ -45,6 +46,7 @@
         max_connections: bound on the connections that are open or being opened.
         connect_timeout: seconds.
         idle_timeout: seconds after which a backend closes an idle connection.
+        budget: the bytes held for connections.
         log: for structured events.
     """
 
@@ -55,11 +57,13 @@
         max_connections: int,
         connect_timeout: float,
         idle_timeout: float,
+        budget: MemoryBudget,
         log: Any,
     ) -> None:
         self.transport = transport
         self.links = links
         self.max_connections = max_connections
+        self.budget = budget
         self.log = log
         self.connect_timeout = connect_timeout
         self.idle_timeout = idle_timeout * IDLE_TIMEOUT_FRACTION
@@ -128,6 +132,13 @@
             else:
                 self.waiting.append((link, attempt))
 
+    def largest_incomplete_answer(self) -> BackendConnection | None:
+        """Returns the connection with the most bytes of an answer that is not complete."""
+        incomplete = [connection for connection in self.busy.values() if connection.codec.held_bytes]
+        if not incomplete:
+            return None
+        return max(incomplete, key=lambda connection: connection.codec.held_bytes)
+
     def report(self) -> dict[str, int]:
         """Returns, and resets, the most frequent reasons why answers were invalid since the last report."""
         return self.invalid_answers.take_report()
--- a/gorsethread/http_gateway/gateway.py
+++ b/gorsethread/http_gateway/gateway.py
@@ -14,6 +14,7 @@
 from gorsethread.http_gateway.connection_pool import ConnectionPool
 from gorsethread.http_gateway.discovery import Discovery
 from gorsethread.http_gateway.endpoint_updates import EndpointUpdates
+from gorsethread.http_gateway.memory_budget import MemoryBudget, budget_bytes
 from gorsethread.transport.base import Listener, Transport
 from gorsethread.transport.loop_iterations import Iteration
 
@@ -88,11 +89,14 @@
         )
         links.driver = self.driver
         updates.driver = self.driver
+        self.budget = MemoryBudget(budget_bytes(configuration.memory))
         self.pool = self._connection_pool()
         updates.pool = self.pool
         self.pool.may_begin = self.driver.scheduler.may_begin_attempt
         max_clients = int(configuration.sockets * CLIENTS_FRACTION)
-        self.clients = ClientSide(transport, self.driver, configuration.request_names, max_clients, log)
+        self.clients = ClientSide(
+            transport, self.driver, configuration.request_names, max_clients, self.budget, log
+        )
         self.peer_messages = self._make_peer_messages()
 
     def _connection_pool(self) -> ConnectionPool:
@@ -102,6 +106,7 @@
             int(self.configuration.sockets * BACKENDS_FRACTION),
             self.configuration.connect_timeout,
             self.configuration.idle_timeout,
+            self.budget,
             self.log,
         )
 
@@ -244,6 +249,8 @@
             invalid_answers=self.pool.report(),
             messages=messages,
             volumes=len(self.driver.scheduler.queueing.volumes),
+            held_bytes=self.budget.held,
+            most_held_bytes=self.budget.take_peak(),
             longest_iteration_ms=round(self.transport.take_longest_iteration().seconds * 1000),
             **counts,
         )
--- a/gorsethread/http_gateway/request_parsing.py
+++ b/gorsethread/http_gateway/request_parsing.py
@@ -18,6 +18,7 @@
 INFO_SHARD = b"shard"
 INFO_GATEWAYS = b"hosts"
 FORWARDED_HEADERS = (ID_HEADER, TIER_HEADER, INFO_HEADER, RETRY_HEADER, b"content-type")
+KEPT_HEADERS = frozenset((*FORWARDED_HEADERS, TIMEOUT_HEADER))
 
 ID = re.compile(rb"[0-9a-fA-F]{16}")
 TARGET = re.compile(rb"/([^/?#]+)/(?:[^?#]*/)?([0-9a-fA-F]{16})(?:\?[^#]*)?")
--- a/gorsethread/simulation/http_mutants.py
+++ b/gorsethread/simulation/http_mutants.py
@@ -236,7 +236,8 @@
 def _accepts_ambiguous_lengths(gateway: Gateway) -> None:
     class Trusting(server_codec.ServerCodec):
         def _begin(self, request: h11.Request) -> None:
-            self._request = request
+            headers = list(request.headers)
+            self._request = server_codec.Request(request.method, request.target, headers, b"")
 
     original = gateway.clients.on_stream
 
