Read what a client sends behind its open request, so that its end is seen

Cause: behind an open request 16 KiB were read, then only the state of the connection was asked. The end stands behind the unread bytes, which a full receive buffer keeps at the client, so the state says nothing.

256 KiB are read ahead; past that, or past the memory budget, the open request gets an error as the connection's last answer and nothing behind it is sent on. A connection that waits reads what has arrived before its next request is handled. Reads of real connections are of 32 KiB in one piece.

--- a/gorsethread/http1/framing.py
+++ b/gorsethread/http1/framing.py
@@ -12,7 +12,7 @@
 # Each chunk of a body costs the work of some hundred bytes, whatever its size.
 REQUEST_CHUNKS_MAX = 4_096
 RESPONSE_CHUNKS_MAX = 16_384
-READ_AHEAD_BYTES_MAX = HEADER_SECTION_BYTES_MAX + REQUEST_BODY_BYTES_MAX  # received while a request is open
+READ_AHEAD_BYTES_MAX = 327_680  # received while a request is open
 LENGTH_DIGITS_MAX = 12
 
 Headers = list[tuple[bytes, bytes]]  # names in lower case, in the order received
--- a/gorsethread/http_gateway/client_connection.py
+++ b/gorsethread/http_gateway/client_connection.py
@@ -18,10 +18,12 @@
 
 PAUSE_SECONDS = 0.25  # after an invalid request, until the connection's next request is read
 RECHECK_SECONDS = 0.02  # between checks of a client that is too far ahead or does not read its answers
-# Bytes received behind an open request; above this, reading pauses.
+# Bytes received and not handled yet. A client's end stands behind all that it sent, so that much is read to
+# see the end; above this, the connection is ended.
 MAX_AHEAD_BYTES = READ_AHEAD_BYTES_MAX - MAX_READ_BYTES
 MAX_UNSENT_BYTES = 262_144  # bytes of unread answers; above this, no further request is handled
 MAX_DROPPED_BYTES = 262_144  # bytes dropped after this side has ended; above this, the connection is closed
+TOO_FAR_AHEAD = "too much sent ahead"
 
 
 class ConnectionOwner(Protocol):
@@ -41,6 +43,10 @@
         """Handles a complete request."""
         ...
 
+    def give_up_request(self, connection: "ClientConnection") -> None:
+        """Cancels the connection's open request and answers it with an error."""
+        ...
+
     def connection_failed(self, connection: "ClientConnection", error: Exception) -> None:
         """Ends a connection whose bytes raised an unexpected error."""
         ...
@@ -67,6 +73,7 @@
         "codec",
         "open_request",
         "ended",
+        "floods",
         "paused",
         "request_id",
         "served",
@@ -89,6 +96,7 @@
         self.received_at: float = now
         self.served = False
         self.ended = False  # this side has ended: nothing more is answered or handled
+        self.floods = False  # too much was received behind the open request, so its answer is the last
         self.paused = False  # the bytes received are not parsed further for PAUSE_SECONDS
         self._dropped = 0
         self._proceed_due = False  # requests received already wait for the next iteration of the event loop
@@ -138,7 +146,7 @@
         Requests already received behind the open one get answers of their own while there is time.
         """
         if not self.side.ending:
-            return False
+            return self.floods
         return self.side.is_past_end() or (not self.codec.bytes_ahead and self.stream.is_idle())
 
     def refuse(self, error: InvalidRequestError) -> None:
@@ -194,6 +202,19 @@
         self.update_share()
         if self.side.budget.exceeded:
             self.side.relieve_memory()
+        if self.codec.held_bytes > MAX_AHEAD_BYTES:
+            self.refuse_flood()
+
+    def refuse_flood(self) -> None:
+        """Answers the open request with an error and ends the connection with those behind it.
+
+        It can't be seen whether a client that sent so much ahead still waits.
+        """
+        if self.open_request is None:
+            self.refuse(InvalidRequestError(503, TOO_FAR_AHEAD))
+            return
+        self.floods = True
+        self.side.give_up_request(self)
 
     def proceed(self) -> None:
         """Handles the next request received; those behind it follow in later iterations of the event loop."""
@@ -257,12 +278,19 @@
         transport = self.side.transport
         while not self.ended and self._is_ahead():
             await transport.sleep(PAUSE_SECONDS if self.paused else RECHECK_SECONDS)
+            await self._read_available()
             if self.stream.peer_ended():
                 raise StreamClosed("closed by peer")
             self.paused = False
             self.proceed()
 
+    async def _read_available(self) -> None:
+        """Reads what has arrived, as the client's end may stand behind it.
+
+        Raises StreamClosed if the client has left.
+        """
+        while not self.ended and self.stream.has_unread_bytes():
+            self._received(await self.stream.read())
+
     def _is_ahead(self) -> bool:
-        most_ahead = 0 if self.side.budget.exceeded else MAX_AHEAD_BYTES
-        far_ahead = self.codec.open and self.codec.bytes_ahead > most_ahead
-        return self.paused or self._proceed_due or far_ahead or self.stream.unsent > MAX_UNSENT_BYTES
+        return self.paused or self._proceed_due or self.stream.unsent > MAX_UNSENT_BYTES
--- a/gorsethread/http_gateway/client_side.py
+++ b/gorsethread/http_gateway/client_side.py
@@ -10,7 +10,7 @@
 from gorsethread.http1.framing import InvalidRequestError
 from gorsethread.http1.server_codec import Request, closing_response
 from gorsethread.http_gateway.backend_connection import OutgoingRequest
-from gorsethread.http_gateway.client_connection import ClientConnection
+from gorsethread.http_gateway.client_connection import TOO_FAR_AHEAD, ClientConnection
 from gorsethread.http_gateway.configuration import RequestNames
 from gorsethread.http_gateway.memory_budget import MemoryBudget
 from gorsethread.http_gateway.reason_counts import ReasonCounts
@@ -123,6 +123,15 @@
             connection.open_request = None
             self.driver.client_left(open_request)
 
+    def give_up_request(self, connection: ClientConnection) -> None:
+        """Cancels the open request of a client that sent too much behind it, and answers it with an error."""
+        open_request = connection.open_request
+        assert open_request is not None
+        self.invalid_requests.add(TOO_FAR_AHEAD)
+        status = 504 if open_request.attempts else 503
+        self._client_left(connection)
+        connection.answer(status, [], b"")
+
     def connection_failed(self, connection: ClientConnection, error: Exception) -> None:
         """Ends a connection whose bytes raised an unexpected error, and no other connection."""
         self.log.exception("unexpected error; closing the client connection", reason=repr(error))
@@ -177,8 +186,9 @@
     def relieve_memory(self) -> None:
         """Makes connections give up what they hold while the budget is exceeded.
 
-        First the incomplete request of the most bytes is refused, then the answers are dropped that a client
-        does not read. Complete requests keep what they hold; further ones are refused meanwhile.
+        First the incomplete request of the most bytes is refused, then those behind open requests, then the
+        answers are dropped that a client does not read. Complete requests keep what they hold; further ones
+        are refused meanwhile.
         """
         while self.budget.exceeded:
             largest = max(
@@ -189,6 +199,9 @@
             if largest is None:
                 break
             largest.refuse(InvalidRequestError(503, "no memory for an incomplete request"))
+        for connection in list(self.connections) if self.budget.exceeded else ():
+            if connection.codec.bytes_ahead and connection.open_request is not None:
+                connection.refuse_flood()
         unread_before = self.transport.now() - UNREAD_SECONDS
         while self.budget.exceeded:
             unread = max(
--- a/gorsethread/transport/real.py
+++ b/gorsethread/transport/real.py
@@ -27,7 +27,7 @@
     Timer,
     Unreachable,
 )
-from gorsethread.transport.large_reads import LargeReads
+from gorsethread.transport.large_reads import READ_BYTES, LargeReads
 from gorsethread.transport.loop_iterations import Iteration, LoopIterations, MeasuringSelector
 from gorsethread.transport.program import Program, SeededRandom
 from gorsethread.transport.real_streams import LISTEN_BACKLOG, RealListener, RealStream
@@ -219,7 +219,7 @@
         try:
             stream = IOStream(
                 socket.socket(socket.AF_INET, socket.SOCK_STREAM),
-                read_chunk_size=MAX_READ_BYTES,
+                read_chunk_size=READ_BYTES,
                 max_buffer_size=4 * MAX_READ_BYTES,
             )
         except OSError as error:
--- a/gorsethread/transport/real_streams.py
+++ b/gorsethread/transport/real_streams.py
@@ -211,7 +211,7 @@
             if self._admits is not None and not self._admits():
                 accepted.close()
                 continue
-            stream = IOStream(accepted, read_chunk_size=MAX_READ_BYTES, max_buffer_size=4 * MAX_READ_BYTES)
+            stream = IOStream(accepted, read_chunk_size=READ_BYTES, max_buffer_size=4 * MAX_READ_BYTES)
             peer = f"{address[0]}:{address[1]}"
             served = RealStream(stream, peer, self._iterations, self._large_reads)
             self._transport.spawn(self._serve(served))
