Refuse the id of a request that may have run, for a while after its end

Callers' picture: an id ran twice when it came again after its client had left.

Cause: only the ids of open requests were known; an entry went with the answer or with the client, though the backend may go on working.

An id of which an attempt was sent is refused with 409 for 30 s after its end. Two tables of 16,384 ids: answered ones never displace those of clients that left. Case of the digits does not make another id.

--- a/gorsethread/http_gateway/client_connection.py
+++ b/gorsethread/http_gateway/client_connection.py
@@ -32,7 +32,7 @@
     transport: Transport
     ending: bool
     budget: MemoryBudget
-    open_requests: "dict[bytes, ClientConnection]"
+    open_requests: "dict[int, ClientConnection]"
     invalid_requests: ReasonCounts
 
     def is_past_end(self) -> bool:
@@ -43,6 +43,10 @@
         """Handles a complete request."""
         ...
 
+    def request_answered(self, connection: "ClientConnection") -> None:
+        """Records that the connection's open request is answered."""
+        ...
+
     def give_up_request(self, connection: "ClientConnection") -> None:
         """Cancels the connection's open request and answers it with an error."""
         ...
@@ -91,7 +95,7 @@
         self.share = BudgetShare(side.budget)
         self.unread_since = now
         self.open_request: OpenRequest | None = None
-        self.request_id = b""
+        self.request_id: int | None = None
         self.state_since: float = now
         self.received_at: float = now
         self.served = False
@@ -106,26 +110,24 @@
 
     def succeeded(self, _shard: int, data: bytes) -> None:
         """Answers with the body of the backend's answer."""
-        self.open_request = None
+        self.side.request_answered(self)
         self.answer(200, [], data)
 
     def rejected(self, retry_after: float) -> None:
         """Answers that the request did not run and may be retried after so many seconds."""
-        self.open_request = None
+        self.side.request_answered(self)
         headers = [(b"retry-after", b"%.3f" % retry_after)] if retry_after > 0 else []
         self.answer(503, headers, b"")
 
     def failed(self) -> None:
         """Answers that the request failed and may have run."""
-        self.open_request = None
+        self.side.request_answered(self)
         self.answer(504, [], b"")
 
     # ---- answers and ends
 
     def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Answers the open request; during shutdown, marks the last answer as closing the connection."""
-        self.side.open_requests.pop(self.request_id, None)
-        self.request_id = b""
         if self.ended:
             return
         data, keeps_alive = self.codec.respond(status, headers, body, last=self._is_last())
--- a/gorsethread/http_gateway/client_side.py
+++ b/gorsethread/http_gateway/client_side.py
@@ -14,6 +14,7 @@
 from gorsethread.http_gateway.configuration import RequestNames
 from gorsethread.http_gateway.memory_budget import MemoryBudget
 from gorsethread.http_gateway.reason_counts import ReasonCounts
+from gorsethread.http_gateway.recent_ids import RecentIds
 from gorsethread.http_gateway.request_parsing import FORWARDED_HEADERS, RequestFields, parse_request
 from gorsethread.transport.base import Stream, Transport
 
@@ -34,7 +35,8 @@
     """All client connections.
 
     connections holds them in the order of accepting, until they end. open_requests holds those with an open
-    request by the request's id, until it is answered or the client leaves. ending says that the program is
+    request by the request's id, until it is answered or the client leaves; recent_ids holds the ids of those
+    that may have run, for a while after that. ending says that the program is
     shutting down, end_by is the time by which it ends, in seconds of the transport's clock.
 
     Args:
@@ -62,7 +64,8 @@
         self.budget = budget
         self.log = log
         self.connections: dict[ClientConnection, None] = {}
-        self.open_requests: dict[bytes, ClientConnection] = {}
+        self.open_requests: dict[int, ClientConnection] = {}
+        self.recent_ids = RecentIds()
         self.invalid_requests = ReasonCounts()
         self.ending = False
         self.end_by = float("inf")
@@ -117,12 +120,26 @@
 
     def _client_left(self, connection: ClientConnection) -> None:
         """Drops the connection's open request, whose answer nobody waits for any more."""
-        self.open_requests.pop(connection.request_id, None)
         open_request = connection.open_request
         if open_request is not None:
-            connection.open_request = None
+            if connection.request_id is not None and open_request.attempts:
+                self.recent_ids.add_abandoned(connection.request_id, self.transport.now())
+            self._close_request(connection)
             self.driver.client_left(open_request)
 
+    def request_answered(self, connection: ClientConnection) -> None:
+        """Records that the connection's open request is answered; remembers its id if it may have run."""
+        open_request = connection.open_request
+        if connection.request_id is not None and open_request is not None and open_request.attempts:
+            self.recent_ids.add_answered(connection.request_id, self.transport.now())
+        self._close_request(connection)
+
+    def _close_request(self, connection: ClientConnection) -> None:
+        if connection.request_id is not None:
+            self.open_requests.pop(connection.request_id, None)
+        connection.request_id = None
+        connection.open_request = None
+
     def give_up_request(self, connection: ClientConnection) -> None:
         """Cancels the open request of a client that sent too much behind it, and answers it with an error."""
         open_request = connection.open_request
@@ -153,6 +170,8 @@
                 raise InvalidRequestError(503, "no memory for a request")
             if fields.id in self.open_requests:
                 raise InvalidRequestError(409, "the id of an open request")
+            if self.recent_ids.contains(fields.id, self.transport.now()):
+                raise InvalidRequestError(409, "the id of an earlier request")
         except InvalidRequestError as error:
             # The framing is intact, so the connection stays open, but its next request is read after a pause.
             self.invalid_requests.add(str(error))
--- a/gorsethread/http_gateway/gateway.py
+++ b/gorsethread/http_gateway/gateway.py
@@ -249,6 +249,7 @@
             invalid_answers=self.pool.report(),
             messages=messages,
             volumes=len(self.driver.scheduler.queueing.volumes),
+            remembered_ids=len(self.clients.recent_ids),
             held_bytes=self.budget.held,
             most_held_bytes=self.budget.take_peak(),
             longest_iteration_ms=round(self.transport.take_longest_iteration().seconds * 1000),
--- /dev/null
+++ b/gorsethread/http_gateway/recent_ids.py
@@ -0,0 +1,45 @@
+"""Remembers the ids of requests that may have run, so that none is sent to a backend again under its id."""
+
+from collections import OrderedDict
+
+REMEMBERED_SECONDS = 30.0  # far longer than an attempt runs
+REMEMBERED_MAX = 16_384  # ids in each table
+
+
+class RecentIds:
+    """The ids of ended requests, for REMEMBERED_SECONDS, in two tables of at most REMEMBERED_MAX ids each.
+
+    The requests whose clients left may still be running at a backend. They have a table of their own, so that
+    any number of answered requests makes none of them forgotten. The oldest ids are forgotten first.
+    """
+
+    def __init__(self) -> None:
+        self._answered: OrderedDict[int, float] = OrderedDict()  # by id: the time of the request's end
+        self._abandoned: OrderedDict[int, float] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._answered) + len(self._abandoned)
+
+    def add_answered(self, id: int, now: float) -> None:
+        """Adds the id of a request that was answered; now is in seconds of any clock."""
+        self._add(self._answered, id, now)
+
+    def add_abandoned(self, id: int, now: float) -> None:
+        """Adds the id of a request whose client left; now is in seconds of any clock."""
+        self._add(self._abandoned, id, now)
+
+    def contains(self, id: int, now: float) -> bool:
+        """Returns whether the id is one of a request that ended within the last REMEMBERED_SECONDS."""
+        self._forget_old(now)
+        return id in self._answered or id in self._abandoned
+
+    def _add(self, table: OrderedDict[int, float], id: int, now: float) -> None:
+        self._forget_old(now)
+        table[id] = now
+        if len(table) > REMEMBERED_MAX:
+            table.popitem(last=False)
+
+    def _forget_old(self, now: float) -> None:
+        for table in (self._answered, self._abandoned):
+            while table and next(iter(table.values())) <= now - REMEMBERED_SECONDS:
+                table.popitem(last=False)
--- a/gorsethread/http_gateway/request_parsing.py
+++ b/gorsethread/http_gateway/request_parsing.py
@@ -32,7 +32,7 @@
 class RequestFields(NamedTuple):
     """The fields of a request; timeout is in seconds from when the client sent it."""
 
-    id: bytes
+    id: int
     request_class: int
     service_tier: int
     key: str
@@ -65,7 +65,7 @@
     if not ID.fullmatch(volume):
         raise InvalidRequestError(400, "no volume")
     return RequestFields(
-        request_id,
+        int(request_id, 16),
         request_class,
         service_tier,
         key,
