Let the test of an answer during a move wait in threads for what its event loop sends

It failed once (TimeoutError), beside six test processes and two cases of the review: after 0.1 s it blocked the event loop in accept() and message(), and where the gateway's request had not been written by then, nobody wrote it any more. The waits are in threads now; what is sent in which iteration of the loop, and every assertion, are as before.

--- a/tests/crossing/test_discovery.py
+++ b/tests/crossing/test_discovery.py
@@ -300,9 +300,9 @@
             configuration = read_configuration(path.read_bytes(), str(path))
             gateway = Gateway(transport, configuration, str(path), log_for())
             gateway.discovery.start(configuration.known_endpoints)
-            await transport.sleep(0.1)
-            watch = old.accept()
-            watch.message()
+            # In threads: these wait for what the event loop has yet to send.
+            watch = await asyncio.to_thread(old.accept)
+            await asyncio.to_thread(watch.message)
             # The event loop reads sockets before it runs due callbacks, and resumes the reader one iteration
             # later.
             watch.send(self.list_response(50, False, self.instance(0, self.backends[0], "gone")))
@@ -310,7 +310,8 @@
             await transport.sleep(0.1)
             self.assertEqual(1, gateway.discovery.version)
             self.assertEqual(2, len(gateway.discovery.updates.known))
-            self.assertIn("since=1&", new.accept().message().target)
+            moved = await asyncio.to_thread(new.accept)
+            self.assertIn("since=1&", (await asyncio.to_thread(moved.message)).target)
             await transport.end()
 
         asyncio.run(work())
