--- a/gorsethread/gateway/driver.py
+++ b/gorsethread/gateway/driver.py
@@ -201,7 +201,8 @@
         self._now = self.transport.now()
         events, self._events = self._events, []
         for method, arguments in events:
-            self._record("event", self._now, method, *arguments)
+            if self.recorder is not None:
+                self.recorder(("event", self._now, method, *arguments))
             getattr(self.scheduler, method)(*arguments)
         self._record("batch", self._now)
         self.scheduler.batch_ended()
--- a/gorsethread/http_gateway/backend_connection.py
+++ b/gorsethread/http_gateway/backend_connection.py
@@ -10,6 +10,7 @@
 
 DEADLINE_HEADER = b"req-deadline-ms"  # the operators' header: milliseconds that the client still waits
 MILLISECOND = 0.001  # seconds
+PACKET_BYTES = 1_200  # a shorter read that ends with an answer has all that its sender wrote at once
 
 
 class OutgoingRequest(NamedTuple):
@@ -93,7 +94,7 @@
             return None
         answer = self.codec.feed(data)
         self.share.update(self.codec.held_bytes)
-        if answer is not None and self.stream.has_unread_bytes():
+        if answer is not None and len(data) > PACKET_BYTES and self.stream.has_unread_bytes():
             answer = await self._with_surplus_read(answer)
         return answer
 
--- a/gorsethread/http_gateway/client_connection.py
+++ b/gorsethread/http_gateway/client_connection.py
@@ -78,6 +78,7 @@
         "open_request",
         "ended",
         "floods",
+        "last_unsent",
         "paused",
         "request_id",
         "served",
@@ -94,6 +95,7 @@
         self.codec = ServerCodec(KEPT_HEADERS)
         self.share = BudgetShare(side.budget)
         self.unread_since = now
+        self.last_unsent = 0  # bytes of answers, as of the last check_unread()
         self.open_request: OpenRequest | None = None
         self.request_id: int | None = None
         self.state_since: float = now
@@ -131,8 +133,6 @@
         if self.ended:
             return
         data, keeps_alive = self.codec.respond(status, headers, body, last=self._is_last())
-        if not self.stream.unsent:
-            self.unread_since = self.side.transport.now()
         self.stream.write(data)
         self.state_since = self.side.transport.now()
         self.served = True
@@ -173,11 +173,16 @@
         self.stream.close()
 
     def update_share(self) -> None:
-        """Updates what this connection holds of the budget, and whether its client reads its answers."""
-        held = self.codec.held_bytes + self.stream.unsent
-        if not self.stream.unsent or held < self.share.held:
-            self.unread_since = self.side.transport.now()
-        self.share.update(held)
+        """Updates what this connection holds of the budget."""
+        self.share.update(self.codec.held_bytes + self.stream.unsent)
+
+    def check_unread(self, now: float) -> None:
+        """Updates the share, and since when the client has not read of its answers; call it periodically."""
+        unsent = self.stream.unsent
+        if not unsent or unsent < self.last_unsent:
+            self.unread_since = now
+        self.last_unsent = unsent
+        self.update_share()
 
     # ---- received bytes
 
--- a/gorsethread/http_gateway/client_side.py
+++ b/gorsethread/http_gateway/client_side.py
@@ -243,7 +243,7 @@
         crowded = len(self.connections) >= CROWDED_FRACTION * self.max_connections
         max_idle = MIN_IDLE_SECONDS if crowded else MAX_IDLE_SECONDS
         for connection in list(self.connections):
-            connection.update_share()
+            connection.check_unread(now)
             if connection.ended:
                 self._close_ended(connection, now)
             elif connection.codec.open:
@@ -256,6 +256,7 @@
                 and connection.stream.is_idle()
             ):
                 connection.end()
+        self.recent_ids.forget_old(now)
         self.relieve_memory()
 
     def _close_ended(self, connection: ClientConnection, now: float) -> None:
--- a/gorsethread/http_gateway/memory_budget.py
+++ b/gorsethread/http_gateway/memory_budget.py
@@ -49,7 +49,10 @@
 
     def update(self, held: int) -> None:
         """Records how many bytes the connection holds now; none once it has ended."""
+        if held == self.held:
+            return
         budget = self._budget
         budget.held += held - self.held
-        budget.peak = max(budget.peak, budget.held)
+        if budget.held > budget.peak:
+            budget.peak = budget.held
         self.held = held
--- a/gorsethread/http_gateway/recent_ids.py
+++ b/gorsethread/http_gateway/recent_ids.py
@@ -4,6 +4,7 @@
 
 REMEMBERED_SECONDS = 30.0  # far longer than an attempt runs
 REMEMBERED_MAX = 16_384  # ids in each table
+NEVER = float("-inf")
 
 
 class RecentIds:
@@ -30,16 +31,16 @@
 
     def contains(self, id: int, now: float) -> bool:
         """Returns whether the id is one of a request that ended within the last REMEMBERED_SECONDS."""
-        self._forget_old(now)
-        return id in self._answered or id in self._abandoned
+        ended_after = now - REMEMBERED_SECONDS
+        return self._answered.get(id, NEVER) > ended_after or self._abandoned.get(id, NEVER) > ended_after
 
     def _add(self, table: OrderedDict[int, float], id: int, now: float) -> None:
-        self._forget_old(now)
         table[id] = now
-        if len(table) > REMEMBERED_MAX:
+        while len(table) > REMEMBERED_MAX or next(iter(table.values())) <= now - REMEMBERED_SECONDS:
             table.popitem(last=False)
 
-    def _forget_old(self, now: float) -> None:
+    def forget_old(self, now: float) -> None:
+        """Drops the ids whose time is over; now is in seconds of any clock."""
         for table in (self._answered, self._abandoned):
             while table and next(iter(table.values())) <= now - REMEMBERED_SECONDS:
                 table.popitem(last=False)
--- a/gorsethread/transport/real_streams.py
+++ b/gorsethread/transport/real_streams.py
@@ -75,7 +75,8 @@
         if self._stream.closed() or self._has_buffered_bytes():
             return False
         try:
-            self._peek()
+            # Looks for bytes or an end that the system has received and the loop has not read yet.
+            self._stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
             return True
         except OSError:
@@ -88,7 +89,7 @@
         if self._stream.closed():
             return False
         try:
-            return bool(self._peek())
+            return bool(self._stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
         except OSError:
             return False
 
@@ -96,15 +97,6 @@
         # A read that is done and still referenced has bytes that read() has not returned yet.
         return self._stream._read_buffer_size > 0 or (self._reading is not None and self._reading.done())
 
-    def _peek(self) -> bytes:
-        """Returns a byte that the system has received and the loop has not read yet, or b"" at the end.
-
-        Raises:
-            BlockingIOError: There is neither.
-            OSError: The connection failed.
-        """
-        return self._stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-
     def peer_ended(self) -> bool:
         if self._stream.closed():
             return True
--- a/tests/http_gateway/test_clients_that_left.py
+++ b/tests/http_gateway/test_clients_that_left.py
@@ -32,6 +32,9 @@
         self.assertTrue(ids.contains(1, REMEMBERED_SECONDS - 0.1) and ids.contains(2, REMEMBERED_SECONDS))
         self.assertFalse(ids.contains(1, REMEMBERED_SECONDS))
         self.assertFalse(ids.contains(2, 1.0 + REMEMBERED_SECONDS))
+        ids.forget_old(REMEMBERED_SECONDS)
+        self.assertEqual(1, len(ids))
+        ids.forget_old(1.0 + REMEMBERED_SECONDS)
         self.assertEqual(0, len(ids))
 
     def test_a_flood_of_answered_ids_makes_none_forgotten_that_may_still_run(self) -> None:
--- a/tests/test_review_cases.py
+++ b/tests/test_review_cases.py
@@ -42,6 +42,12 @@
     play(2)
 
 
+@pytest.mark.processes
+def test_requests_that_were_read_are_answered_at_the_end_of_a_process() -> None:
+    # Guards against requests behind one that hangs, which are dropped without an answer after SIGTERM.
+    play(10)
+
+
 @pytest.mark.processes
 def test_no_answer_cut_by_its_length_is_served() -> None:
     # Guards against bytes behind a body that are taken for a reason to close the connection only.
