Relieve memory from the largest holder on, and no further than the budget asks

Found by reading: past the budget every client that had sent anything behind its open request was refused, however little it held and however little was missing. One function serves the three kinds of holders now, the largest first, until the budget is kept.

--- a/gorsethread/http_gateway/client_side.py
+++ b/gorsethread/http_gateway/client_side.py
@@ -4,6 +4,7 @@
 that send nothing, part of a request, or invalid requests without end.
 """
 
+from collections.abc import Callable
 from typing import Any
 
 from gorsethread.gateway.driver import Driver
@@ -209,30 +210,34 @@
         answers are dropped that a client does not read. Complete requests keep what they hold; further ones
         are refused meanwhile.
         """
-        while self.budget.exceeded:
-            largest = max(
-                (c for c in self.connections if c.codec.partial and not c.ended),
-                key=lambda c: (c.share.held, -c.state_since),
-                default=None,
-            )
-            if largest is None:
-                break
-            largest.refuse(InvalidRequestError(503, "no memory for an incomplete request"))
-        for connection in list(self.connections) if self.budget.exceeded else ():
-            if connection.codec.bytes_ahead and connection.open_request is not None:
-                connection.refuse_flood()
+        self._relieve(
+            lambda c: c.codec.partial,
+            lambda c: c.refuse(InvalidRequestError(503, "no memory for an incomplete request")),
+        )
+        self._relieve(
+            lambda c: c.codec.bytes_ahead > 0 and c.open_request is not None, lambda c: c.refuse_flood()
+        )
         unread_before = self.transport.now() - UNREAD_SECONDS
-        while self.budget.exceeded:
-            unread = max(
-                (c for c in self.connections if c.stream.unsent and c.unread_since <= unread_before),
-                key=lambda c: c.stream.unsent,
-                default=None,
-            )
-            if unread is None:
-                break
-            self.invalid_requests.add("no memory for unread answers")
-            unread.abort()
-            del self.connections[unread]
+        self._relieve(
+            lambda c: c.stream.unsent > 0 and c.unread_since <= unread_before, self._drop_unread_answers
+        )
+
+    def _relieve(
+        self, is_eligible: Callable[[ClientConnection], bool], give_up: Callable[[ClientConnection], None]
+    ) -> None:
+        """Lets eligible connections give up what they hold, the largest first, until the budget is kept."""
+        if not self.budget.exceeded:
+            return
+        eligible = [c for c in self.connections if not c.ended and is_eligible(c)]
+        for connection in sorted(eligible, key=lambda c: (-c.share.held, c.state_since)):
+            if not self.budget.exceeded:
+                return
+            give_up(connection)
+
+    def _drop_unread_answers(self, connection: ClientConnection) -> None:
+        self.invalid_requests.add("no memory for unread answers")
+        connection.abort()
+        del self.connections[connection]
 
     # ---- connections ended
 
