--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -4,6 +4,7 @@
 lists when all gateways restart at once.
 """
 
+import itertools
 import unittest
 from collections import Counter
 from itertools import product
@@ -37,11 +38,9 @@
 class LoadTest(GatewayTest):
     async def load(self, until: float) -> None:
         """Sends a small request for backend 0 every 0.1 s, each on a connection of its own."""
-        number = 0x5000
         while self.client_process.now() < until:
-            number += 1
             client = await FakeClient(self.client_process).connect()
-            client.stream.write(request_bytes(f"{number:x}", timeout_ms=300))
+            client.stream.write(request_bytes(f"{next(self.ids):x}", timeout_ms=300))
             await self.wait(0.1)
             self.clients.append(client)
 
@@ -49,6 +48,7 @@
         """Records when each request arrived at backend 0."""
         self.arrived_at: list[float] = []
         self.clients: list[FakeClient] = []
+        self.ids = itertools.count(0x5001)  # new with every request, also of a later load()
         backend, respond = self.backends[0], self.backends[0].respond
 
         def recording_respond(request: Any) -> list[bytes] | None:
