--- a/gorsethread/http_gateway/client_connection.py
+++ b/gorsethread/http_gateway/client_connection.py
@@ -14,7 +14,7 @@
 from gorsethread.http_gateway.memory_budget import BudgetShare, MemoryBudget
 from gorsethread.http_gateway.reason_counts import ReasonCounts
 from gorsethread.http_gateway.request_parsing import KEPT_HEADERS
-from gorsethread.transport.base import MAX_READ_BYTES, Stream, StreamClosed, Transport
+from gorsethread.transport.base import MAX_READ_BYTES, Stream, StreamClosed, StreamEnded, Transport
 
 PAUSE_SECONDS = 0.25  # after an invalid request, until the connection's next request is read
 RECHECK_SECONDS = 0.02  # between checks of a client that is too far ahead or does not read its answers
@@ -67,6 +67,7 @@
     connection was opened, last became idle, began to receive the current request, or was ended by this side;
     received_at is when bytes were last received; unread_since is when the client last read of its answers, or
     had nothing to read. All are in seconds of the transport's clock. share is what it holds of the budget.
+    close_reason is the first reason for which either side ended the connection, "" until then.
     """
 
     __slots__ = (
@@ -74,6 +75,7 @@
         "_proceed_due",
         "_recheck_due",
         "received_at",
+        "close_reason",
         "codec",
         "open_request",
         "ended",
@@ -104,6 +106,7 @@
         self.ended = False  # this side has ended: nothing more is answered or handled
         self.floods = False  # too much was received behind the open request, so its answer is the last
         self.paused = False  # the bytes received are not parsed further for PAUSE_SECONDS
+        self.close_reason = ""
         self._dropped = 0
         self._proceed_due = False  # requests received already wait for the next iteration of the event loop
         self._recheck_due = False
@@ -138,7 +141,7 @@
         self.served = True
         self.update_share()
         if not keeps_alive:
-            self.end()
+            self.end("last answer")
         elif self.codec.partial:
             self._proceed_soon()
 
@@ -155,23 +158,28 @@
         """Answers an invalid request, or one that is too late, with an error and ends the connection."""
         self.side.invalid_requests.add(str(error))
         self.stream.write(closing_response(error.status))
-        self.end()
+        self.end("invalid request")
 
-    def end(self) -> None:
+    def end(self, reason: str) -> None:
         """Ends this side; the connection is closed when the client ends it too, or by the sweep."""
         if not self.ended:
             self.ended = True
+            self._set_close_reason(reason)
             self.state_since = self.side.transport.now()
             self.codec = ServerCodec(KEPT_HEADERS)  # drops the bytes received
             self.update_share()
             self.stream.end_sending()
 
-    def abort(self) -> None:
+    def abort(self, reason: str) -> None:
         """Closes both directions at once."""
         self.ended = True
+        self._set_close_reason(reason)
         self.share.update(0)
         self.stream.close()
 
+    def _set_close_reason(self, reason: str) -> None:
+        self.close_reason = self.close_reason or reason
+
     def update_share(self) -> None:
         """Updates what this connection holds of the budget."""
         self.share.update(self.codec.held_bytes + self.stream.unsent)
@@ -197,8 +205,10 @@
                 self._received(data)
                 self.proceed()
                 await self._catch_up()
-        except StreamClosed:
-            pass
+        except StreamEnded:
+            self._set_close_reason("ended by the client")
+        except StreamClosed as error:
+            self._set_close_reason(f"broken: {error}")
 
     def _received(self, data: bytes) -> None:
         if not self.codec.bytes_ahead:  # otherwise a request received earlier would get a later deadline
@@ -275,7 +285,7 @@
         """Drops bytes received after this side has ended; the client sends such a request elsewhere."""
         self._dropped += len(data)
         if self._dropped > MAX_DROPPED_BYTES:
-            self.abort()
+            self.abort("sends on after its end")
 
     async def _catch_up(self) -> None:
         """Waits while the client is too far ahead of its answers.
--- a/gorsethread/http_gateway/client_side.py
+++ b/gorsethread/http_gateway/client_side.py
@@ -37,7 +37,8 @@
 
     connections holds them in the order of accepting, until they end. open_requests holds those with an open
     request by the request's id, until it is answered or the client leaves; recent_ids holds the ids of those
-    that may have run, for a while after that. ending says that the program is
+    that may have run, for a while after that. invalid_requests and closed_connections count why requests
+    were refused without being admitted, and why connections were closed. ending says that the program is
     shutting down, end_by is the time by which it ends, in seconds of the transport's clock.
 
     Args:
@@ -68,6 +69,7 @@
         self.open_requests: dict[int, ClientConnection] = {}
         self.recent_ids = RecentIds()
         self.invalid_requests = ReasonCounts()
+        self.closed_connections = ReasonCounts()
         self.ending = False
         self.end_by = float("inf")
         self._accepted_count = 0  # accepted connections that on_stream() does not serve yet
@@ -81,7 +83,7 @@
             if spare is None:
                 self.invalid_requests.add("no room for a connection")
                 return False
-            spare.abort()
+            spare.abort("closed for a new connection")
             del self.connections[spare]
         self._accepted_count += 1
         return True
@@ -115,7 +117,8 @@
         except Exception as error:
             self.connection_failed(connection, error)
         finally:
-            connection.abort()
+            connection.abort("unexpected error")
+            self.closed_connections.add(connection.close_reason)
             self.connections.pop(connection, None)
             self._client_left(connection)
 
@@ -155,7 +158,7 @@
         self.log.exception("unexpected error; closing the client connection", reason=repr(error))
         if not connection.ended:
             connection.stream.write(closing_response(500))
-        connection.end()
+        connection.end("unexpected error")
         self._client_left(connection)
 
     # ---- requests parsed and passed on
@@ -236,7 +239,7 @@
 
     def _drop_unread_answers(self, connection: ClientConnection) -> None:
         self.invalid_requests.add("no memory for unread answers")
-        connection.abort()
+        connection.abort("answers not read")
         del self.connections[connection]
 
     # ---- connections ended
@@ -260,7 +263,7 @@
                 connection.state_since <= now - (max_idle if connection.served else REQUEST_TIMEOUT_SECONDS)
                 and connection.stream.is_idle()
             ):
-                connection.end()
+                connection.end("idle" if connection.served else "nothing sent")
         self.recent_ids.forget_old(now)
         self.relieve_memory()
 
@@ -268,7 +271,7 @@
         """Closes a connection that this side has ended, once its client had time to end it too."""
         linger = UNREAD_LINGER_SECONDS if connection.stream.unsent else LINGER_SECONDS
         if connection.state_since <= now - linger or now >= self.end_by + SHUTDOWN_LINGER_SECONDS:
-            connection.abort()
+            connection.abort("not ended by the client")
 
     def is_past_end(self) -> bool:
         """Returns whether the time by which the program ends has passed."""
@@ -290,7 +293,7 @@
                 connection.stream.is_idle()
                 and (connection.served or connection.state_since <= now - FIRST_REQUEST_SECONDS)
             ):
-                connection.end()
+                connection.end("shutdown")
 
     def has_connections(self) -> bool:
         """Returns whether any connection is left, including accepted ones that are not served yet."""
--- a/gorsethread/http_gateway/gateway.py
+++ b/gorsethread/http_gateway/gateway.py
@@ -15,6 +15,7 @@
 from gorsethread.http_gateway.discovery import Discovery
 from gorsethread.http_gateway.endpoint_updates import EndpointUpdates
 from gorsethread.http_gateway.memory_budget import MemoryBudget, budget_bytes
+from gorsethread.http_gateway.memory_monitor import MemoryMonitor
 from gorsethread.transport.base import Listener, Transport
 from gorsethread.transport.loop_iterations import Iteration
 
@@ -90,6 +91,7 @@
         links.driver = self.driver
         updates.driver = self.driver
         self.budget = MemoryBudget(budget_bytes(configuration.memory))
+        self.memory = MemoryMonitor(transport, configuration.memory, log)
         self.pool = self._connection_pool()
         updates.pool = self.pool
         self.pool.may_begin = self.driver.scheduler.may_begin_attempt
@@ -220,6 +222,7 @@
         if not self.ended:
             self.clients.sweep()
             self.pool.sweep()
+            self.memory.sample()
             self.transport.call_at(self.transport.now() + SWEEP_INTERVAL_SECONDS, self._sweep)
 
     def _report(self) -> None:
@@ -242,6 +245,7 @@
             event,
             open=len(self.driver.open_requests),
             clients=len(self.clients.connections),
+            closed_clients=self.clients.closed_connections.take_report(),
             backend_connections=self.pool.open_connections,
             opened=self.pool.opened_total,
             waiting=len(self.pool.waiting),
@@ -252,6 +256,7 @@
             remembered_ids=len(self.clients.recent_ids),
             held_bytes=self.budget.held,
             most_held_bytes=self.budget.take_peak(),
+            **self.memory.report(),
             longest_iteration_ms=round(self.transport.take_longest_iteration().seconds * 1000),
             **counts,
         )
--- a/gorsethread/simulation/http_mutants.py
+++ b/gorsethread/simulation/http_mutants.py
@@ -317,7 +317,7 @@
         if gateway._listener is not None:
             gateway._listener.close()
         for connection in list(gateway.clients.connections):
-            connection.end()
+            connection.end("answered")
 
     gateway.end = shut_down  # type: ignore[method-assign]
 
--- a/gorsethread/transport/base.py
+++ b/gorsethread/transport/base.py
@@ -9,6 +9,7 @@
 
 from gorsethread.errors import GorsethreadError
 from gorsethread.transport.loop_iterations import Iteration
+from gorsethread.transport.process_memory import MemoryUse
 
 MAX_READ_BYTES = 65_536  # the most that one read of a stream returns
 MAX_DATAGRAM_BYTES = 256  # the operators' platform does not carry longer datagrams between gateways
@@ -191,6 +192,10 @@
         """Returns the longest iteration of the event loop since the last call of this method."""
         ...
 
+    def memory_use(self) -> MemoryUse:
+        """Returns the memory that this process uses."""
+        ...
+
     async def sleep(self, seconds: float) -> None: ...
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
--- a/gorsethread/transport/real.py
+++ b/gorsethread/transport/real.py
@@ -29,6 +29,7 @@
 )
 from gorsethread.transport.large_reads import READ_BYTES, LargeReads
 from gorsethread.transport.loop_iterations import Iteration, LoopIterations, MeasuringSelector
+from gorsethread.transport.process_memory import MemoryUse, memory_use
 from gorsethread.transport.program import Program, SeededRandom
 from gorsethread.transport.real_streams import LISTEN_BACKLOG, RealListener, RealStream
 
@@ -193,6 +194,9 @@
     def take_longest_iteration(self) -> Iteration:
         return self._iterations.take_longest()
 
+    def memory_use(self) -> MemoryUse:
+        return memory_use()
+
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = self._loop.create_task(work)
         self._tasks.add(task)
--- a/gorsethread/transport/virtual/process.py
+++ b/gorsethread/transport/virtual/process.py
@@ -6,6 +6,7 @@
 
 from gorsethread.transport.base import Stream, Unreachable
 from gorsethread.transport.loop_iterations import NO_ITERATION, Iteration
+from gorsethread.transport.process_memory import UNKNOWN_MEMORY, MemoryUse
 from gorsethread.transport.program import Program, SeededRandom
 from gorsethread.transport.virtual.datagrams import VirtualDatagrams
 from gorsethread.transport.virtual.disk import Disk, VirtualAppendOnlyFile, VirtualRandomAccessFile
@@ -33,6 +34,7 @@
         paused: Whether events from outside are held until resume().
         streams: The open ends of connections of this process.
         append_only_files: Append-only files by path; removed when they are closed.
+        memory: What memory_use() returns; a test may set it.
     """
 
     def __init__(
@@ -43,6 +45,7 @@
         self.offset, self.drift, self.wall_offset = offset, drift, 0.0
         self.alive = True
         self.paused = False
+        self.memory = UNKNOWN_MEMORY
         self.streams: dict[int, VirtualStream] = {}
         self._held_events: list[Callable[[], None]] = []  # while paused; emptied by resume()
         self._tasks: dict[int, asyncio.Task[None]] = {}  # a task that ends is removed
@@ -130,6 +133,9 @@
     def take_longest_iteration(self) -> Iteration:
         return NO_ITERATION
 
+    def memory_use(self) -> MemoryUse:
+        return self.memory
+
     async def sleep(self, seconds: float) -> None:
         waiting = self.network.loop.create_future()
         self.call_at(self.now() + seconds, lambda: wake(waiting))
