--- a/gorsethread/http1/client_codec.py
+++ b/gorsethread/http1/client_codec.py
@@ -18,6 +18,7 @@
     Headers,
     InvalidResponseError,
     content_length,
+    release_frames,
 )
 from gorsethread.http1.surplus_bytes import is_repeated_response
 
@@ -103,6 +104,7 @@
             self._wire.receive_data(data)
             return self._next()
         except h11.RemoteProtocolError as error:
+            release_frames(error)
             raise InvalidResponseError(str(error)) from None
 
     def connection_ended(self) -> Response | None:
@@ -119,6 +121,7 @@
             self._wire.receive_data(b"")
             return self._next()
         except h11.RemoteProtocolError as error:
+            release_frames(error)
             raise InvalidResponseError(str(error)) from None
 
     def _next(self) -> Response | None:
--- a/gorsethread/http1/framing.py
+++ b/gorsethread/http1/framing.py
@@ -58,3 +58,12 @@
     if not lengths[0].isdigit() or len(lengths[0]) > LENGTH_DIGITS_MAX:
         raise ValueError("no length")
     return int(lengths[0])
+
+
+def release_frames(error: Exception) -> None:
+    """Drops the frames of an error of h11 that has been handled.
+
+    h11 raises some errors again from a method of their own, whose frame then refers to the error. With the
+    codec and its buffers, they would stay in memory until the collector of reference cycles runs.
+    """
+    error.__traceback__ = None
--- a/gorsethread/http1/server_codec.py
+++ b/gorsethread/http1/server_codec.py
@@ -19,6 +19,7 @@
     Headers,
     InvalidRequestError,
     content_length,
+    release_frames,
 )
 from gorsethread.http1.header_section import HeaderSection
 
@@ -108,6 +109,7 @@
         try:
             return self._next()
         except h11.RemoteProtocolError as error:
+            release_frames(error)
             raise InvalidRequestError(error.error_status_hint, str(error)) from None
 
     def _next(self) -> Request | None:
--- a/gorsethread/http1/surplus_bytes.py
+++ b/gorsethread/http1/surplus_bytes.py
@@ -7,7 +7,7 @@
 
 import h11
 
-from gorsethread.http1.framing import HEADER_SECTION_BYTES_MAX, Headers
+from gorsethread.http1.framing import HEADER_SECTION_BYTES_MAX, Headers, release_frames
 
 
 def is_repeated_response(surplus: bytes, status: int, headers: Headers, body: bytes) -> bool:
@@ -33,7 +33,8 @@
         if (response.status_code, list(response.headers)) != (status, headers):
             return False
         return body.startswith(_received_body(wire)) and not wire.trailing_data[0]
-    except h11.RemoteProtocolError:
+    except h11.RemoteProtocolError as error:
+        release_frames(error)
         return False
 
 
--- a/gorsethread/transport/real.py
+++ b/gorsethread/transport/real.py
@@ -31,7 +31,7 @@
 from gorsethread.transport.loop_iterations import Iteration, LoopIterations, MeasuringSelector
 from gorsethread.transport.process_memory import MemoryUse, memory_use
 from gorsethread.transport.program import Program, SeededRandom
-from gorsethread.transport.real_streams import LISTEN_BACKLOG, RealListener, RealStream
+from gorsethread.transport.real_streams import LISTEN_BACKLOG, RealListener, RealStream, release_error
 
 DATAGRAMS_PER_EVENT = 32  # read per loop iteration, so that a flood does not starve other work
 
@@ -235,6 +235,7 @@
         except (StreamClosedError, TimeoutError, OSError) as error:
             stream.close()
             reason = str(getattr(error, "real_error", None) or error) or "no answer in time"
+            release_error(stream)
             raise Unreachable(f"{host}:{port}: {reason}") from None
         except asyncio.CancelledError:
             stream.close()
--- a/gorsethread/transport/real_streams.py
+++ b/gorsethread/transport/real_streams.py
@@ -26,6 +26,17 @@
         ...
 
 
+def release_error(stream: IOStream) -> None:
+    """Drops the error of an ended stream.
+
+    The frames of its traceback refer to the stream and to the error, so that the stream and its buffers would
+    stay in memory until the collector of reference cycles runs.
+    """
+    if stream.error is not None:
+        stream.error.__traceback__ = None
+        stream.error = None
+
+
 class RealStream:
     """A TCP connection, on a Tornado stream."""
 
@@ -52,14 +63,13 @@
     async def read(self) -> bytes:
         self._iterations.work_ended(self.peer)
         try:
-            self._reading = reading = self._start_reading()
+            self._reading = self._start_reading()
             # Awaiting a complete read does not suspend: its task would go on for as long as there are bytes.
-            is_complete = reading.done()
-            data = await reading
+            is_complete = self._reading.done()
+            data = await self._reading
         except StreamClosedError as error:
-            if error.real_error is None and not self._closed_here:
-                raise StreamEnded("closed by peer") from None
-            raise StreamClosed(str(error.real_error or "closed")) from None
+            self._forget_errors()
+            raise self._why_closed(error.real_error) from None
         if len(data) > SMALL_READ_BYTES:
             await self._large_reads.admitted()
         elif is_complete:
@@ -68,6 +78,17 @@
         self._iterations.work_began(self.peer, len(data))
         return data
 
+    def _why_closed(self, error: BaseException | None) -> StreamClosed:
+        if error is None and not self._closed_here:
+            return StreamEnded("closed by peer")
+        return StreamClosed(str(error or "closed"))
+
+    def _forget_errors(self) -> None:
+        """Drops the futures of an ended stream, whose errors refer to frames that refer to the stream."""
+        self._reading = None
+        self._flushed = None
+        release_error(self._stream)
+
     def _start_reading(self) -> "asyncio.Future[bytes]":
         return cast("asyncio.Future[bytes]", self._stream.read_bytes(READ_BYTES, partial=True))
 
@@ -146,6 +167,7 @@
             try:
                 await asyncio.shield(self._flushed)
             except StreamClosedError as error:
+                self._forget_errors()
                 raise StreamClosed(str(error.real_error or "closed")) from None
 
     def close(self) -> None:
