--- a/gorsethread/transport/large_reads.py
+++ b/gorsethread/transport/large_reads.py
@@ -4,7 +4,8 @@
 from collections import deque
 
 READ_BYTES = 32_768  # the most that one read of a real stream returns, to be worked on without a pause
-SMALL_READ_BYTES = 2_048  # a usual request or answer is smaller; larger reads wait for each other
+# A usual request or answer is smaller. A read that finds as much waits for others before it reads the rest.
+SMALL_READ_BYTES = 2_048
 
 
 class LargeReads:
--- a/gorsethread/transport/real.py
+++ b/gorsethread/transport/real.py
@@ -16,22 +16,27 @@
 from pathlib import Path
 from typing import Any, NoReturn
 
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 
 from gorsethread.transport.base import (
     MAX_DATAGRAM_BYTES,
-    MAX_READ_BYTES,
     RandomStream,
     Stream,
     Timer,
     Unreachable,
 )
-from gorsethread.transport.large_reads import READ_BYTES, LargeReads
+from gorsethread.transport.large_reads import LargeReads
 from gorsethread.transport.loop_iterations import Iteration, LoopIterations, MeasuringSelector
 from gorsethread.transport.process_memory import MemoryUse, memory_use
 from gorsethread.transport.program import Program, SeededRandom
-from gorsethread.transport.real_streams import LISTEN_BACKLOG, RealListener, RealStream, release_error
+from gorsethread.transport.real_streams import (
+    LISTEN_BACKLOG,
+    RealListener,
+    RealStream,
+    new_stream,
+    release_error,
+)
 
 DATAGRAMS_PER_EVENT = 32  # read per loop iteration, so that a flood does not starve other work
 
@@ -221,11 +226,7 @@
 
     async def connect(self, host: str, port: int, within: float) -> Stream:
         try:
-            stream = IOStream(
-                socket.socket(socket.AF_INET, socket.SOCK_STREAM),
-                read_chunk_size=READ_BYTES,
-                max_buffer_size=4 * MAX_READ_BYTES,
-            )
+            stream = new_stream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
         except OSError as error:
             raise Unreachable(f"{host}:{port}: {error}") from None
         try:
--- a/gorsethread/transport/real_streams.py
+++ b/gorsethread/transport/real_streams.py
@@ -26,6 +26,11 @@
         ...
 
 
+def new_stream(connection: socket.socket) -> IOStream:
+    """Returns a stream that reads a small piece at once, so that reads which have to wait hold little."""
+    return IOStream(connection, read_chunk_size=SMALL_READ_BYTES, max_buffer_size=4 * MAX_READ_BYTES)
+
+
 def release_error(stream: IOStream) -> None:
     """Drops the error of an ended stream.
 
@@ -47,7 +52,8 @@
         self.peer = peer
         self._iterations = iterations
         self._large_reads = large_reads
-        self._reading: asyncio.Future[bytes] | None = None
+        self._reading: asyncio.Future[bytes] | None = None  # until read() has returned its bytes
+        self._next_reading: asyncio.Future[bytes] | None = None  # begun by the last large read
         self._flushed: asyncio.Future[None] | None = None
         self._corked: list[bytes] = []  # written in this iteration of the loop; emptied at its end
         self._corked_size = 0
@@ -63,15 +69,17 @@
     async def read(self) -> bytes:
         self._iterations.work_ended(self.peer)
         try:
-            self._reading = self._start_reading()
+            self._reading = self._next_reading or self._start_reading()
+            self._next_reading = None
             # Awaiting a complete read does not suspend: its task would go on for as long as there are bytes.
             is_complete = self._reading.done()
             data = await self._reading
         except StreamClosedError as error:
             self._forget_errors()
             raise self._why_closed(error.real_error) from None
-        if len(data) > SMALL_READ_BYTES:
+        if len(data) >= SMALL_READ_BYTES:
             await self._large_reads.admitted()
+            data += self._read_available(READ_BYTES - len(data))
         elif is_complete:
             await asyncio.sleep(0.0)
         self._reading = None
@@ -86,11 +94,24 @@
     def _forget_errors(self) -> None:
         """Drops the futures of an ended stream, whose errors refer to frames that refer to the stream."""
         self._reading = None
+        self._next_reading = None
         self._flushed = None
         release_error(self._stream)
 
-    def _start_reading(self) -> "asyncio.Future[bytes]":
-        return cast("asyncio.Future[bytes]", self._stream.read_bytes(READ_BYTES, partial=True))
+    def _start_reading(self, limit: int = SMALL_READ_BYTES) -> "asyncio.Future[bytes]":
+        return cast("asyncio.Future[bytes]", self._stream.read_bytes(limit, partial=True))
+
+    def _read_available(self, limit: int) -> bytes:
+        """Returns bytes that have arrived, without a wait; if there are none, the next read awaits them."""
+        if self._stream.closed():
+            return b""
+        self._stream.read_chunk_size = limit
+        reading = self._start_reading(limit)
+        self._stream.read_chunk_size = SMALL_READ_BYTES
+        if reading.done() and reading.exception() is None:
+            return reading.result()
+        self._next_reading = reading
+        return b""
 
     def is_idle(self) -> bool:
         if self._stream.closed() or self._has_buffered_bytes():
@@ -115,8 +136,11 @@
             return False
 
     def _has_buffered_bytes(self) -> bool:
-        # A read that is done and still referenced has bytes that read() has not returned yet.
-        return self._stream._read_buffer_size > 0 or (self._reading is not None and self._reading.done())
+        return (
+            self._stream._read_buffer_size > 0
+            or _has_result(self._reading)
+            or _has_result(self._next_reading)
+        )
 
     def peer_ended(self) -> bool:
         if self._stream.closed():
@@ -177,6 +201,11 @@
         self._stream.close()
 
 
+def _has_result(reading: "asyncio.Future[bytes] | None") -> bool:
+    """Returns whether a read has bytes that the stream's read() has not returned yet."""
+    return reading is not None and reading.done() and reading.exception() is None
+
+
 def _retrieve_exception(future: "asyncio.Future[None]") -> None:
     """Keeps asyncio from logging the exception of a failed write, which the next read raises."""
     if not future.cancelled():
@@ -225,7 +254,7 @@
             if self._admits is not None and not self._admits():
                 accepted.close()
                 continue
-            stream = IOStream(accepted, read_chunk_size=READ_BYTES, max_buffer_size=4 * MAX_READ_BYTES)
+            stream = new_stream(accepted)
             peer = f"{address[0]}:{address[1]}"
             served = RealStream(stream, peer, self._iterations, self._large_reads)
             self._transport.spawn(self._serve(served))
--- a/tests/test_large_reads.py
+++ b/tests/test_large_reads.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from typing import Any
 
 from gorsethread.transport.base import Stream, StreamClosed
 from gorsethread.transport.large_reads import READ_BYTES, SMALL_READ_BYTES, LargeReads
@@ -10,6 +11,9 @@
 SENT_BYTES = 8 * READ_BYTES
 CONNECTIONS = 3
 
+# Bytes of a connection whose large read waits for others: what was read, and a piece that the stream reads on.
+MOST_HELD_IN_WAITING = 2 * SMALL_READ_BYTES
+
 
 class Sharing(unittest.IsolatedAsyncioTestCase):
     async def reads_by_iteration(self, pieces: list[bytes]) -> list[list[int]]:
@@ -75,11 +79,14 @@
 
     async def test_a_stream_with_bytes_that_read_has_not_returned_is_not_idle(self) -> None:
         # Guards against a connection that is reused or closed as idle over bytes that were received.
-        transport, served = RealTransport(), list[Stream]()
+        transport, served = RealTransport(), list[Any]()
 
         async def serve(stream: Stream) -> None:
             served.append(stream)
-            await stream.read()
+            try:
+                await stream.read()
+            finally:
+                stream.close()
 
         listener = transport.listen("127.0.0.1", 0, serve)
         client = await transport.connect("127.0.0.1", listener.port, 1.0)
@@ -93,6 +100,10 @@
             await transport.sleep(0.05)
             self.assertEqual(1, len(transport._large_reads._waiting))
             self.assertFalse(served[0].is_idle())
+            # Guards against hundreds of connections that each hold a large piece while they wait.
+            assert served[0]._reading is not None
+            held = len(served[0]._reading.result()) + served[0]._stream._read_buffer_size
+            self.assertLessEqual(held, MOST_HELD_IN_WAITING)
         finally:
             client.close()
             listener.close()
