--- a/gorsethread/http_gateway/backend_connection.py
+++ b/gorsethread/http_gateway/backend_connection.py
@@ -5,7 +5,7 @@
 from gorsethread.gateway.attempts import Attempt
 from gorsethread.http1.client_codec import ClientCodec, Response
 from gorsethread.http1.framing import Headers
-from gorsethread.http_gateway.memory_budget import BudgetShare, MemoryBudget
+from gorsethread.http_gateway.memory_budget import CONNECTION_BYTES, BudgetShare, MemoryBudget
 from gorsethread.transport.base import Stream, StreamEnded, Timer
 
 DEADLINE_HEADER = b"req-deadline-ms"  # the operators' header: milliseconds that the client still waits
@@ -62,6 +62,7 @@
 
     def __init__(self, link: ConnectionOwner, stream: Stream, budget: MemoryBudget) -> None:
         self.share = BudgetShare(budget)
+        self.share.update(CONNECTION_BYTES)
         self.link = link
         self.stream = stream
         self.closed = False
@@ -93,7 +94,7 @@
         if self.closed:
             return None
         answer = self.codec.feed(data)
-        self.share.update(self.codec.held_bytes)
+        self.share.update(CONNECTION_BYTES + self.codec.held_bytes)
         if answer is not None and len(data) > PACKET_BYTES and self.stream.has_unread_bytes():
             answer = await self._with_surplus_read(answer)
         return answer
--- a/gorsethread/http_gateway/backend_link.py
+++ b/gorsethread/http_gateway/backend_link.py
@@ -158,21 +158,27 @@
         """Reads answers until the connection ends."""
         try:
             while True:
-                answer = await connection.read()
+                # Not kept in a variable here, which would hold the answer until the next one arrives.
+                self._read(connection, await connection.read())
                 if connection.closed:
-                    return  # closed after the bytes arrived: its attempt has ended
-                if connection.codec.ends_with_connection:
-                    self._await_end(connection)
-                if answer is not None:
-                    self._answered(connection, answer)
-                elif self.pool.budget.exceeded:
-                    self._drop_largest_answer()
+                    return
         except StreamClosed:
             self._connection_ended(connection)
         except InvalidResponseError as error:
             self.answer_invalid(connection, str(error))
         self.pool.connection_freed()
 
+    def _read(self, connection: BackendConnection, answer: Response | None) -> None:
+        """Handles the result of one read: an answer, or None if it is not complete."""
+        if connection.closed:
+            return  # closed after the bytes arrived: its attempt has ended
+        if connection.codec.ends_with_connection:
+            self._await_end(connection)
+        if answer is not None:
+            self._answered(connection, answer)
+        elif self.pool.budget.exceeded:
+            self._drop_largest_answer()
+
     def _connection_ended(self, connection: BackendConnection) -> None:
         unsent = connection.stream.unsent
         attempt = self.close_connection(connection)
--- a/gorsethread/http_gateway/client_connection.py
+++ b/gorsethread/http_gateway/client_connection.py
@@ -11,7 +11,7 @@
 from gorsethread.gateway.open_requests import OpenRequest
 from gorsethread.http1.framing import READ_AHEAD_BYTES_MAX, Headers, InvalidRequestError
 from gorsethread.http1.server_codec import Request, ServerCodec, closing_response
-from gorsethread.http_gateway.memory_budget import BudgetShare, MemoryBudget
+from gorsethread.http_gateway.memory_budget import CONNECTION_BYTES, BudgetShare, MemoryBudget
 from gorsethread.http_gateway.reason_counts import ReasonCounts
 from gorsethread.http_gateway.request_parsing import KEPT_HEADERS
 from gorsethread.transport.base import MAX_READ_BYTES, Stream, StreamClosed, StreamEnded, Transport
@@ -96,6 +96,7 @@
         self.stream = stream
         self.codec = ServerCodec(KEPT_HEADERS)
         self.share = BudgetShare(side.budget)
+        self.share.update(CONNECTION_BYTES)
         self.unread_since = now
         self.last_unsent = 0  # bytes of answers, as of the last check_unread()
         self.open_request: OpenRequest | None = None
@@ -182,7 +183,7 @@
 
     def update_share(self) -> None:
         """Updates what this connection holds of the budget."""
-        self.share.update(self.codec.held_bytes + self.stream.unsent)
+        self.share.update(CONNECTION_BYTES + self.codec.held_bytes + self.stream.unsent)
 
     def check_unread(self, now: float) -> None:
         """Updates the share, and since when the client has not read of its answers; call it periodically."""
@@ -198,18 +199,21 @@
         """Reads until either side closes the connection."""
         try:
             while True:
-                data = await self.stream.read()
-                if self.ended:
-                    self._drop(data)
-                    continue
-                self._received(data)
-                self.proceed()
+                # Not kept in a variable here, which would hold the bytes until the next ones arrive.
+                self._handle(await self.stream.read())
                 await self._catch_up()
         except StreamEnded:
             self._set_close_reason("ended by the client")
         except StreamClosed as error:
             self._set_close_reason(f"broken: {error}")
 
+    def _handle(self, data: bytes) -> None:
+        if self.ended:
+            self._drop(data)
+            return
+        self._received(data)
+        self.proceed()
+
     def _received(self, data: bytes) -> None:
         if not self.codec.bytes_ahead:  # otherwise a request received earlier would get a later deadline
             self.received_at = self.side.transport.now()
--- a/gorsethread/http_gateway/client_side.py
+++ b/gorsethread/http_gateway/client_side.py
@@ -47,6 +47,7 @@
         names: the names that requests use for their class, tier and zone.
         max_connections: bound on the connections open at once.
         budget: the bytes held for connections.
+        recent_ids: the table of ids that may have run.
         log: for structured events.
     """
 
@@ -57,6 +58,7 @@
         names: RequestNames,
         max_connections: int,
         budget: MemoryBudget,
+        recent_ids: RecentIds,
         log: Any,
     ) -> None:
         self.transport = transport
@@ -67,7 +69,7 @@
         self.log = log
         self.connections: dict[ClientConnection, None] = {}
         self.open_requests: dict[int, ClientConnection] = {}
-        self.recent_ids = RecentIds()
+        self.recent_ids = recent_ids
         self.invalid_requests = ReasonCounts()
         self.closed_connections = ReasonCounts()
         self.ending = False
@@ -170,6 +172,7 @@
             return
         try:
             fields = parse_request(request, self.names)
+            self.relieve_memory()
             if self.budget.exceeded:
                 raise InvalidRequestError(503, "no memory for a request")
             if fields.id in self.open_requests:
@@ -213,6 +216,8 @@
         answers are dropped that a client does not read. Complete requests keep what they hold; further ones
         are refused meanwhile.
         """
+        if not self.budget.exceeded:
+            return
         self._relieve(
             lambda c: c.codec.partial,
             lambda c: c.refuse(InvalidRequestError(503, "no memory for an incomplete request")),
--- a/gorsethread/http_gateway/gateway.py
+++ b/gorsethread/http_gateway/gateway.py
@@ -14,8 +14,9 @@
 from gorsethread.http_gateway.connection_pool import ConnectionPool
 from gorsethread.http_gateway.discovery import Discovery
 from gorsethread.http_gateway.endpoint_updates import EndpointUpdates
-from gorsethread.http_gateway.memory_budget import MemoryBudget, budget_bytes
+from gorsethread.http_gateway.memory_budget import MemoryBudget, plan_memory
 from gorsethread.http_gateway.memory_monitor import MemoryMonitor
+from gorsethread.http_gateway.recent_ids import RecentIds
 from gorsethread.transport.base import Listener, Transport
 from gorsethread.transport.loop_iterations import Iteration
 
@@ -81,7 +82,8 @@
         self._ending = False
         self._listener: Listener | None = None
         links = BackendLinks(lambda backend, address: BackendLink(self.pool, backend, address))
-        settings = configuration.scheduler_settings
+        memory_plan = plan_memory(configuration.memory)
+        settings = replace(configuration.scheduler_settings, max_volumes=memory_plan.volumes)
         updates = EndpointUpdates(transport, configuration.request_names.zones, links)
         wait = min(MAX_WATCH_WAIT_SECONDS, 0.5 * settings.poll_within or MAX_WATCH_WAIT_SECONDS)
         self.discovery = Discovery(transport, configuration.discovery, updates, wait, log)
@@ -90,14 +92,19 @@
         )
         links.driver = self.driver
         updates.driver = self.driver
-        self.budget = MemoryBudget(budget_bytes(configuration.memory))
+        self.budget = MemoryBudget(memory_plan.connection_bytes)
         self.memory = MemoryMonitor(transport, configuration.memory, log)
         self.pool = self._connection_pool()
         updates.pool = self.pool
         self.pool.may_begin = self.driver.scheduler.may_begin_attempt
-        max_clients = int(configuration.sockets * CLIENTS_FRACTION)
         self.clients = ClientSide(
-            transport, self.driver, configuration.request_names, max_clients, self.budget, log
+            transport,
+            self.driver,
+            configuration.request_names,
+            min(int(configuration.sockets * CLIENTS_FRACTION), memory_plan.clients),
+            self.budget,
+            RecentIds(memory_plan.ids),
+            log,
         )
         self.peer_messages = self._make_peer_messages()
 
--- a/gorsethread/http_gateway/memory_budget.py
+++ b/gorsethread/http_gateway/memory_budget.py
@@ -1,21 +1,59 @@
-"""Bounds the bytes that the gateway holds for its connections, all of them together."""
+"""Divides the permitted memory, and bounds the bytes that the gateway holds for all of its connections."""
+
+from dataclasses import dataclass
+
+from gorsethread.http_gateway.recent_ids import REMEMBERED_MAX
+from gorsethread.scheduling.fair_queueing import VOLUMES_MAX
 
 MEGABYTE = 1_000_000  # bytes
-PROGRAM_BYTES = 48 * MEGABYTE  # of the permitted memory, for the program and its tables
-# Of the rest; the objects around the bytes held, and copies of them, take about as much again.
-BUFFERS_FRACTION = 0.5
-LEAST_FRACTION = 0.125  # of the permitted memory, where that is hardly more than the program needs
+PROGRAM_BYTES = 20 * MEGABYTE  # of the permitted memory, for the program itself
+LEAST_FRACTION = 0.35  # of the permitted memory, for all else where the program leaves hardly any
+# Of what the program leaves. What is held for a connection takes two to three times its bytes, with the
+# objects around them and copies in work.
+CONNECTIONS_FRACTION = 0.3
+VOLUMES_FRACTION = 0.12
+IDS_FRACTION = 0.08
+CLIENTS_FRACTION = 0.7  # of the bytes for connections, which clients that send nothing may take
+CONNECTION_BYTES = 4_096  # counted for an open connection that holds nothing
+VOLUME_BYTES = 900  # of a volume's state, its place in the tables included
+ID_BYTES = 200  # of a remembered id
+
 
+@dataclass(frozen=True)
+class MemoryPlan:
+    """What each part of a process may hold.
 
-def budget_bytes(permitted_megabytes: float) -> int:
-    """Returns the bytes that connections may hold in a process with that much permitted memory."""
+    Attributes:
+        connection_bytes: Bytes counted for all connections together.
+        clients: Connections of clients.
+        volumes: Volumes with state of their own.
+        ids: Ids that are remembered in each table.
+    """
+
+    connection_bytes: int
+    clients: int
+    volumes: int
+    ids: int
+
+
+def plan_memory(permitted_megabytes: float) -> MemoryPlan:
+    """Returns what a process with that much permitted memory may hold."""
     permitted = permitted_megabytes * MEGABYTE
-    return int(max(LEAST_FRACTION * permitted, BUFFERS_FRACTION * (permitted - PROGRAM_BYTES)))
+    rest = max(LEAST_FRACTION * permitted, permitted - PROGRAM_BYTES)
+    connection_bytes = int(CONNECTIONS_FRACTION * rest)
+    return MemoryPlan(
+        connection_bytes=connection_bytes,
+        clients=int(CLIENTS_FRACTION * connection_bytes / CONNECTION_BYTES),
+        volumes=min(VOLUMES_MAX, int(VOLUMES_FRACTION * rest / VOLUME_BYTES)),
+        ids=min(REMEMBERED_MAX, int(IDS_FRACTION * rest / ID_BYTES / 2)),
+    )
 
 
 class MemoryBudget:
     """Counts the bytes held for connections: what was received and not passed on, and what was not sent yet.
 
+    Each open connection counts CONNECTION_BYTES beside.
+
     Attributes:
         limit: Bytes above which connections have to give some up.
         held: Bytes held now.
--- a/gorsethread/http_gateway/recent_ids.py
+++ b/gorsethread/http_gateway/recent_ids.py
@@ -8,13 +8,14 @@
 
 
 class RecentIds:
-    """The ids of ended requests, for REMEMBERED_SECONDS, in two tables of at most REMEMBERED_MAX ids each.
+    """The ids of ended requests, for REMEMBERED_SECONDS, in two tables of at most so many ids each.
 
     The requests whose clients left may still be running at a backend. They have a table of their own, so that
     any number of answered requests makes none of them forgotten. The oldest ids are forgotten first.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, most: int = REMEMBERED_MAX) -> None:
+        self._most = most
         self._answered: OrderedDict[int, float] = OrderedDict()  # by id: the time of the request's end
         self._abandoned: OrderedDict[int, float] = OrderedDict()
 
@@ -36,7 +37,7 @@
 
     def _add(self, table: OrderedDict[int, float], id: int, now: float) -> None:
         table[id] = now
-        while len(table) > REMEMBERED_MAX or next(iter(table.values())) <= now - REMEMBERED_SECONDS:
+        while len(table) > self._most or next(iter(table.values())) <= now - REMEMBERED_SECONDS:
             table.popitem(last=False)
 
     def forget_old(self, now: float) -> None:
--- a/gorsethread/scheduling/fair_queueing.py
+++ b/gorsethread/scheduling/fair_queueing.py
@@ -33,12 +33,14 @@
     """Holds the volumes, their queues by shard, and the minimum virtual time of the busy volumes.
 
     A volume is busy while it has requests waiting or attempts in flight. An idle volume is kept until
-    forget(). Beyond VOLUMES_MAX, unknown volumes of a tier share one, and its part and rate limit. The newly
-    runnable volumes are those with a new request since the last search; search_done() clears them.
+    forget(). Beyond VOLUMES_MAX, or max_volumes if that is lower, unknown volumes of a tier share one, and
+    its part and rate limit. The newly runnable volumes are those with a new request since the last search;
+    search_done() clears them.
     """
 
-    def __init__(self, timers: Timers) -> None:
+    def __init__(self, timers: Timers, max_volumes: int | None = None) -> None:
         self._timers = timers
+        self._max_volumes = max_volumes
         self.volumes: dict[str, Volume] = {}
         self.busy: dict[str, Volume] = {}
         self.minimum_virtual_time = 0.0  # units per unit of weight
@@ -73,7 +75,8 @@
 
     def is_full(self) -> bool:
         """Returns whether an unknown volume gets no state of its own."""
-        return len(self.volumes) >= VOLUMES_MAX
+        bound = VOLUMES_MAX if self._max_volumes is None else min(VOLUMES_MAX, self._max_volumes)
+        return len(self.volumes) >= bound
 
     def room_candidates(self) -> list[Volume]:
         """Returns idle volumes that lose and gain nothing in their order by being forgotten.
--- a/gorsethread/scheduling/model.py
+++ b/gorsethread/scheduling/model.py
@@ -169,7 +169,8 @@
     poll_within: seconds for which a list is valid, 0: unknown; drain_grace, key_cool_down, max_retry_after:
     seconds; max_attempts: of one request; excess_value: value of units beyond the reservation, 0 to 1;
     retries_marked: whether clients mark their retries; gateway_index: index of this gateway;
-    may_send_messages: whether gateways may send messages to each other.
+    may_send_messages: whether gateways may send messages to each other; max_volumes: volumes with state of
+    their own that the process has memory for, None: unknown.
     """
 
     request_classes: tuple[RequestClass, ...]
@@ -188,6 +189,7 @@
     retries_marked: bool
     gateway_index: int = 0
     may_send_messages: bool = False
+    max_volumes: int | None = None
 
 
 class RequestReceived(NamedTuple):
--- a/gorsethread/scheduling/scheduler.py
+++ b/gorsethread/scheduling/scheduler.py
@@ -50,7 +50,7 @@
         draws = RandomDraws(seed)
         self.polling = EndpointPolling(settings, self.timers, draws)
         self.shards = ShardAssignment()
-        self.queueing = FairQueueing(self.timers)
+        self.queueing = FairQueueing(self.timers, settings.max_volumes)
         self.key_ordering = KeyOrdering(settings, self.timers)
         self.retries = Retries(settings, self.timers)
         self.rate_limits = RateLimits(settings, self.timers)
--- a/gorsethread/transport/large_reads.py
+++ b/gorsethread/transport/large_reads.py
@@ -19,21 +19,25 @@
         self._waiting: deque[asyncio.Future[None]] = deque()  # one a stream; emptied one an iteration
         self._admitted = False  # a large read was admitted in this iteration
 
-    async def admitted(self) -> None:
-        """Returns at once if no large read was admitted in this iteration, else in a later one."""
+    def request(self) -> "asyncio.Future[None] | None":
+        """Requests a large read.
+
+        Returns None if it is admitted at once, as no other was in this iteration; else a future that is done
+        when it is admitted. A caller that does not wait any longer may set its result itself.
+        """
         loop = asyncio.get_running_loop()
         if not self._admitted:
             self._admitted = True
             loop.call_soon(self._admit_next, loop)
-            return
+            return None
         waiting = loop.create_future()
         self._waiting.append(waiting)
-        await waiting
+        return waiting
 
     def _admit_next(self, loop: asyncio.AbstractEventLoop) -> None:
         while self._waiting:
             waiting = self._waiting.popleft()
-            if not waiting.done():  # it is done if its reader was cancelled
+            if not waiting.done():  # it is done if its reader was cancelled or its stream closed
                 waiting.set_result(None)
                 loop.call_soon(self._admit_next, loop)
                 return
--- a/gorsethread/transport/real_streams.py
+++ b/gorsethread/transport/real_streams.py
@@ -54,6 +54,7 @@
         self._large_reads = large_reads
         self._reading: asyncio.Future[bytes] | None = None  # until read() has returned its bytes
         self._next_reading: asyncio.Future[bytes] | None = None  # begun by the last large read
+        self._admission: asyncio.Future[None] | None = None  # of the last large read
         self._flushed: asyncio.Future[None] | None = None
         self._corked: list[bytes] = []  # written in this iteration of the loop; emptied at its end
         self._corked_size = 0
@@ -78,7 +79,9 @@
             self._forget_errors()
             raise self._why_closed(error.real_error) from None
         if len(data) >= SMALL_READ_BYTES:
-            await self._large_reads.admitted()
+            self._admission = self._large_reads.request()
+            if self._admission is not None:
+                await self._admission
             data += self._read_available(READ_BYTES - len(data))
         elif is_complete:
             await asyncio.sleep(0.0)
@@ -199,6 +202,8 @@
         if not self._stream.closed():
             self._closed_here = True
         self._stream.close()
+        if self._admission is not None and not self._admission.done():
+            self._admission.set_result(None)  # ends the wait, so that the stream is freed
 
 
 def _has_result(reading: "asyncio.Future[bytes] | None") -> bool:
--- a/tests/http_gateway/crowds.py
+++ b/tests/http_gateway/crowds.py
@@ -164,6 +164,8 @@
                 connection = None
             self.slowest = max(self.slowest, time.monotonic() - began)
             self.statuses[status] = self.statuses.get(status, 0) + 1
+        if connection is not None:
+            connection.close()
 
 
 # ---- what the connections of a crowd send
