--- a/gorsethread/transport/real.py
+++ b/gorsethread/transport/real.py
@@ -34,7 +34,7 @@
     LISTEN_BACKLOG,
     RealListener,
     RealStream,
-    new_stream,
+    SocketStream,
     release_error,
 )
 
@@ -226,7 +226,7 @@
 
     async def connect(self, host: str, port: int, within: float) -> Stream:
         try:
-            stream = new_stream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+            stream = SocketStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
         except OSError as error:
             raise Unreachable(f"{host}:{port}: {error}") from None
         try:
--- a/gorsethread/transport/real_streams.py
+++ b/gorsethread/transport/real_streams.py
@@ -26,9 +26,19 @@
         ...
 
 
-def new_stream(connection: socket.socket) -> IOStream:
-    """Returns a stream that reads a small piece at once, so that reads which have to wait hold little."""
-    return IOStream(connection, read_chunk_size=SMALL_READ_BYTES, max_buffer_size=4 * MAX_READ_BYTES)
+class SocketStream(IOStream):
+    """Tornado's stream on a TCP socket, on which every error of the system is the end of the connection.
+
+    Tornado closes the stream at any error, but raises those that it does not take for the end. Reads are of a
+    small piece at once, so that reads which have to wait hold little.
+    """
+
+    def __init__(self, connection: socket.socket) -> None:
+        super().__init__(connection, read_chunk_size=SMALL_READ_BYTES, max_buffer_size=4 * MAX_READ_BYTES)
+
+    def _is_connreset(self, exc: BaseException) -> bool:
+        """Returns whether the connection has ended; Tornado documents that a subclass may override this."""
+        return isinstance(exc, OSError)
 
 
 def release_error(stream: IOStream) -> None:
@@ -60,6 +70,7 @@
         self._corked_size = 0
         self._sending_ended = False
         self._closed_here = False
+        self._error_text = ""  # of the error that ended the stream
         stream.set_nodelay(True)
 
     @property
@@ -75,9 +86,8 @@
             # Awaiting a complete read does not suspend: its task would go on for as long as there are bytes.
             is_complete = self._reading.done()
             data = await self._reading
-        except StreamClosedError as error:
-            self._forget_errors()
-            raise self._why_closed(error.real_error) from None
+        except OSError as error:  # StreamClosedError is one
+            raise self._ended_by(error) from None
         if len(data) >= SMALL_READ_BYTES:
             self._admission = self._large_reads.request()
             if self._admission is not None:
@@ -89,10 +99,16 @@
         self._iterations.work_began(self.peer, len(data))
         return data
 
-    def _why_closed(self, error: BaseException | None) -> StreamClosed:
-        if error is None and not self._closed_here:
+    def _ended_by(self, error: OSError) -> StreamClosed:
+        """Closes the stream after an error, and returns what to raise for it."""
+        reason = error.real_error if isinstance(error, StreamClosedError) else error
+        self._stream.close()
+        self._forget_errors()
+        if reason is not None:
+            self._error_text = str(reason)
+        if not self._error_text and not self._closed_here:
             return StreamEnded("closed by peer")
-        return StreamClosed(str(error or "closed"))
+        return StreamClosed(self._error_text or "closed")
 
     def _forget_errors(self) -> None:
         """Drops the futures of an ended stream, whose errors refer to frames that refer to the stream."""
@@ -109,8 +125,13 @@
         if self._stream.closed():
             return b""
         self._stream.read_chunk_size = limit
-        reading = self._start_reading(limit)
-        self._stream.read_chunk_size = SMALL_READ_BYTES
+        try:
+            reading = self._start_reading(limit)
+        except OSError as error:
+            self._stream.close(exc_info=error)
+            return b""
+        finally:
+            self._stream.read_chunk_size = SMALL_READ_BYTES
         if reading.done() and reading.exception() is None:
             return reading.result()
         self._next_reading = reading
@@ -168,7 +189,11 @@
             return  # the corked bytes stay counted as unsent
         corked, self._corked, self._corked_size = self._corked, [], 0
         if corked:
-            self._flushed = self._stream.write(b"".join(corked))
+            try:
+                self._flushed = self._stream.write(b"".join(corked))
+            except OSError as error:  # the system could not watch the socket
+                self._stream.close(exc_info=error)
+                return
             self._flushed.add_done_callback(_retrieve_exception)
 
     def end_sending(self) -> None:
@@ -193,9 +218,8 @@
         if self._flushed is not None:
             try:
                 await asyncio.shield(self._flushed)
-            except StreamClosedError as error:
-                self._forget_errors()
-                raise StreamClosed(str(error.real_error or "closed")) from None
+            except OSError as error:  # StreamClosedError is one
+                raise StreamClosed(str(self._ended_by(error))) from None
 
     def close(self) -> None:
         self._flush()
@@ -259,7 +283,7 @@
             if self._admits is not None and not self._admits():
                 accepted.close()
                 continue
-            stream = new_stream(accepted)
+            stream = SocketStream(accepted)
             peer = f"{address[0]}:{address[1]}"
             served = RealStream(stream, peer, self._iterations, self._large_reads)
             self._transport.spawn(self._serve(served))
