--- a/tests/test_large_reads.py
+++ b/tests/test_large_reads.py
@@ -1,6 +1,7 @@
 """Real streams share the event loop: no connection is read on and on while others wait."""
 
 import asyncio
+import time
 import unittest
 from typing import Any
 
@@ -10,6 +11,7 @@
 
 SENT_BYTES = 8 * READ_BYTES
 CONNECTIONS = 3
+SLOW_WORK_SECONDS = 0.02
 
 # Bytes of a connection whose large read waits: what was read, and a piece that the stream reads on.
 MOST_HELD_IN_WAITING = 2 * SMALL_READ_BYTES
@@ -79,6 +81,17 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         self.assertEqual([0, 2, 3], admitted, "in order, without the cancelled one")
 
+    async def test_after_a_slow_large_read_others_have_the_loop_for_as_long(self) -> None:
+        # Guards against usual requests that wait for one slow large read in each of their iterations.
+        reads = LargeReads()
+        self.assertIsNone(reads.request())
+        waiting = reads.request()
+        assert waiting is not None
+        time.sleep(SLOW_WORK_SECONDS)  # works on the bytes of the first
+        began = time.monotonic()
+        await waiting
+        self.assertGreater(time.monotonic() - began, 0.9 * SLOW_WORK_SECONDS)
+
     async def test_a_stream_with_bytes_that_read_has_not_returned_is_not_idle(self) -> None:
         # Guards against a connection that is reused or closed as idle over bytes that were received.
         transport, served = RealTransport(), list[Any]()
