--- a/gorsethread/transport/large_reads.py
+++ b/gorsethread/transport/large_reads.py
@@ -16,8 +16,8 @@
 
     The work on a peer's bytes has no pause, and a peer can choose bytes that are slow to work on. Small reads
     do not wait here, so that usual requests and answers pass between the large reads of others. After an
-    iteration with a large read, the next one waits for as long as that iteration took, so that usual requests,
-    which need several iterations each, have half of the time.
+    iteration with a large read, the next one waits for as long as that iteration took, so that usual
+    requests, which need several iterations each, have half of the time.
     """
 
     def __init__(self) -> None:
