--- a/gorsethread/http_gateway/gateway.py
+++ b/gorsethread/http_gateway/gateway.py
@@ -14,7 +14,7 @@
 from gorsethread.http_gateway.connection_pool import ConnectionPool
 from gorsethread.http_gateway.discovery import Discovery
 from gorsethread.http_gateway.endpoint_updates import EndpointUpdates
-from gorsethread.http_gateway.memory_budget import MemoryBudget, plan_memory
+from gorsethread.http_gateway.memory_budget import MemoryBudget, divide_memory
 from gorsethread.http_gateway.memory_monitor import MemoryMonitor
 from gorsethread.http_gateway.recent_ids import RecentIds
 from gorsethread.transport.base import Listener, Transport
@@ -82,8 +82,8 @@
         self._ending = False
         self._listener: Listener | None = None
         links = BackendLinks(lambda backend, address: BackendLink(self.pool, backend, address))
-        memory_plan = plan_memory(configuration.memory)
-        settings = replace(configuration.scheduler_settings, max_volumes=memory_plan.volumes)
+        memory_limits = divide_memory(configuration.memory)
+        settings = replace(configuration.scheduler_settings, max_volumes=memory_limits.volumes)
         updates = EndpointUpdates(transport, configuration.request_names.zones, links)
         wait = min(MAX_WATCH_WAIT_SECONDS, 0.5 * settings.poll_within or MAX_WATCH_WAIT_SECONDS)
         self.discovery = Discovery(transport, configuration.discovery, updates, wait, log)
@@ -92,7 +92,7 @@
         )
         links.driver = self.driver
         updates.driver = self.driver
-        self.budget = MemoryBudget(memory_plan.connection_bytes)
+        self.budget = MemoryBudget(memory_limits.connection_bytes)
         self.memory = MemoryMonitor(transport, configuration.memory, log)
         self.pool = self._connection_pool()
         updates.pool = self.pool
@@ -101,9 +101,9 @@
             transport,
             self.driver,
             configuration.request_names,
-            min(int(configuration.sockets * CLIENTS_FRACTION), memory_plan.clients),
+            min(int(configuration.sockets * CLIENTS_FRACTION), memory_limits.clients),
             self.budget,
-            RecentIds(memory_plan.ids),
+            RecentIds(memory_limits.ids),
             log,
         )
         self.peer_messages = self._make_peer_messages()
--- a/gorsethread/http_gateway/memory_budget.py
+++ b/gorsethread/http_gateway/memory_budget.py
@@ -20,7 +20,7 @@
 
 
 @dataclass(frozen=True)
-class MemoryPlan:
+class MemoryLimits:
     """What each part of a process may hold.
 
     Attributes:
@@ -36,12 +36,12 @@
     ids: int
 
 
-def plan_memory(permitted_megabytes: float) -> MemoryPlan:
+def divide_memory(permitted_megabytes: float) -> MemoryLimits:
     """Returns what a process with that much permitted memory may hold."""
     permitted = permitted_megabytes * MEGABYTE
     rest = max(LEAST_FRACTION * permitted, permitted - PROGRAM_BYTES)
     connection_bytes = int(CONNECTIONS_FRACTION * rest)
-    return MemoryPlan(
+    return MemoryLimits(
         connection_bytes=connection_bytes,
         clients=int(CLIENTS_FRACTION * connection_bytes / CONNECTION_BYTES),
         volumes=min(VOLUMES_MAX, int(VOLUMES_FRACTION * rest / VOLUME_BYTES)),
--- a/tests/http_gateway/test_memory.py
+++ b/tests/http_gateway/test_memory.py
@@ -12,7 +12,7 @@
 from gorsethread.http1.client_codec import ClientCodec
 from gorsethread.http1.framing import HEADER_LINES_MAX, InvalidRequestError, InvalidResponseError
 from gorsethread.http1.server_codec import ServerCodec
-from gorsethread.http_gateway.memory_budget import CONNECTION_BYTES, MEGABYTE, plan_memory
+from gorsethread.http_gateway.memory_budget import CONNECTION_BYTES, MEGABYTE, divide_memory
 from gorsethread.http_gateway.recent_ids import REMEMBERED_MAX
 from gorsethread.scheduling.fair_queueing import VOLUMES_MAX
 from gorsethread.transport.large_reads import READ_BYTES
@@ -31,7 +31,7 @@
 
 class Bounds(unittest.TestCase):
     def test_a_budget_leaves_room_for_the_program_and_is_never_nothing(self) -> None:
-        most, least = plan_memory(192), plan_memory(32)
+        most, least = divide_memory(192), divide_memory(32)
         self.assertAlmostEqual(51.6 * MEGABYTE, most.connection_bytes, delta=1)
         self.assertEqual((VOLUMES_MAX, REMEMBERED_MAX), (most.volumes, most.ids))
         self.assertAlmostEqual(3.6 * MEGABYTE, least.connection_bytes, delta=1)
@@ -160,6 +160,6 @@
         gateway.send_signal(signal.SIGTERM)
         gateway.wait_for_log('"gateway ends"')
         most_held = [json.loads(line)["most_held_bytes"] for line in gateway.log_lines('"most_held_bytes"')]
-        budget = plan_memory(SMALL_MEMORY["memory_mb"]).connection_bytes
+        budget = divide_memory(SMALL_MEMORY["memory_mb"]).connection_bytes
         self.assertLess(max(most_held), budget + READ_BYTES)
         self.assertGreater(max(most_held), budget - BODY_BYTES, "the clients had not sent much yet")
