Refuse a memory limit that is not a positive number with one line of error

A limit of 0 would divide by zero in the watch of the memory, infinity would end the start with a trace. Found by reading the new code. Measured: test_an_error_names_the_field_that_is_missing_or_invalid with both, passes; without the check both fail.

--- a/gorsethread/http_gateway/configuration.py
+++ b/gorsethread/http_gateway/configuration.py
@@ -185,6 +185,8 @@
 def _configuration(file: _File, settings: SchedulerSettings) -> Configuration:
     if file.limits.sockets < MIN_SOCKETS:
         raise UnusableConfigurationError(f"limits.sockets: {file.limits.sockets} is less than {MIN_SOCKETS}")
+    if not 0 < file.limits.memory < math.inf:
+        raise UnusableConfigurationError(f"limits.memory_mb: {file.limits.memory} is not a positive number")
     peer_listen, peers = _peers(file, settings)
     given = file.settings
     return Configuration(
--- a/tests/http_gateway/test_program.py
+++ b/tests/http_gateway/test_program.py
@@ -22,6 +22,8 @@
         for changes, field in (
             ({"listen": "here"}, "listen"),
             ({"limits": {}}, "limits.sockets"),
+            ({"limits": {"sockets": 256, "memory_mb": 0}}, "limits.memory_mb"),
+            ({"limits": {"sockets": 256, "memory_mb": float("inf")}}, "limits.memory_mb"),
             ({"seed": "xyz"}, "seed"),
             ({"settings": 3}, "settings"),
             ({"settings": {**SETTINGS, "services": []}}, "settings"),
