Let a test read the whole log of an ended process before it looks for the last line

Traced: the test looks for it right after the process has ended, while the thread that reads the log has not come to it; the program flushes before it exits. The rig now joins that thread first once the process has ended; the check is as it was. Measured: tests/crossing/test_clients.py passes.

--- a/tests/crossing/rig.py
+++ b/tests/crossing/rig.py
@@ -322,13 +322,20 @@
         if not found:
             raise AssertionError(f"never logged: {texts}: {''.join(self._lines)}")
 
+    def _read_rest(self) -> None:
+        """Waits until the whole log of a process that has ended is read."""
+        if self.process.poll() is not None:
+            self._reader.join(STEP_TIMEOUT)
+
     def log_lines(self, *texts: str) -> list[str]:
-        """Returns the log lines that contain all of the texts."""
+        """Returns the log lines that contain all of the texts; all of the log once the process has ended."""
+        self._read_rest()
         with self._line_read:
             return [line for line in self._lines if all(text in line for text in texts)]
 
     def log_positions(self, *texts: str) -> list[int]:
         """Returns the positions of the log lines that contain all of the texts."""
+        self._read_rest()
         with self._line_read:
             return [n for n, line in enumerate(self._lines) if all(text in line for text in texts)]
 
