--- a/tests/http_gateway/test_many_names.py
+++ b/tests/http_gateway/test_many_names.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from gorsethread.http_gateway.memory_budget import divide_memory
 from gorsethread.scheduling.fair_queueing import VOLUMES_MAX
 from tests.crossing.rig import ProcessTest, Server
 from tests.live import request_bytes, response_bytes
@@ -61,4 +62,5 @@
         [line] = gateway.log_lines('"gateway ends"')
         counts = json.loads(line)
         self.assertGreater(counts["requests"], NAMES)
-        self.assertLessEqual(counts["volumes"], VOLUMES_MAX + 1)
+        permitted = self.configuration["limits"]["memory_mb"]
+        self.assertLessEqual(counts["volumes"], divide_memory(permitted).volumes + 1)
