--- a/tests/http_gateway/test_memory.py
+++ b/tests/http_gateway/test_memory.py
@@ -112,6 +112,24 @@
 
         self.run_scenario(work)
 
+    def test_bytes_behind_open_requests_cost_no_usual_client_its_answer(self) -> None:
+        # Guards against a complete request that is refused as an incomplete one while others hold the memory.
+        async def work() -> None:
+            self.start(limits=SMALL_MEMORY)
+            self.backends[1].respond = lambda request: None
+            behind = request_bytes("ffff", "post", 1, 2000, b"x" * BODY_BYTES)
+            statuses = []
+            for number in range(40):
+                client = await FakeClient(self.client_process).connect()
+                client.stream.write(request_bytes(f"{number + 1:x}", shard=1, timeout_ms=2000) + behind * 4)
+                usual = await FakeClient(self.client_process).connect()
+                usual.stream.write(request_bytes(f"{500 + number:x}", timeout_ms=900))
+                await self.wait(0.05)
+                statuses.append(usual.status)
+            self.assertEqual({200}, set(statuses), statuses)
+
+        self.run_scenario(work)
+
     def test_incomplete_answers_of_backends_stay_within_the_budget(self) -> None:
         # Guards against answers that come slowly, each within the bound of one body.
         async def work() -> None:
